--- /dev/null
+++ b/packages/claims/src/claimRegistry.ts
@@ -0,0 +1,166 @@
+/**
+ * Registers claims with a witness before any task starts. A claim counts once another active member
+ * of the same epoch holds it: the owner of the id when that is not this instance, and otherwise
+ * any member, the second in rendezvous order by preference. Claims for one witness that arise in
+ * one turn of the event loop travel in one message.
+ */
+import { Result } from 'true-myth';
+import { createDeferred, ErrorCodes, type Deferred } from '@celerybarrow/shared';
+import type { Ask, Claim, Greeting, Member, Reply } from '@celerybarrow/protocol';
+import {
+  activeMembers,
+  hasMember,
+  rankMembers,
+  type Heartbeat,
+  type Peers,
+  type RosterKeeper,
+  type SoleLock,
+  type View,
+} from '@celerybarrow/membership';
+import type { TimerService } from '@celerybarrow/timer';
+import { ClaimError } from './claimError.js';
+import type { ClaimStore } from './claimStore.js';
+
+const CLAIM_TIMEOUT_MS = 1_000;
+const REGISTER_PATIENCE_MS = 5_000;
+const RETRY_PAUSE_MS = 20;
+
+export interface ClaimRegistry {
+  /**
+   * Registers the claim of this instance. Errors: CLAIM_REFUSED when another runner holds the id,
+   * CLAIM_UNWITNESSED when no witness answered in time. After either error no task may be started.
+   */
+  register(claim: Claim, patienceMs?: number): Promise<Result<Claim, ClaimError>>;
+  /** Answers the claims of another member. */
+  witness(ask: Ask<'claim'>, peer: Greeting): Reply<'claim'>;
+  /** Registers no more claims in this epoch. */
+  cede(): void;
+  hasCeded(): boolean;
+}
+
+export interface ClaimRegistryOptions {
+  readonly self: Member;
+  readonly store: ClaimStore;
+  readonly rosters: RosterKeeper;
+  readonly peers: Peers;
+  readonly heartbeat: Heartbeat;
+  readonly soleLock: SoleLock;
+  readonly timer: TimerService;
+}
+
+type Verdict = 'accepted' | 'refused' | 'retry';
+
+interface PendingBatch {
+  readonly claims: Claim[];
+  readonly reply: Deferred<Reply<'claim'> | undefined>;
+}
+
+export function createClaimRegistry(options: ClaimRegistryOptions): ClaimRegistry {
+  const { self, store, rosters, peers, heartbeat, soleLock, timer } = options;
+  const batches = new Map<string, PendingBatch>();
+  let isCeded = false;
+
+  async function register(
+    claim: Claim,
+    patienceMs = REGISTER_PATIENCE_MS,
+  ): Promise<Result<Claim, ClaimError>> {
+    const giveUpMs = timer.nowMs() + patienceMs;
+    const tried = new Set<string>();
+    do {
+      const view = rosters.own();
+      if (view === undefined || isCeded || !hasMember(view.roster, self.incarnation)) break;
+      const [witness, isSole] = chooseWitness(view, claim.id, tried);
+      // Whoever takes out a sole member waits for its lock to lapse and then refuses all ids created
+      // before that moment, so the lock must be held only now and not while the tasks start.
+      if (isSole && soleLock.heldUntilMs() > 0) return Result.ok(claim);
+      if (witness === undefined) {
+        tried.clear();
+        await timer.sleep(RETRY_PAUSE_MS);
+        continue;
+      }
+      const verdict = await ask(view, witness, claim);
+      if (verdict === 'accepted') return Result.ok(claim);
+      if (verdict === 'refused')
+        return Result.err(new ClaimError(ErrorCodes.CLAIM_REFUSED, claim.id));
+      tried.add(witness.incarnation);
+      await timer.sleep(RETRY_PAUSE_MS);
+    } while (timer.nowMs() < giveUpMs);
+    return Result.err(new ClaimError(ErrorCodes.CLAIM_UNWITNESSED, claim.id));
+  }
+
+  function chooseWitness(
+    view: View,
+    id: string,
+    tried: ReadonlySet<string>,
+  ): [Member | undefined, boolean] {
+    const ranked = rankMembers(view, id);
+    const others = ranked.filter((member) => member.incarnation !== self.incarnation);
+    if (others.length === 0) return [undefined, ranked.length === 1];
+    const owner = ranked[0];
+    if (owner !== undefined && owner.incarnation !== self.incarnation) return [owner, false];
+    const untried = others.filter((member) => !tried.has(member.incarnation));
+    const reachable = untried.find((member) => heartbeat.isReachable(member.incarnation));
+    return [reachable ?? untried[0], false];
+  }
+
+  async function ask(view: View, witness: Member, claim: Claim): Promise<Verdict> {
+    const reply = await sendTogether(view, witness, claim);
+    if (reply === undefined) return 'retry';
+    if (reply.epoch !== view.roster.epoch || !reply.accepted) return 'retry';
+    return reply.refused.includes(claim.id) ? 'refused' : 'accepted';
+  }
+
+  function sendTogether(
+    view: View,
+    witness: Member,
+    claim: Claim,
+  ): Promise<Reply<'claim'> | undefined> {
+    const key = `${view.roster.epoch}/${witness.incarnation}`;
+    const known = batches.get(key);
+    if (known !== undefined) {
+      known.claims.push(claim);
+      return known.reply.promise;
+    }
+    const batch: PendingBatch = { claims: [claim], reply: createDeferred() };
+    batches.set(key, batch);
+    setImmediate(() => {
+      batches.delete(key);
+      void send(view, witness, batch);
+    });
+    return batch.reply.promise;
+  }
+
+  async function send(view: View, witness: Member, batch: PendingBatch): Promise<void> {
+    const message = {
+      epoch: view.roster.epoch,
+      ceded: [...view.ceded],
+      claims: batch.claims,
+    };
+    const reply = await peers.request(witness, 'claim', message, { timeoutMs: CLAIM_TIMEOUT_MS });
+    batch.reply.resolve(reply.isOk ? reply.value : undefined);
+  }
+
+  function witness(message: Ask<'claim'>, peer: Greeting): Reply<'claim'> {
+    const view = rosters.own();
+    const epoch = view?.roster.epoch ?? 0;
+    if (view === undefined || isCeded || epoch !== message.epoch || !isActive(view, peer)) {
+      return { accepted: false, epoch, refused: [] };
+    }
+    for (const incarnation of message.ceded) rosters.addCeded(epoch, incarnation);
+    const refused = message.claims.filter((claim) => !store.add(claim));
+    return { accepted: true, epoch, refused: refused.map((claim) => claim.id) };
+  }
+
+  return {
+    register,
+    witness,
+    cede() {
+      isCeded = true;
+    },
+    hasCeded: () => isCeded,
+  };
+}
+
+function isActive(view: View, peer: Greeting): boolean {
+  return activeMembers(view).some((member) => member.incarnation === peer.incarnation);
+}
--- /dev/null
+++ b/packages/claims/src/claimStore.ts
@@ -0,0 +1,91 @@
+/**
+ * The claims that an instance holds, as owner, runner or witness, until their retention ends.
+ * Records are bucketed by creation time, so that expiry costs only what it removes.
+ */
+import type { Answer, Claim, TransferredRecord } from '@celerybarrow/protocol';
+
+/** How long after its creation a submission may be sent again. */
+export const RETENTION_MS = 15 * 60_000;
+/** Time by which records outlive the retention, for clocks that differ. */
+const RETENTION_MARGIN_MS = 60_000;
+const BUCKET_MS = 30_000;
+
+export interface ClaimRecord {
+  claim: Claim;
+  answer?: Answer | undefined;
+}
+
+export interface ClaimStore {
+  find(id: string): ClaimRecord | undefined;
+  /** Adds a claim, or replaces the one that it supersedes. False when another runner holds the id. */
+  add(claim: Claim): boolean;
+  /** Adds a record that another instance held; the answer is kept if it is known on either side. */
+  merge(record: TransferredRecord): void;
+  setAnswer(id: string, answer: Answer): void;
+  remove(id: string): void;
+  expire(nowMs: number): void;
+  records(): IterableIterator<ClaimRecord>;
+  size(): number;
+}
+
+export function createClaimStore(): ClaimStore {
+  const byId = new Map<string, ClaimRecord>();
+  const buckets = new Map<number, Set<string>>();
+
+  function insert(claim: Claim): ClaimRecord {
+    const record = { claim };
+    byId.set(claim.id, record);
+    const key = bucketOf(claim.createdAt);
+    const bucket = buckets.get(key) ?? new Set();
+    bucket.add(claim.id);
+    buckets.set(key, bucket);
+    return record;
+  }
+
+  function add(claim: Claim): boolean {
+    const known = byId.get(claim.id);
+    if (known === undefined) {
+      insert(claim);
+      return true;
+    }
+    if (known.claim.runnerIncarnation === claim.runnerIncarnation) return true;
+    if (claim.supersedes === undefined) return false;
+    if (claim.supersedes !== known.claim.runnerIncarnation) return false;
+    known.claim = claim;
+    return true;
+  }
+
+  return {
+    find: (id) => byId.get(id),
+    add,
+    merge({ answer, ...claim }) {
+      const record = byId.get(claim.id) ?? insert(claim);
+      if (claim.supersedes === record.claim.runnerIncarnation) record.claim = claim;
+      record.answer ??= answer;
+    },
+    setAnswer(id, answer) {
+      const record = byId.get(id);
+      if (record !== undefined) record.answer = answer;
+    },
+    remove(id) {
+      const record = byId.get(id);
+      if (record === undefined) return;
+      byId.delete(id);
+      buckets.get(bucketOf(record.claim.createdAt))?.delete(id);
+    },
+    expire(nowMs) {
+      const oldest = bucketOf(nowMs - RETENTION_MS - RETENTION_MARGIN_MS);
+      for (const [key, ids] of buckets) {
+        if (key >= oldest) continue;
+        for (const id of ids) byId.delete(id);
+        buckets.delete(key);
+      }
+    },
+    records: () => byId.values(),
+    size: () => byId.size,
+  };
+}
+
+function bucketOf(createdAt: number): number {
+  return Math.floor(createdAt / BUCKET_MS);
+}
--- /dev/null
+++ b/packages/claims/src/handover.ts
@@ -0,0 +1,281 @@
+/**
+ * Moves claims when the members change. On a new epoch every source first refuses claims of older
+ * epochs, then sends each member the records of its range and a word that these are all. An owner
+ * answers for ids that others owned before only when all live sources have given that word.
+ */
+import { describeError } from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import type {
+  Ask,
+  Greeting,
+  Member,
+  Reply,
+  Roster,
+  TransferredRecord,
+} from '@celerybarrow/protocol';
+import {
+  activeMembers,
+  hasMember,
+  liveSources,
+  isSettled,
+  rankMembers,
+  type Peers,
+  type RosterKeeper,
+  type View,
+} from '@celerybarrow/membership';
+import { rankByRendezvous } from '@celerybarrow/shared';
+import type { Logger } from '@celerybarrow/telemetry';
+import type { ClaimRecord, ClaimStore } from './claimStore.js';
+
+const COPIES = 2;
+const RECORDS_IN_A_MESSAGE = 500;
+const TRANSFER_TIMEOUT_MS = 2_000;
+const RETRY_PAUSE_MS = 100;
+
+export interface Handover {
+  /** Whether this instance holds every claim that may exist for an id it owns. */
+  isComplete(id: string): boolean;
+  /** Whether this member has sent and received all claims of an epoch. */
+  hasSettled(epoch: number): boolean;
+  receive(ask: Ask<'transfer'>, peer: Greeting): Reply<'transfer'>;
+  /** A peer ceded: its ids and the copies it held move on. */
+  onCession(ask: Ask<'cede'>): Promise<Reply<'cede'>>;
+  /** Moves all records to the successors and tells every member; false when some did not answer. */
+  cede(): Promise<boolean>;
+  /** Moves the answers of jobs that ended after the cession. */
+  moveAnswers(): Promise<boolean>;
+  close(): void;
+}
+
+export interface HandoverOptions {
+  readonly self: Member;
+  readonly store: ClaimStore;
+  readonly rosters: RosterKeeper;
+  readonly peers: Peers;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  /** Called before the first record is moved on a planned stop. */
+  readonly stopClaiming: () => void;
+}
+
+interface EpochProgress {
+  readonly epoch: number;
+  /** Incarnations whose claims are all here. */
+  readonly receivedFrom: Set<string>;
+  /** Incarnations that hold all claims sent by this instance. */
+  readonly sentTo: Set<string>;
+}
+
+export function createHandover(options: HandoverOptions): Handover {
+  const { self, store, rosters, peers, timer, logger } = options;
+  const closing = new AbortController();
+  let progress = createProgress(0);
+
+  function follow(): void {
+    const view = rosters.own();
+    if (view === undefined || view.roster.epoch === progress.epoch) return;
+    progress = createProgress(view.roster.epoch);
+    const sources = isSettled(view.roster) ? view.roster.members : liveSources(view.roster);
+    if (!sources.some((source) => source.incarnation === self.incarnation)) return;
+    for (const member of view.roster.members) {
+      if (member.incarnation === self.incarnation) progress.receivedFrom.add(self.incarnation);
+      else void moveTo(member, progress).catch(reportFailure);
+    }
+  }
+
+  function reportFailure(error: unknown): void {
+    logger.error('Could not move claims.', { reason: describeError(error) });
+  }
+
+  async function moveTo(member: Member, current: EpochProgress): Promise<void> {
+    while (!closing.signal.aborted && progress === current) {
+      const view = rosters.own();
+      if (view === undefined) return;
+      if (await sendRange(member, view, current)) {
+        current.sentTo.add(member.incarnation);
+        return;
+      }
+      await timer.sleep(RETRY_PAUSE_MS, closing.signal);
+    }
+  }
+
+  async function sendRange(member: Member, view: View, current: EpochProgress): Promise<boolean> {
+    const range = await collect((id) => isHolder(view, id, member));
+    for (let start = 0; start < range.length; start += RECORDS_IN_A_MESSAGE) {
+      const records = range.slice(start, start + RECORDS_IN_A_MESSAGE);
+      if (!(await send(member, current.epoch, records, false))) return false;
+    }
+    return send(member, current.epoch, [], true);
+  }
+
+  /** Picks records in steps, so that a large store does not hold up the event loop. */
+  async function collect(isWanted: (id: string) => boolean): Promise<TransferredRecord[]> {
+    const picked: TransferredRecord[] = [];
+    let seen = 0;
+    for (const record of store.records()) {
+      if (isWanted(record.claim.id)) picked.push(withoutAnswer(record));
+      seen += 1;
+      if (seen % RECORDS_IN_A_MESSAGE === 0) await timer.sleep(0);
+    }
+    return picked;
+  }
+
+  async function send(
+    member: Member,
+    epoch: number,
+    records: TransferredRecord[],
+    complete: boolean,
+  ): Promise<boolean> {
+    const ask = { epoch, records, complete };
+    const reply = await peers.request(member, 'transfer', ask, {
+      timeoutMs: TRANSFER_TIMEOUT_MS,
+      connectWaitMs: TRANSFER_TIMEOUT_MS,
+      signal: closing.signal,
+    });
+    return reply.isOk && reply.value.accepted;
+  }
+
+  function receive(ask: Ask<'transfer'>, peer: Greeting): Reply<'transfer'> {
+    for (const record of ask.records) store.merge(record);
+    const epoch = rosters.own()?.roster.epoch;
+    if (epoch !== ask.epoch || progress.epoch !== ask.epoch) return { accepted: false };
+    if (ask.complete) progress.receivedFrom.add(peer.incarnation);
+    return { accepted: true };
+  }
+
+  function isComplete(id: string): boolean {
+    const view = rosters.own();
+    if (view === undefined || progress.epoch !== view.roster.epoch) return false;
+    const { roster } = view;
+    return isSettled(roster) || hasAllSources(roster) || hasAlwaysOwned(roster, id);
+  }
+
+  function hasAllSources(roster: Roster): boolean {
+    return liveSources(roster).every((source) => progress.receivedFrom.has(source.incarnation));
+  }
+
+  function hasAlwaysOwned(roster: Roster, id: string): boolean {
+    if (!roster.base.includes(self.incarnation)) return false;
+    const all = new Map(
+      [...roster.sources, ...roster.members].map((one) => [one.incarnation, one]),
+    );
+    const owner = rankByRendezvous(id, [...all.values()], (member) => member.instance)[0];
+    return owner?.incarnation === self.incarnation;
+  }
+
+  function hasSettled(epoch: number): boolean {
+    const roster = rosters.own()?.roster;
+    if (roster?.epoch !== epoch || progress.epoch !== epoch) return false;
+    if (!hasAllSources(roster)) return false;
+    const isSource = liveSources(roster).some((source) => source.incarnation === self.incarnation);
+    const others = roster.members.filter((member) => member.incarnation !== self.incarnation);
+    return !isSource || others.every((member) => progress.sentTo.has(member.incarnation));
+  }
+
+  async function onCession(ask: Ask<'cede'>): Promise<Reply<'cede'>> {
+    rosters.addCeded(ask.epoch, ask.incarnation);
+    const view = rosters.own();
+    if (view?.roster.epoch !== ask.epoch) return { accepted: true };
+    return { accepted: await restoreCopies(view) };
+  }
+
+  /** Sends the claims of this owner to their present witnesses, so that each is held twice again. */
+  async function restoreCopies(view: View): Promise<boolean> {
+    const others = activeMembers(view).filter((member) => member.incarnation !== self.incarnation);
+    const sent = await Promise.all(
+      others.map(async (member) => {
+        const range = await collect((id) => isHolder(view, id, self) && isHolder(view, id, member));
+        return sendAll(member, view.roster.epoch, range);
+      }),
+    );
+    return sent.every(Boolean);
+  }
+
+  async function sendAll(
+    member: Member,
+    epoch: number,
+    range: TransferredRecord[],
+  ): Promise<boolean> {
+    for (let start = 0; start < range.length; start += RECORDS_IN_A_MESSAGE) {
+      const records = range.slice(start, start + RECORDS_IN_A_MESSAGE);
+      if (!(await send(member, epoch, records, false))) return false;
+    }
+    return true;
+  }
+
+  async function cede(): Promise<boolean> {
+    options.stopClaiming();
+    const view = rosters.own();
+    if (view === undefined || !hasMember(view.roster, self.incarnation)) return true;
+    const { epoch } = view.roster;
+    rosters.addCeded(epoch, self.incarnation);
+    const after = rosters.own() ?? view;
+    const successors = activeMembers(after);
+    if (successors.length === 0) return false;
+    if (!(await moveRecords(after))) return false;
+    const told = await Promise.all(successors.map((member) => tellCession(member, epoch)));
+    return told.every(Boolean);
+  }
+
+  function moveAnswers(): Promise<boolean> {
+    const view = rosters.own();
+    return view === undefined ? Promise.resolve(false) : moveRecords(view);
+  }
+
+  async function moveRecords(after: View): Promise<boolean> {
+    const others = activeMembers(after).filter((one) => one.incarnation !== self.incarnation);
+    // Every record is in place before the first member learns of the cession, because from then on
+    // the successors answer for the ids.
+    const moved = await Promise.all(
+      others.map(async (member) => {
+        const range = await collectWithAnswers((id) => isHolder(after, id, member));
+        return sendAll(member, after.roster.epoch, range);
+      }),
+    );
+    return moved.every(Boolean);
+  }
+
+  async function tellCession(member: Member, epoch: number): Promise<boolean> {
+    const ask = { epoch, incarnation: self.incarnation };
+    const reply = await peers.request(member, 'cede', ask, { timeoutMs: TRANSFER_TIMEOUT_MS * 2 });
+    return reply.isOk && reply.value.accepted;
+  }
+
+  async function collectWithAnswers(
+    isWanted: (id: string) => boolean,
+  ): Promise<TransferredRecord[]> {
+    const range = await collect(isWanted);
+    return range.map((record) => ({ ...record, answer: store.find(record.id)?.answer }));
+  }
+
+  rosters.onChange((dataCentre) => {
+    if (dataCentre === rosters.dataCentre) follow();
+  });
+  follow();
+
+  return {
+    isComplete,
+    hasSettled,
+    receive,
+    onCession,
+    cede,
+    moveAnswers,
+    close() {
+      closing.abort();
+    },
+  };
+}
+
+function createProgress(epoch: number): EpochProgress {
+  return { epoch, receivedFrom: new Set(), sentTo: new Set() };
+}
+
+function isHolder(view: View, id: string, member: Member): boolean {
+  return rankMembers(view, id)
+    .slice(0, COPIES)
+    .some((one) => one.incarnation === member.incarnation);
+}
+
+function withoutAnswer(record: ClaimRecord): TransferredRecord {
+  return { ...record.claim };
+}
--- /dev/null
+++ b/packages/cli/src/exitCodes.ts
@@ -0,0 +1,24 @@
+/** Exit codes of `celerybarrow`; docs/operators/command-line.md lists them. */
+import { Outcomes, type Outcome } from '@celerybarrow/shared';
+
+export const ExitCodes = {
+  DONE: 0,
+  FAILED: 1,
+  BAD_ARGUMENTS: 2,
+  NOT_RUN: 3,
+  MAY_HAVE_RUN: 4,
+  CONFLICT: 5,
+  UNREACHABLE: 6,
+} as const;
+export type ExitCode = (typeof ExitCodes)[keyof typeof ExitCodes];
+
+export function exitCodeOf(outcome: Outcome): ExitCode {
+  switch (outcome) {
+    case Outcomes.NOT_RUN:
+      return ExitCodes.NOT_RUN;
+    case Outcomes.MAY_HAVE_RUN:
+      return ExitCodes.MAY_HAVE_RUN;
+    case Outcomes.FAILED:
+      return ExitCodes.FAILED;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/httpClient.ts
@@ -0,0 +1,45 @@
+/** JSON requests to the interfaces of callers and operators. */
+import { Agent, request, type Dispatcher } from 'undici';
+import { describeError } from '@celerybarrow/shared';
+import { CliError } from './cliError.js';
+import { ExitCodes } from './exitCodes.js';
+
+export interface JsonResponse {
+  readonly status: number;
+  readonly body: unknown;
+  readonly retryAfterMs: number | undefined;
+}
+
+export interface JsonCall {
+  readonly method?: Dispatcher.HttpMethod;
+  readonly body?: string;
+  /** 0 waits without end. */
+  readonly timeoutMs?: number;
+}
+
+const DEFAULT_TIMEOUT_MS = 10_000;
+const agent = new Agent({ connect: { timeout: 2_000 } });
+
+/** Sends a request; throws a CliError with UNREACHABLE when no answer came. */
+export async function callJson(url: string, call: JsonCall = {}): Promise<JsonResponse> {
+  const timeoutMs = call.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+  try {
+    const response = await request(url, {
+      dispatcher: agent,
+      method: call.method ?? 'GET',
+      headersTimeout: timeoutMs,
+      bodyTimeout: timeoutMs,
+      ...(call.body === undefined
+        ? {}
+        : { body: call.body, headers: { 'content-type': 'application/json' } }),
+    });
+    const retryAfter = response.headers['retry-after'];
+    return {
+      status: response.statusCode,
+      body: JSON.parse(await response.body.text()) as unknown,
+      retryAfterMs: typeof retryAfter === 'string' ? Number(retryAfter) * 1_000 : undefined,
+    };
+  } catch (error) {
+    throw new CliError(ExitCodes.UNREACHABLE, `no answer from ${url}: ${describeError(error)}`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,1 @@
+export { main } from './main.js';
--- /dev/null
+++ b/packages/cli/src/jobCommands.ts
@@ -0,0 +1,149 @@
+/** `celerybarrow submit`, `status`, `cancel` and `explain`. */
+import { readFile } from 'node:fs/promises';
+import { text as readStream } from 'node:stream/consumers';
+import { setTimeout as delay } from 'node:timers/promises';
+import { z } from 'zod';
+import { createUuidV7, describeError, Outcomes } from '@celerybarrow/shared';
+import { CliError } from './cliError.js';
+import { ExitCodes, exitCodeOf } from './exitCodes.js';
+import { callJson, type JsonResponse } from './httpClient.js';
+import type { Terminal } from './terminal.js';
+
+const PROGRESS_INTERVAL_MS = 500;
+const DEFAULT_RETRY_MS = 1_000;
+
+const answerSchema = z.object({
+  id: z.string(),
+  answers: z.array(z.object({ name: z.string(), body: z.unknown() })),
+});
+const problemSchema = z.object({
+  title: z.string(),
+  detail: z.string(),
+  outcome: z.enum(['not-run', 'may-have-run', 'failed']).optional(),
+});
+
+export interface SubmitFlags {
+  readonly entry: string;
+  readonly id: string | undefined;
+  readonly home: string | undefined;
+  /** How often to submit again while the answer is that nothing ran. */
+  readonly retries: number;
+}
+
+export async function submitCommand(
+  file: string,
+  flags: SubmitFlags,
+  terminal: Terminal,
+): Promise<void> {
+  const submission = await readJob(file, flags);
+  const response = await submitWithRetries(submission, flags, terminal);
+  terminal.endProgress();
+  if (response.status !== 200) throw toProblem(response);
+  const answer = answerSchema.parse(response.body);
+  const lines = answer.answers.map((one) => `${one.name}: ${JSON.stringify(one.body)}`);
+  terminal.print(response.body, [`Job ${answer.id} is complete.`, ...lines]);
+}
+
+type JobDocument = Readonly<Record<string, unknown>> & { readonly id: string };
+
+async function readJob(file: string, flags: SubmitFlags): Promise<JobDocument> {
+  try {
+    const text = file === '-' ? await readStream(process.stdin) : await readFile(file, 'utf8');
+    const job = z.record(z.unknown()).parse(JSON.parse(text));
+    const given = typeof job['id'] === 'string' ? job['id'] : undefined;
+    const id = flags.id ?? given ?? createUuidV7(Date.now());
+    return { ...job, id, ...(flags.home === undefined ? {} : { home: flags.home }) };
+  } catch (error) {
+    throw new CliError(ExitCodes.BAD_ARGUMENTS, `${file} is not a job: ${describeError(error)}`);
+  }
+}
+
+async function submitWithRetries(
+  submission: JobDocument,
+  flags: SubmitFlags,
+  terminal: Terminal,
+): Promise<JsonResponse> {
+  for (let attempt = 0; ; attempt += 1) {
+    const response = await submitOnce(submission, flags.entry, terminal);
+    const problem = problemSchema.safeParse(response.body).data;
+    const mayRetry = problem?.outcome === Outcomes.NOT_RUN && response.retryAfterMs !== undefined;
+    if (!mayRetry || attempt >= flags.retries) return response;
+    await delay(response.retryAfterMs ?? DEFAULT_RETRY_MS);
+  }
+}
+
+async function submitOnce(
+  submission: JobDocument,
+  entry: string,
+  terminal: Terminal,
+): Promise<JsonResponse> {
+  const stop = new AbortController();
+  const shown = showProgress(submission.id, entry, terminal, stop.signal);
+  try {
+    const body = JSON.stringify(submission);
+    return await callJson(`${entry}/v1/jobs`, { method: 'POST', body, timeoutMs: 0 });
+  } finally {
+    stop.abort();
+    await shown;
+  }
+}
+
+async function showProgress(
+  id: string,
+  entry: string,
+  terminal: Terminal,
+  signal: AbortSignal,
+): Promise<void> {
+  if (!process.stderr.isTTY) return;
+  while (!signal.aborted) {
+    await delay(PROGRESS_INTERVAL_MS, undefined, { signal }).catch(() => undefined);
+    if (signal.aborted) return;
+    const response = await callJson(jobUrl(entry, id)).catch(() => undefined);
+    const status = response?.body as { endedTasks?: number; tasks?: number } | undefined;
+    if (status?.tasks === undefined) continue;
+    terminal.progress(`${status.endedTasks ?? 0} of ${status.tasks} tasks have ended`);
+  }
+}
+
+export async function statusCommand(id: string, entry: string, terminal: Terminal): Promise<void> {
+  const response = await callJson(jobUrl(entry, id));
+  if (response.status !== 200) throw toProblem(response);
+  const status = response.body as { state: string; endedTasks?: number; tasks?: number };
+  const progress =
+    status.tasks === undefined
+      ? ''
+      : `, ${status.endedTasks ?? 0} of ${status.tasks} tasks have ended`;
+  terminal.print(response.body, [`Job ${id} is ${status.state}${progress}.`]);
+}
+
+export async function cancelCommand(id: string, entry: string, terminal: Terminal): Promise<void> {
+  const response = await callJson(jobUrl(entry, id), { method: 'DELETE' });
+  if (response.status !== 202) throw toProblem(response);
+  terminal.print(response.body, [`Job ${id} is cancelled.`]);
+}
+
+export async function explainCommand(
+  id: string,
+  operate: string,
+  terminal: Terminal,
+): Promise<void> {
+  const response = await callJson(`${operate}/v1/jobs/${encodeURIComponent(id)}/trace`);
+  const { events } = z.object({ events: z.array(z.string()) }).parse(response.body);
+  if (events.length === 0) throw new CliError(ExitCodes.FAILED, `nothing is known of job ${id}`);
+  terminal.print(response.body, events);
+}
+
+function jobUrl(entry: string, id: string): string {
+  return `${entry}/v1/jobs/${encodeURIComponent(id)}`;
+}
+
+function toProblem(response: JsonResponse): CliError {
+  const problem = problemSchema.safeParse(response.body).data;
+  if (problem === undefined) return new CliError(ExitCodes.FAILED, `status ${response.status}`);
+  const code =
+    response.status === 404 || problem.outcome === undefined
+      ? ExitCodes.FAILED
+      : exitCodeOf(problem.outcome);
+  const outcome = problem.outcome === undefined ? '' : ` (${problem.outcome})`;
+  return new CliError(code, `${problem.title}: ${problem.detail}${outcome}`);
+}
--- /dev/null
+++ b/packages/cli/src/listCommands.ts
@@ -0,0 +1,84 @@
+/** `celerybarrow services`, `instances` and `endpoints`. */
+import { z } from 'zod';
+import { createHttpPlatform, InstanceRoles } from '@celerybarrow/platform';
+import { readPublished } from '@celerybarrow/configuration';
+import { CliError } from './cliError.js';
+import { ExitCodes } from './exitCodes.js';
+import { callJson } from './httpClient.js';
+import { toCliError } from './publishCommand.js';
+import { listMembers } from './rosters.js';
+import { formatTable, type Terminal } from './terminal.js';
+
+export async function servicesCommand(platformUrl: string, terminal: Terminal): Promise<void> {
+  const platform = createHttpPlatform(platformUrl);
+  const found = await readPublished(platform);
+  await platform.close();
+  if (found.isErr) throw toCliError(found.error);
+  const { configuration } = found.value;
+  const rows = Object.values(configuration.services).map((service) => [
+    service.service,
+    service.team,
+    Object.keys(service.kinds).join(', '),
+    `${service.limits.ratePerSecond}/s`,
+  ]);
+  const table = formatTable(['SERVICE', 'TEAM', 'KINDS', 'RATE'], rows);
+  terminal.print(configuration, [`Version ${configuration.version}`, ...table]);
+}
+
+export async function instancesCommand(platformUrl: string, terminal: Terminal): Promise<void> {
+  const platform = createHttpPlatform(platformUrl);
+  const members = await listMembers(platform);
+  const listed = await platform.instances();
+  await platform.close();
+  if (listed.isErr) throw new CliError(ExitCodes.UNREACHABLE, listed.error.message);
+  const entries = listed.value.filter((instance) => instance.role === InstanceRoles.ENTRY);
+  const memberNames = new Set(members.map((member) => member.instance));
+  const waiting = entries.filter((instance) => !memberNames.has(instance.id));
+  const rows = [
+    ...members.map((member) => [
+      member.instance,
+      member.dataCentre,
+      'member',
+      String(member.epoch),
+      member.operate ?? '',
+    ]),
+    ...waiting.map((instance) => [instance.id, instance.dataCentre, instance.state, '', '']),
+  ];
+  const table = formatTable(['INSTANCE', 'DATA CENTRE', 'STATE', 'EPOCH', 'OPERATE'], rows);
+  terminal.print({ members, listed: entries }, table);
+}
+
+const statusSchema = z.object({
+  instance: z.string(),
+  endpoints: z.array(
+    z.object({
+      id: z.string(),
+      address: z.string(),
+      slots: z.number(),
+      busy: z.number(),
+      health: z.string(),
+      speed: z.number(),
+      failureRatio: z.number(),
+    }),
+  ),
+});
+
+export async function endpointsCommand(
+  operateUrls: readonly string[],
+  terminal: Terminal,
+): Promise<void> {
+  const responses = await Promise.all(operateUrls.map((url) => callJson(`${url}/v1/status`)));
+  const statuses = responses.map((response) => statusSchema.parse(response.body));
+  const rows = statuses.flatMap((status) =>
+    status.endpoints.map((one) => [
+      one.id,
+      status.instance,
+      `${one.busy}/${one.slots}`,
+      one.health,
+      one.speed.toFixed(2),
+      one.failureRatio.toFixed(2),
+    ]),
+  );
+  const headings = ['ENDPOINT', 'STEWARD', 'BUSY', 'HEALTH', 'SPEED', 'FAILURES'];
+  terminal.print(statuses, formatTable(headings, rows));
+}
--- /dev/null
+++ b/packages/cli/src/rosters.ts
@@ -0,0 +1,33 @@
+/** Reads the rosters of all data centres from the platform. */
+import { z } from 'zod';
+import type { Platform } from '@celerybarrow/platform';
+
+const ROSTER_PREFIX = 'celerybarrow/roster/';
+
+const rosterSchema = z.object({
+  dataCentre: z.string(),
+  epoch: z.number(),
+  members: z.array(
+    z.object({ instance: z.string(), peer: z.string(), operate: z.string().optional() }),
+  ),
+});
+
+export interface ListedMember {
+  readonly dataCentre: string;
+  readonly epoch: number;
+  readonly instance: string;
+  readonly peer: string;
+  readonly operate?: string | undefined;
+}
+
+/** The members of all rosters; none when the platform does not answer. */
+export async function listMembers(platform: Platform): Promise<readonly ListedMember[]> {
+  const change = await platform.watch(ROSTER_PREFIX, 0, AbortSignal.timeout(2_000));
+  if (change.isErr) return [];
+  return change.value.entries.flatMap((entry) => {
+    const roster = rosterSchema.safeParse(JSON.parse(entry.value));
+    if (!roster.success) return [];
+    const { dataCentre, epoch, members } = roster.data;
+    return members.map((member) => ({ dataCentre, epoch, ...member }));
+  });
+}
--- /dev/null
+++ b/packages/configuration/src/configurationKeeper.ts
@@ -0,0 +1,70 @@
+/**
+ * The configuration in force at an instance. Newer versions come from the platform's watch, from
+ * peers and from operators; a version at or below the one in force is ignored, so it never reverts.
+ */
+import type { Logger } from '@celerybarrow/telemetry';
+import { decodeConfiguration } from './published.js';
+import {
+  emptyConfiguration,
+  type Configuration,
+  type ServiceFile,
+  type TaskKind,
+  type TeamQuota,
+} from './schema.js';
+
+export interface ConfigurationKeeper {
+  current(): Configuration;
+  /** Takes a document if it is newer. Returns whether it is now in force. */
+  offer(text: string, source: string): boolean;
+  onChange(subscriber: (configuration: Configuration) => void): void;
+  findService(name: string): ServiceFile | undefined;
+  findKind(service: string, kind: string): TaskKind | undefined;
+  findQuota(team: string): TeamQuota | undefined;
+}
+
+export function createConfigurationKeeper(logger: Logger): ConfigurationKeeper {
+  let inForce: Configuration = emptyConfiguration;
+  let quotas = new Map<string, TeamQuota>();
+  const subscribers = new Set<(configuration: Configuration) => void>();
+
+  function offer(text: string, source: string): boolean {
+    const decoded = decodeConfiguration(text);
+    if (decoded.isErr) {
+      logger.warn('Rejected a configuration that is not valid.', {
+        source,
+        reason: decoded.error.message,
+      });
+      return false;
+    }
+    const next = decoded.value;
+    if (next.version <= inForce.version) return next.version === inForce.version;
+    inForce = next;
+    quotas = collectQuotas(next);
+    logger.info('Put a configuration into force.', { version: next.version, source });
+    for (const subscriber of subscribers) subscriber(next);
+    return true;
+  }
+
+  return {
+    current: () => inForce,
+    offer,
+    onChange(subscriber) {
+      subscribers.add(subscriber);
+    },
+    findService: (name) => ownProperty(inForce.services, name),
+    findKind: (service, kind) => ownProperty(ownProperty(inForce.services, service)?.kinds, kind),
+    findQuota: (team) => quotas.get(team),
+  };
+}
+
+function ownProperty<T>(record: Record<string, T> | undefined, key: string): T | undefined {
+  return record !== undefined && Object.hasOwn(record, key) ? record[key] : undefined;
+}
+
+function collectQuotas(configuration: Configuration): Map<string, TeamQuota> {
+  const quotas = new Map<string, TeamQuota>();
+  for (const file of Object.values(configuration.services)) {
+    if (file.quota !== undefined) quotas.set(file.team, file.quota);
+  }
+  return quotas;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,187 @@
+/**
+ * The callers' interface over HTTP. A submission is answered once, when its job has ended; a caller
+ * that goes away does not cancel its job, because it may submit the same id again.
+ */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import { describeError, Outcomes, type Address } from '@celerybarrow/shared';
+import type { Problem, Reply } from '@celerybarrow/protocol';
+import type { Router } from '@celerybarrow/jobs';
+import type { Logger, Metrics } from '@celerybarrow/telemetry';
+import { BodyFaults, readBody } from './readBody.js';
+import { sendAnswer, sendJson, sendProblem } from './httpReplies.js';
+import { readSubmission } from './readSubmission.js';
+
+const MAX_BODY_BYTES = 4 * 1024 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const MAX_OPEN_REQUESTS = 4_096;
+const BUSY_RETRY_MS = 1_000;
+const JOB_PATH = /^\/v1\/jobs\/([^/?]+)$/;
+
+export interface Gateway {
+  listen(address: Address): Promise<Address>;
+  /** Asks callers to close their connections after each answer. */
+  startDraining(): void;
+  /** Takes no new connections and resolves when every open request is answered. */
+  close(): Promise<void>;
+  openRequests(): number;
+}
+
+export interface GatewayOptions {
+  readonly router: Router;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+export function createGateway({ router, logger, metrics }: GatewayOptions): Gateway {
+  let open = 0;
+  let isDraining = false;
+  const server = createServer((request, response) => {
+    void serve(request, response);
+  });
+  server.headersTimeout = HEADERS_TIMEOUT_MS;
+  server.requestTimeout = REQUEST_TIMEOUT_MS;
+  server.on('clientError', (_error, socket) => {
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
+  });
+
+  async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    open += 1;
+    if (isDraining) response.setHeader('connection', 'close');
+    try {
+      await route(request, response);
+    } catch (error) {
+      logger.error('Could not serve a request.', { reason: describeError(error) });
+      sendProblem(response, internalFault());
+    } finally {
+      open -= 1;
+    }
+  }
+
+  async function route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = new URL(request.url ?? '/', 'http://gateway').pathname;
+    if (path === '/v1/jobs' && request.method === 'POST') {
+      await submit(request, response);
+      return;
+    }
+    const id = readId(path);
+    if (id !== undefined && request.method === 'GET') {
+      sendStatus(response, id, await router.lookup(id));
+    } else if (id !== undefined && request.method === 'DELETE') {
+      await cancel(response, id);
+    } else {
+      sendProblem(response, notFound(`${request.method ?? '?'} ${path}`));
+    }
+  }
+
+  async function submit(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (open > MAX_OPEN_REQUESTS) {
+      sendProblem(response, tooBusy());
+      return;
+    }
+    const body = await readBody(request, MAX_BODY_BYTES);
+    if (body.isErr) {
+      response.setHeader('connection', 'close');
+      if (body.error === BodyFaults.TOO_LARGE) sendProblem(response, tooLarge());
+      else response.destroy();
+      return;
+    }
+    const submission = readSubmission(body.value, (id, createdAt) =>
+      router.findHome(id, createdAt),
+    );
+    if (submission.isErr) {
+      metrics.increment('gateway.bad-input');
+      sendProblem(response, submission.error);
+      return;
+    }
+    sendAnswer(response, await router.submit(submission.value));
+  }
+
+  async function cancel(response: ServerResponse, id: string): Promise<void> {
+    const isFound = await router.cancel(id);
+    if (isFound) sendJson(response, 202, { id, cancelled: true });
+    else sendProblem(response, notFound(`job ${id} is not running`));
+  }
+
+  return {
+    async listen(address) {
+      server.listen(address.port, address.host);
+      await once(server, 'listening');
+      const bound = server.address();
+      const port = typeof bound === 'object' && bound !== null ? bound.port : address.port;
+      return { host: address.host, port };
+    },
+    startDraining() {
+      isDraining = true;
+    },
+    async close() {
+      isDraining = true;
+      const closed = once(server, 'close');
+      server.close();
+      server.closeIdleConnections();
+      await closed;
+    },
+    openRequests: () => open,
+  };
+}
+
+function readId(path: string): string | undefined {
+  const encoded = JOB_PATH.exec(path)?.[1];
+  if (encoded === undefined) return undefined;
+  try {
+    return decodeURIComponent(encoded);
+  } catch {
+    return undefined;
+  }
+}
+
+function sendStatus(response: ServerResponse, id: string, found: Reply<'lookup'>): void {
+  if (found.state === 'unknown') {
+    sendProblem(response, notFound(`job ${id} is not known`));
+  } else if (found.answer === undefined) {
+    sendJson(response, 200, {
+      id,
+      state: 'running',
+      tasks: found.tasks,
+      endedTasks: found.endedTasks,
+    });
+  } else if ('problem' in found.answer) {
+    sendJson(response, 200, { id, state: 'failed', problem: found.answer.problem });
+  } else {
+    const answers = found.answer.answers.map((one) => ({
+      name: one.name,
+      body: JSON.parse(one.body) as unknown,
+    }));
+    sendJson(response, 200, { id, state: 'complete', answers });
+  }
+}
+
+function notFound(detail: string): Problem {
+  return { status: 404, title: 'Not found', detail, outcome: Outcomes.MAY_HAVE_RUN };
+}
+
+function tooLarge(): Problem {
+  const detail = `the body is larger than ${MAX_BODY_BYTES} bytes`;
+  return { status: 413, title: 'Body too large', detail, outcome: Outcomes.NOT_RUN };
+}
+
+function tooBusy(): Problem {
+  const detail = 'this instance has too many open requests';
+  return {
+    status: 503,
+    title: 'Busy',
+    detail,
+    outcome: Outcomes.MAY_HAVE_RUN,
+    retryAfterMs: BUSY_RETRY_MS,
+  };
+}
+
+function internalFault(): Problem {
+  return {
+    status: 500,
+    title: 'Internal error',
+    detail: 'see the log',
+    outcome: Outcomes.MAY_HAVE_RUN,
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/readSubmission.ts
@@ -0,0 +1,69 @@
+/** Turns the body of a request into a submission, or into the problem that is wrong with it. */
+import { createHash } from 'node:crypto';
+import { Result } from 'true-myth';
+import { Outcomes, readCreationTime } from '@celerybarrow/shared';
+import type { Problem, Submission } from '@celerybarrow/protocol';
+import { callerSubmissionSchema, type CallerSubmission } from './submissionSchema.js';
+
+export type HomeFinder = (id: string, createdAt: number) => string | undefined;
+
+/** Parses and validates a body; `findHome` chooses the home of a submission that names none. */
+export function readSubmission(text: string, findHome: HomeFinder): Result<Submission, Problem> {
+  const json = parseJson(text);
+  if (json.isErr) return Result.err(badInput(400, 'Malformed JSON', json.error));
+  const parsed = callerSubmissionSchema.safeParse(json.value);
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map(
+      (issue) => `${issue.path.join('.') || 'submission'}: ${issue.message}`,
+    );
+    return Result.err(badInput(422, 'Submission not valid', faults.join('; ')));
+  }
+  return toSubmission(parsed.data, findHome);
+}
+
+function toSubmission(caller: CallerSubmission, findHome: HomeFinder): Result<Submission, Problem> {
+  const createdAt = readCreationTime(caller.id) ?? caller.createdAt ?? 0;
+  const home = caller.home ?? findHome(caller.id, createdAt);
+  if (home === undefined) {
+    return Result.err({
+      status: 503,
+      title: 'No data centre known',
+      detail: 'this instance has not yet read the directory; name a home or try again',
+      outcome: Outcomes.MAY_HAVE_RUN,
+      retryAfterMs: 1_000,
+    });
+  }
+  const tasks = caller.tasks.map((task) => ({
+    name: task.name,
+    kind: task.kind,
+    payload: JSON.stringify(task.payload ?? null),
+  }));
+  return Result.ok({
+    id: caller.id,
+    service: caller.service,
+    home,
+    createdAt,
+    ...(caller.deadlineMs === undefined ? {} : { deadlineMs: caller.deadlineMs }),
+    digest: digestOf(caller.service, tasks),
+    tasks,
+  });
+}
+
+function digestOf(service: string, tasks: Submission['tasks']): string {
+  return createHash('sha256')
+    .update(JSON.stringify([service, tasks]))
+    .digest('base64')
+    .slice(0, 22);
+}
+
+function parseJson(text: string): Result<unknown, string> {
+  try {
+    return Result.ok(JSON.parse(text) as unknown);
+  } catch (error) {
+    return Result.err(error instanceof Error ? error.message : 'not JSON');
+  }
+}
+
+function badInput(status: number, title: string, detail: string): Problem {
+  return { status, title, detail, outcome: Outcomes.NOT_RUN };
+}
--- /dev/null
+++ b/packages/jobs/src/jobService.ts
@@ -0,0 +1,338 @@
+/**
+ * The jobs of one instance. A submission that reaches its owner joins the job that runs, gets the
+ * answer of the one that ended, or is admitted, claimed and run; there is never a second run.
+ */
+import { Outcomes } from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import type {
+  Answer,
+  Ask,
+  BatchTask,
+  Claim,
+  Member,
+  Problem,
+  Reply,
+  Submission,
+} from '@celerybarrow/protocol';
+import type { ConfigurationKeeper, ServiceFile } from '@celerybarrow/configuration';
+import {
+  findOwner,
+  MAX_CLOCK_LEAD_MS,
+  type Peers,
+  type RosterKeeper,
+} from '@celerybarrow/membership';
+import {
+  RETENTION_MS,
+  type ClaimRecord,
+  type ClaimRegistry,
+  type ClaimStore,
+  type Handover,
+} from '@celerybarrow/claims';
+import type { Placement } from '@celerybarrow/placement';
+import type { Admission } from '@celerybarrow/admission';
+import type { Metrics } from '@celerybarrow/telemetry';
+import { ErrorCodes } from '@celerybarrow/shared';
+import { createAnswerCache } from './answerCache.js';
+import { createJobRun, type JobRun } from './jobRun.js';
+import * as problems from './problems.js';
+import type { Traces } from './traces.js';
+
+/** Longest time a job may take when its submission names no deadline. */
+export const LONGEST_JOB_MS = 600_000;
+const INTAKE_PATIENCE_MS = 3_000;
+const INTAKE_PAUSE_MS = 10;
+const SHORTEST_DEADLINE_CLAIM_MS = 50;
+
+export interface JobService {
+  /** The answer, once there is one; undefined when another instance owns the id. */
+  submit(submission: Submission): Promise<Answer | undefined>;
+  /** Answers the owner of an id whose claim names this instance as its runner. */
+  join(ask: Ask<'join'>): Promise<Reply<'join'>>;
+  lookup(id: string): Reply<'lookup'>;
+  cancel(id: string): boolean;
+  running(): number;
+}
+
+export interface JobServiceOptions {
+  readonly self: Member;
+  readonly store: ClaimStore;
+  readonly registry: ClaimRegistry;
+  readonly handover: Handover;
+  readonly rosters: RosterKeeper;
+  readonly peers: Peers;
+  readonly configuration: ConfigurationKeeper;
+  readonly admission: Admission;
+  readonly placement: Placement;
+  readonly timer: TimerService;
+  readonly metrics: Metrics;
+  readonly traces: Traces;
+  /** Memory for answers of ended jobs, bytes. */
+  readonly answerBytes: number;
+}
+
+interface ActiveJob {
+  readonly digest: string;
+  readonly answer: Promise<Answer | undefined>;
+  run?: JobRun;
+  isCancelled: boolean;
+  readonly tasks: number;
+}
+
+interface AdmittedJob {
+  readonly service: ServiceFile;
+  readonly tasks: readonly BatchTask[];
+  readonly startBefore: number;
+}
+
+export function createJobService(options: JobServiceOptions): JobService {
+  const { self, store, registry, handover, rosters, configuration, placement, timer, metrics } =
+    options;
+  const active = new Map<string, ActiveJob>();
+  const cache = createAnswerCache(options.answerBytes);
+
+  async function submit(submission: Submission): Promise<Answer | undefined> {
+    const { id, digest } = submission;
+    const known = active.get(id);
+    if (known !== undefined) {
+      return known.digest === digest ? known.answer : reject(id, problems.otherContent(id));
+    }
+    const record = store.find(id);
+    if (record !== undefined) return answerFromRecord(submission, record);
+    if (!isOwner(id)) return undefined;
+    if (!handover.isComplete(id)) return afterIntake(submission);
+    return start(submission);
+  }
+
+  function isOwner(id: string): boolean {
+    const view = rosters.own();
+    if (view === undefined || registry.hasCeded()) return false;
+    return findOwner(view, id)?.incarnation === self.incarnation;
+  }
+
+  /** Waits until this instance holds every claim of the id's range, and looks again. */
+  async function afterIntake(submission: Submission): Promise<Answer | undefined> {
+    const giveUpMs = timer.nowMs() + INTAKE_PATIENCE_MS;
+    while (timer.nowMs() < giveUpMs) {
+      await timer.sleep(INTAKE_PAUSE_MS);
+      if (!isOwner(submission.id)) return undefined;
+      if (handover.isComplete(submission.id)) return submit(submission);
+    }
+    const cause = problems.homeUnreachable(rosters.dataCentre, Outcomes.MAY_HAVE_RUN);
+    return reject(submission.id, cause);
+  }
+
+  async function answerFromRecord(
+    submission: Submission,
+    record: ClaimRecord,
+  ): Promise<Answer | undefined> {
+    const { id, digest } = submission;
+    if (record.claim.digest !== digest) return reject(id, problems.otherContent(id));
+    if (record.answer !== undefined) return record.answer;
+    if (record.claim.runnerIncarnation === self.incarnation) {
+      return reject(id, problems.answerForgotten());
+    }
+    return joinRunner(submission, record.claim);
+  }
+
+  async function joinRunner(submission: Submission, claim: Claim): Promise<Answer | undefined> {
+    const { id, digest } = submission;
+    const runner = {
+      instance: claim.runner,
+      incarnation: claim.runnerIncarnation,
+      peer: claim.runnerPeer,
+    };
+    const timeoutMs = submission.deadlineMs ?? LONGEST_JOB_MS;
+    const joined = await options.peers.request(
+      runner,
+      'join',
+      { id, digest },
+      { timeoutMs, connectWaitMs: INTAKE_PATIENCE_MS },
+    );
+    if (joined.isErr) return reject(id, problems.runnerLost(claim.runner));
+    if (joined.value.answer !== undefined) return joined.value.answer;
+    if (!joined.value.released) return reject(id, problems.runnerLost(claim.runner));
+    options.traces.add(id, `Instance ${claim.runner} released the claim.`);
+    if (store.find(id)?.claim === claim) store.remove(id);
+    if (!isOwner(id)) return undefined;
+    return active.has(id) ? submit(submission) : start(submission, claim.runnerIncarnation);
+  }
+
+  function join({ id, digest }: Ask<'join'>): Promise<Reply<'join'>> {
+    const known = active.get(id);
+    if (known !== undefined) return joinActive(id, digest, known);
+    const record = store.find(id);
+    if (record === undefined) return Promise.resolve({ released: true });
+    const answer = record.answer ?? problems.toAnswer(id, problems.answerForgotten());
+    return Promise.resolve({ answer, released: false });
+  }
+
+  async function joinActive(id: string, digest: string, known: ActiveJob): Promise<Reply<'join'>> {
+    if (known.digest !== digest) {
+      return { answer: problems.toAnswer(id, problems.otherContent(id)), released: false };
+    }
+    const answer = await known.answer;
+    return answer === undefined ? { released: !store.find(id) } : { answer, released: false };
+  }
+
+  /** From here to the registered claim the job is in `active`, so that nobody starts it again. */
+  function start(submission: Submission, supersedes?: string): Promise<Answer | undefined> {
+    const cause = findTimeProblem(submission);
+    if (cause !== undefined) return Promise.resolve(reject(submission.id, cause));
+    const admitted = admit(submission);
+    if ('status' in admitted) return Promise.resolve(reject(submission.id, admitted));
+    const job: ActiveJob = {
+      digest: submission.digest,
+      isCancelled: false,
+      tasks: submission.tasks.length,
+      answer: Promise.resolve().then(() => claimAndRun(submission, admitted, supersedes)),
+    };
+    active.set(submission.id, job);
+    return job.answer;
+  }
+
+  async function claimAndRun(
+    submission: Submission,
+    admitted: AdmittedJob,
+    supersedes: string | undefined,
+  ): Promise<Answer | undefined> {
+    const { id } = submission;
+    const startedMs = timer.nowMs();
+    const claim = createClaim(submission, supersedes);
+    if (!store.add(claim)) {
+      active.delete(id);
+      return reject(id, problems.claimContested());
+    }
+    const leftMs = admitted.startBefore - timer.wallMs();
+    const registered = await registry.register(
+      claim,
+      Math.max(SHORTEST_DEADLINE_CLAIM_MS, Math.min(leftMs, INTAKE_PATIENCE_MS)),
+    );
+    metrics.time('claim.ms', 'all', timer.nowMs() - startedMs);
+    if (registered.isErr) {
+      active.delete(id);
+      store.remove(id);
+      if (registered.error.code === ErrorCodes.CLAIM_REFUSED)
+        return reject(id, problems.claimContested());
+      return isOwner(id) ? reject(id, problems.noWitness()) : undefined;
+    }
+    options.traces.add(id, `Claimed in epoch ${rosters.own()?.roster.epoch ?? 0}.`);
+    const answer = await runClaimed(submission, admitted);
+    keep(id, answer);
+    active.delete(id);
+    const { team } = admitted.service;
+    metrics.time('job.ms', team, timer.nowMs() - startedMs);
+    for (const kind of new Set(submission.tasks.map((task) => task.kind))) {
+      metrics.time('job.ms', `${team}/${kind}`, timer.nowMs() - startedMs);
+    }
+    metrics.increment('answers' in answer ? 'jobs.complete' : `jobs.${answer.problem.outcome}`);
+    return answer;
+  }
+
+  function runClaimed(submission: Submission, admitted: AdmittedJob): Promise<Answer> {
+    const { id } = submission;
+    const run = createJobRun({
+      submission,
+      team: admitted.service.team,
+      weight: configuration.findQuota(admitted.service.team)?.share ?? 1,
+      tasks: admitted.tasks,
+      startBefore: admitted.startBefore,
+      submittedAt: timer.wallMs(),
+      placement,
+      timer,
+      trace: (sentence) => {
+        options.traces.add(id, sentence);
+      },
+    });
+    const job = active.get(id);
+    if (job !== undefined) job.run = run;
+    if (job?.isCancelled === true) {
+      return Promise.resolve(problems.toAnswer(id, problems.cancelled(Outcomes.NOT_RUN)));
+    }
+    return run.run();
+  }
+
+  /** A job that ended without any start leaves no record, so that it may be submitted again. */
+  function keep(id: string, answer: Answer): void {
+    if ('problem' in answer && answer.problem.outcome === Outcomes.NOT_RUN) {
+      store.remove(id);
+      return;
+    }
+    store.setAnswer(id, answer);
+    for (const forgotten of cache.add(id, answer)) {
+      const record = store.find(forgotten);
+      if (record !== undefined) record.answer = undefined;
+    }
+  }
+
+  function createClaim(submission: Submission, supersedes: string | undefined): Claim {
+    return {
+      id: submission.id,
+      digest: submission.digest,
+      createdAt: submission.createdAt,
+      runner: self.instance,
+      runnerIncarnation: self.incarnation,
+      runnerPeer: self.peer,
+      ...(supersedes === undefined ? {} : { supersedes }),
+    };
+  }
+
+  function findTimeProblem({ createdAt }: Submission): Problem | undefined {
+    const ageMs = timer.wallMs() - createdAt;
+    if (ageMs > RETENTION_MS) return problems.tooOld(ageMs);
+    if (ageMs < -MAX_CLOCK_LEAD_MS) return problems.clockAhead(-ageMs);
+    const lostBefore = rosters.own()?.roster.memoryLostBefore ?? 0;
+    return createdAt < lostBefore ? problems.memoryLost() : undefined;
+  }
+
+  function admit(submission: Submission): AdmittedJob | Problem {
+    const service = configuration.findService(submission.service);
+    if (service === undefined) return problems.unknownService(submission.service);
+    const unknown = submission.tasks.find(
+      (task) => configuration.findKind(submission.service, task.kind) === undefined,
+    );
+    if (unknown !== undefined) return problems.unknownKind(submission.service, unknown.kind);
+    const tasks = submission.tasks.map((task, index): BatchTask => {
+      const declaredMs = configuration.findKind(submission.service, task.kind)?.expectedMs ?? 1;
+      const expectedMs = placement.times.expectMs(submission.service, task.kind, declaredMs);
+      return { ...task, index, expectedMs };
+    });
+    const remainingMs = Math.min(submission.deadlineMs ?? LONGEST_JOB_MS, LONGEST_JOB_MS);
+    const admitted = options.admission.admit({
+      service,
+      tasks: tasks.length,
+      waitingTasks: placement.waiting(submission.service),
+      expectedMs: 0,
+      remainingMs,
+      hasEndpoints: placement.isServing(submission.service),
+    });
+    if (admitted.isErr) return problems.refused(admitted.error);
+    return { service, tasks, startBefore: timer.wallMs() + remainingMs };
+  }
+
+  function reject(id: string, cause: Problem): Answer {
+    metrics.increment(`refused.${cause.outcome}`);
+    options.traces.add(id, `Refused: ${cause.title} (${cause.outcome}).`);
+    return problems.toAnswer(id, cause);
+  }
+
+  return {
+    submit,
+    join,
+    lookup(id) {
+      const job = active.get(id);
+      if (job !== undefined) {
+        return { state: 'running', endedTasks: job.run?.endedTasks() ?? 0, tasks: job.tasks };
+      }
+      const answer = store.find(id)?.answer;
+      return answer === undefined ? { state: 'unknown' } : { state: 'ended', answer };
+    },
+    cancel(id) {
+      const job = active.get(id);
+      if (job === undefined) return false;
+      job.isCancelled = true;
+      job.run?.cancel();
+      return true;
+    },
+    running: () => active.size,
+  };
+}
--- /dev/null
+++ b/packages/membership/src/directory.ts
@@ -0,0 +1,41 @@
+/**
+ * The data centres among which ids without a named home are spread. A data centre takes part for
+ * ids created after it was added, so that the home of an id never changes.
+ */
+import { z } from 'zod';
+import { rankByRendezvous } from '@celerybarrow/shared';
+
+export const DIRECTORY_KEY = 'celerybarrow/directory';
+
+/** Time for a new data centre to become known everywhere before ids may fall to it. */
+export const DIRECTORY_LEAD_MS = 2_000;
+
+const directorySchema = z.object({
+  dataCentres: z.array(z.object({ name: z.string(), since: z.number().nonnegative() })),
+});
+
+export type Directory = z.infer<typeof directorySchema>;
+
+export const emptyDirectory: Directory = { dataCentres: [] };
+
+/** Parses a directory; undefined when the text is not one. */
+export function parseDirectory(text: string): Directory | undefined {
+  try {
+    return directorySchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Adds a data centre for ids created from `nowMs` plus the lead on; the first one takes all ids. */
+export function addDataCentre(directory: Directory, name: string, nowMs: number): Directory {
+  if (directory.dataCentres.some((one) => one.name === name)) return directory;
+  const since = directory.dataCentres.length === 0 ? 0 : nowMs + DIRECTORY_LEAD_MS;
+  return { dataCentres: [...directory.dataCentres, { name, since }] };
+}
+
+/** The home of an id that names none; undefined while no data centre is known. */
+export function findHome(directory: Directory, id: string, createdAt: number): string | undefined {
+  const candidates = directory.dataCentres.filter((one) => one.since <= createdAt);
+  return rankByRendezvous(id, candidates, (one) => one.name)[0]?.name;
+}
--- /dev/null
+++ b/packages/membership/src/membership.ts
@@ -0,0 +1,270 @@
+/**
+ * Keeps an instance in the roster of its data centre: joins, takes out members that failed, marks
+ * rosters as settled and leaves. Works by compare-and-swap, so that of two instances that change
+ * the roster at once one succeeds and the other looks again.
+ */
+import { describeError } from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import type { Platform } from '@celerybarrow/platform';
+import type { Member, Roster } from '@celerybarrow/protocol';
+import type { Logger } from '@celerybarrow/telemetry';
+import { addDataCentre, DIRECTORY_KEY, emptyDirectory, parseDirectory } from './directory.js';
+import type { Heartbeat } from './heartbeat.js';
+import { activeMembers } from './ownership.js';
+import type { Peers } from './peers.js';
+import {
+  createFirstRoster,
+  evictMember,
+  hasMember,
+  isEvictionSafe,
+  isLastSource,
+  isSettled,
+  joinRoster,
+  leaveRoster,
+  settleRoster,
+  type Eviction,
+  type RosterWrite,
+} from './rosterChanges.js';
+import { createRosterWriter } from './rosterWriter.js';
+import type { RosterKeeper } from './rosterKeeper.js';
+import type { SoleLock } from './soleLock.js';
+
+const TEND_INTERVAL_MS = 100;
+const RETRY_AFTER_FAILURE_MS = 500;
+/** Pause between the attempts of the members of one roster to take out the same member. */
+const EVICTION_TURN_MS = 300;
+/** How long fewer than half of the members wait before they take out the others. */
+const MINORITY_PATIENCE_MS = 10_000;
+const PROBE_TIMEOUT_MS = 1_000;
+
+export interface Membership {
+  isMember(): boolean;
+  /** Takes this instance out of the roster; `isHandedOver` tells whether others hold its claims. */
+  leave(isHandedOver: boolean): Promise<void>;
+  close(): void;
+}
+
+export interface MembershipOptions {
+  readonly self: Member;
+  readonly platform: Platform;
+  readonly timer: TimerService;
+  readonly rosters: RosterKeeper;
+  readonly peers: Peers;
+  readonly heartbeat: Heartbeat;
+  readonly soleLock: SoleLock;
+  readonly logger: Logger;
+  /** Whether the platform's list of instances once had an instance and no longer has it. */
+  readonly isDelisted: (instance: string) => boolean;
+  /** Whether this member has sent and received all claims of an epoch. */
+  readonly hasSettled: (epoch: number) => boolean;
+}
+
+export function createMembership(options: MembershipOptions): Membership {
+  const { self, platform, timer, rosters, peers, heartbeat, soleLock, logger } = options;
+  const writer = createRosterWriter(options);
+  const closing = new AbortController();
+  const suspectedSince = new Map<string, number>();
+  const ended = new Set<string>();
+  let hasAnnouncedDataCentre = false;
+
+  async function tend(): Promise<void> {
+    while (!closing.signal.aborted) {
+      const isCalm = await tendOnce().catch((error: unknown) => {
+        logger.error('Could not tend the roster.', { reason: describeError(error) });
+        return false;
+      });
+      await timer.sleep(isCalm ? TEND_INTERVAL_MS : RETRY_AFTER_FAILURE_MS, closing.signal);
+    }
+  }
+
+  async function tendOnce(): Promise<boolean> {
+    const view = rosters.own();
+    if (view === undefined || !hasMember(view.roster, self.incarnation)) return join();
+    if (!hasAnnouncedDataCentre) hasAnnouncedDataCentre = await announceDataCentre();
+    if (activeMembers(view).length <= 1) await soleLock.acquire(endedHolders(view.roster));
+    for (const member of view.roster.members) {
+      if (view.ceded.has(member.incarnation) && member.incarnation !== self.incarnation) {
+        return removeCeded(member);
+      }
+    }
+    const failed = view.roster.members.find((member) => isDue(member, view.roster));
+    if (failed !== undefined) return evict(failed);
+    if (!isSettled(view.roster)) return settle(view.roster);
+    return true;
+  }
+
+  async function join(): Promise<boolean> {
+    const found = await writer.change((roster) => roster);
+    if (found.isErr) return false;
+    const roster = found.value;
+    if (roster === undefined)
+      return changeRoster(
+        (now, write) => now ?? createFirstRoster(rosters.dataCentre, self, write),
+        'Created the roster.',
+      );
+    const absent = await findAbsent(roster);
+    if (absent === undefined) return false;
+    const isTakenOver = absent.length === roster.members.length;
+    if (isTakenOver && !absent.every((eviction) => eviction.isProven)) {
+      // A sole member that is only silent must have lost its lock before it is taken out.
+      if (!(await soleLock.acquire(new Set()))) return false;
+    }
+    return changeRoster(
+      (now, write) => now && joinWithout(now, absent, write),
+      'Joined the roster.',
+    );
+  }
+
+  /**
+   * The members to take out when joining: none while at least half of them answer, and all of them
+   * when all their processes have ended. Undefined when it is too early to tell.
+   */
+  async function findAbsent(roster: Roster): Promise<readonly Eviction[] | undefined> {
+    const answers = await Promise.all(roster.members.map(probe));
+    const answered = answers.filter((answer) => answer === 'answered').length;
+    const replaced = roster.members
+      .filter((member) => member.instance === self.instance)
+      .map((member) => ({ incarnation: member.incarnation, isProven: true }));
+    if (answered * 2 >= roster.members.length) return replaced;
+    if (answered > 0) return undefined;
+    return roster.members.map((member, index) => ({
+      incarnation: member.incarnation,
+      isProven: answers[index] === 'gone',
+    }));
+  }
+
+  async function probe(member: Member): Promise<'answered' | 'gone' | 'silent'> {
+    if (member.instance === self.instance || options.isDelisted(member.instance)) return 'gone';
+    const ask = { dataCentre: rosters.dataCentre };
+    const reply = await peers.request(member, 'roster', ask, {
+      timeoutMs: PROBE_TIMEOUT_MS,
+      connectWaitMs: PROBE_TIMEOUT_MS,
+    });
+    if (reply.isOk) return 'answered';
+    return heartbeat.isGone(member.incarnation) ? 'gone' : 'silent';
+  }
+
+  function joinWithout(roster: Roster, absent: readonly Eviction[], write: RosterWrite): Roster {
+    let next = roster;
+    for (const eviction of absent) {
+      if (isEvictionSafe(next, eviction)) next = evictMember(next, eviction, write);
+    }
+    return joinRoster(next, self, write);
+  }
+
+  /** Whether it is this member's turn to take out a failed one. */
+  function isDue(member: Member, roster: Roster): boolean {
+    if (member.incarnation === self.incarnation) return false;
+    if (!heartbeat.isSuspected(member.incarnation)) {
+      suspectedSince.delete(member.incarnation);
+      return false;
+    }
+    const sinceMs = suspectedSince.get(member.incarnation) ?? timer.nowMs();
+    suspectedSince.set(member.incarnation, sinceMs);
+    const waitedMs = timer.nowMs() - sinceMs;
+    const live = roster.members.filter((one) => heartbeat.isReachable(one.incarnation));
+    if (live.length * 2 < roster.members.length && waitedMs < MINORITY_PATIENCE_MS) return false;
+    const turn = live.findIndex((one) => one.incarnation === self.incarnation);
+    return waitedMs >= turn * EVICTION_TURN_MS && isEvictionSafe(roster, createEviction(member));
+  }
+
+  function createEviction(member: Member): Eviction {
+    const isProven = heartbeat.isGone(member.incarnation) || options.isDelisted(member.instance);
+    return { incarnation: member.incarnation, isProven };
+  }
+
+  async function evict(member: Member): Promise<boolean> {
+    const eviction = createEviction(member);
+    const roster = rosters.own()?.roster;
+    if (
+      roster &&
+      !eviction.isProven &&
+      isLastSource(roster, member.incarnation) &&
+      !(await soleLock.acquire(new Set()))
+    ) {
+      return false;
+    }
+    return changeRoster((now, write) => {
+      if (now === undefined || !isEvictionSafe(now, eviction)) return now;
+      return evictMember(now, eviction, write);
+    }, `Took out ${member.instance}, which failed.`);
+  }
+
+  function removeCeded(member: Member): Promise<boolean> {
+    return changeRoster(
+      (now, write) => now && leaveRoster(now, member.incarnation, write),
+      `Took out ${member.instance}, which left.`,
+    );
+  }
+
+  async function settle(roster: Roster): Promise<boolean> {
+    const first = roster.members.find((member) => heartbeat.isReachable(member.incarnation));
+    if (first?.incarnation !== self.incarnation || !options.hasSettled(roster.epoch)) return true;
+    const others = roster.members.filter((member) => member.incarnation !== self.incarnation);
+    const answers = await Promise.all(
+      others.map((member) =>
+        peers.request(member, 'settled', { epoch: roster.epoch }, { timeoutMs: PROBE_TIMEOUT_MS }),
+      ),
+    );
+    if (!answers.every((answer) => answer.isOk && answer.value.settled)) return true;
+    return changeRoster(
+      (now, write) => (now?.epoch === roster.epoch ? settleRoster(now, write) : now),
+      'Settled the roster.',
+    );
+  }
+
+  async function changeRoster(
+    apply: (roster: Roster | undefined, write: RosterWrite) => Roster | undefined,
+    done: string,
+  ): Promise<boolean> {
+    const changed = await writer.change(apply);
+    if (changed.isErr) {
+      logger.warn('Could not change the roster.', { reason: changed.error.message });
+      return false;
+    }
+    logger.info(done, { epoch: changed.value?.epoch });
+    return true;
+  }
+
+  async function announceDataCentre(): Promise<boolean> {
+    const found = await platform.get(DIRECTORY_KEY);
+    if (found.isErr) return false;
+    const current = (found.value && parseDirectory(found.value.value)) ?? emptyDirectory;
+    const next = addDataCentre(current, rosters.dataCentre, timer.wallMs());
+    if (next === current) return true;
+    const revision = found.value?.revision ?? 0;
+    const written = await platform.compareAndSwap(DIRECTORY_KEY, revision, JSON.stringify(next));
+    return written.isOk;
+  }
+
+  async function leave(isHandedOver: boolean): Promise<void> {
+    closing.abort();
+    const eviction = { incarnation: self.incarnation, isProven: true };
+    const left = await writer.change((now, write) => {
+      if (now === undefined) return now;
+      return isHandedOver
+        ? leaveRoster(now, self.incarnation, write)
+        : evictMember(now, eviction, write);
+    });
+    if (left.isErr) logger.warn('Could not leave the roster.', { reason: left.error.message });
+  }
+
+  void tend();
+
+  function endedHolders(roster: Roster): ReadonlySet<string> {
+    const proven = roster.lost.filter((loss) => loss.isProven);
+    for (const loss of proven) ended.add(loss.incarnation);
+    return ended;
+  }
+
+  return {
+    isMember() {
+      const view = rosters.own();
+      return view !== undefined && hasMember(view.roster, self.incarnation);
+    },
+    leave,
+    close() {
+      closing.abort();
+    },
+  };
+}
--- /dev/null
+++ b/packages/membership/src/peers.ts
@@ -0,0 +1,83 @@
+/** The links of an instance to other instances, one for each incarnation at an address. */
+import type { Random } from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import {
+  createPeerLink,
+  type Ask,
+  type Greeting,
+  type Member,
+  type PeerLink,
+  type ProtocolError,
+  type Reply,
+  type RequestOptions,
+  type RequestType,
+  type Traffic,
+} from '@celerybarrow/protocol';
+import type { Result } from 'true-myth';
+
+const SWEEP_INTERVAL_MS = 10_000;
+const ABANDONED_AFTER_ATTEMPTS = 10;
+
+export interface Peers {
+  /** The link to a member, opened on first use. */
+  linkTo(member: Member): PeerLink;
+  request<T extends RequestType>(
+    member: Member,
+    type: T,
+    ask: Ask<T>,
+    options: RequestOptions,
+  ): Promise<Result<Reply<T>, ProtocolError>>;
+  close(): void;
+}
+
+export interface PeersOptions {
+  readonly self: Greeting;
+  readonly localHost?: string | undefined;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly traffic: Traffic;
+  /** Whether an incarnation is listed in a roster; links to others are closed once they fail. */
+  readonly isListed: (incarnation: string) => boolean;
+}
+
+export function createPeers(options: PeersOptions): Peers {
+  const links = new Map<string, PeerLink>();
+
+  function linkTo(member: Member): PeerLink {
+    const known = links.get(member.incarnation);
+    if (known !== undefined) return known;
+    const link = createPeerLink({
+      address: member.peer,
+      localHost: options.localHost,
+      self: options.self,
+      expectedIncarnation: member.incarnation,
+      timer: options.timer,
+      random: options.random,
+      traffic: options.traffic,
+    });
+    links.set(member.incarnation, link);
+    return link;
+  }
+
+  function sweep(): void {
+    for (const [incarnation, link] of links) {
+      if (options.isListed(incarnation) || link.failedAttempts() < ABANDONED_AFTER_ATTEMPTS)
+        continue;
+      link.close();
+      links.delete(incarnation);
+    }
+  }
+
+  const stopSweeping = options.timer.onEvery(SWEEP_INTERVAL_MS, sweep);
+
+  return {
+    linkTo,
+    request: (member, type, ask, requestOptions) =>
+      linkTo(member).request(type, ask, requestOptions),
+    close() {
+      stopSweeping();
+      for (const link of links.values()) link.close();
+      links.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/membership/src/rosterKeeper.ts
@@ -0,0 +1,107 @@
+/**
+ * What an instance knows of the rosters of all data centres. The platform's watch and peers both
+ * feed it; of two rosters of one data centre the higher version is kept.
+ */
+import { rosterSchema, type Member, type Roster } from '@celerybarrow/protocol';
+import type { Logger } from '@celerybarrow/telemetry';
+import { emptyDirectory, parseDirectory, type Directory } from './directory.js';
+import type { View } from './ownership.js';
+import { hasMember } from './rosterChanges.js';
+
+export const ROSTER_PREFIX = 'celerybarrow/roster/';
+
+export function rosterKey(dataCentre: string): string {
+  return `${ROSTER_PREFIX}${dataCentre}`;
+}
+
+export interface RosterKeeper {
+  readonly dataCentre: string;
+  /** The view of one data centre; undefined while its roster is not known. */
+  view(dataCentre: string): View | undefined;
+  own(): View | undefined;
+  directory(): Directory;
+  rosters(): readonly Roster[];
+  /** Takes a roster if it is newer than the one known. */
+  offer(roster: Roster): boolean;
+  offerText(text: string): void;
+  offerDirectory(text: string): void;
+  /** Marks a member of the own data centre as having ceded in an epoch. */
+  addCeded(epoch: number, incarnation: string): void;
+  /** Told after each change of a view, with the data centre it concerns. */
+  onChange(subscriber: (dataCentre: string) => void): void;
+  findMember(instance: string, incarnation: string): Member | undefined;
+}
+
+export function createRosterKeeper(dataCentre: string, logger: Logger): RosterKeeper {
+  const views = new Map<string, View>();
+  const subscribers = new Set<(dataCentre: string) => void>();
+  let directory = emptyDirectory;
+
+  function offer(roster: Roster): boolean {
+    const known = views.get(roster.dataCentre);
+    if (known !== undefined && known.roster.version >= roster.version) return false;
+    const isSameEpoch = known?.roster.epoch === roster.epoch;
+    const ceded = isSameEpoch ? known.ceded : carryCeded(known, roster);
+    views.set(roster.dataCentre, { roster, ceded });
+    if (!isSameEpoch && roster.dataCentre === dataCentre) {
+      logger.info('Adopted a roster.', { epoch: roster.epoch, members: roster.members.length });
+    }
+    notify(roster.dataCentre);
+    return true;
+  }
+
+  function notify(changed: string): void {
+    for (const subscriber of subscribers) subscriber(changed);
+  }
+
+  return {
+    dataCentre,
+    view: (name) => views.get(name),
+    own: () => views.get(dataCentre),
+    directory: () => directory,
+    rosters: () => [...views.values()].map((view) => view.roster),
+    offer,
+    offerText(text) {
+      const roster = parseRoster(text);
+      if (roster === undefined) logger.warn('Ignored a roster that is not valid.');
+      else offer(roster);
+    },
+    offerDirectory(text) {
+      const offered = parseDirectory(text);
+      // Data centres are only ever added, so the longer directory is the newer one.
+      if (offered && offered.dataCentres.length > directory.dataCentres.length) directory = offered;
+    },
+    addCeded(epoch, incarnation) {
+      const view = views.get(dataCentre);
+      if (view?.roster.epoch !== epoch || view.ceded.has(incarnation)) return;
+      views.set(dataCentre, { ...view, ceded: new Set([...view.ceded, incarnation]) });
+      notify(dataCentre);
+    },
+    onChange(subscriber) {
+      subscribers.add(subscriber);
+    },
+    findMember(instance, incarnation) {
+      for (const { roster } of views.values()) {
+        const found = [...roster.members, ...roster.sources].find(
+          (one) => one.instance === instance && one.incarnation === incarnation,
+        );
+        if (found !== undefined) return found;
+      }
+      return undefined;
+    },
+  };
+}
+
+export function parseRoster(text: string): Roster | undefined {
+  try {
+    return rosterSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+/** A cession outlives the epoch in which it was made, as long as the member is still listed. */
+function carryCeded(known: View | undefined, roster: Roster): ReadonlySet<string> {
+  const ceded = [...(known?.ceded ?? [])];
+  return new Set(ceded.filter((incarnation) => hasMember(roster, incarnation)));
+}
--- /dev/null
+++ b/packages/membership/src/rosterWriter.ts
@@ -0,0 +1,59 @@
+/** Changes the roster of the own data centre by compare-and-swap. */
+import { randomUUID } from 'node:crypto';
+import { Result } from 'true-myth';
+import { ErrorCodes } from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import { settleSwap, type Platform } from '@celerybarrow/platform';
+import type { Roster } from '@celerybarrow/protocol';
+import { MembershipError } from './membershipError.js';
+import { parseRoster, rosterKey, type RosterKeeper } from './rosterKeeper.js';
+import type { RosterWrite } from './rosterChanges.js';
+
+/** A change of a roster; returns the roster it was given when there is nothing to change. */
+export type RosterChange = (roster: Roster | undefined, write: RosterWrite) => Roster | undefined;
+
+export interface RosterWriter {
+  /**
+   * Reads the roster, applies the change and writes it back. Errors: ROSTER_CHANGED when another
+   * instance was faster, ROSTER_UNAVAILABLE when the platform did not answer.
+   */
+  change(apply: RosterChange): Promise<Result<Roster | undefined, MembershipError>>;
+}
+
+export interface RosterWriterOptions {
+  readonly platform: Platform;
+  readonly timer: TimerService;
+  readonly rosters: RosterKeeper;
+}
+
+export function createRosterWriter({
+  platform,
+  timer,
+  rosters,
+}: RosterWriterOptions): RosterWriter {
+  const key = rosterKey(rosters.dataCentre);
+
+  return {
+    async change(apply) {
+      const found = await platform.get(key);
+      if (found.isErr) return unavailable(found.error);
+      const entry = found.value;
+      const current = entry && parseRoster(entry.value);
+      if (current !== undefined) rosters.offer(current);
+      const next = apply(current, { writeId: randomUUID(), nowMs: timer.wallMs() });
+      if (next === undefined || next === current) return Result.ok(current);
+      const text = JSON.stringify(next);
+      const written = await settleSwap(platform, timer, key, entry?.revision ?? 0, text);
+      if (written.isErr) {
+        if (written.error.code !== ErrorCodes.PLATFORM_CONFLICT) return unavailable(written.error);
+        return Result.err(new MembershipError(ErrorCodes.ROSTER_CHANGED, undefined, written.error));
+      }
+      rosters.offer(next);
+      return Result.ok(next);
+    },
+  };
+}
+
+function unavailable(cause: unknown): Result<never, MembershipError> {
+  return Result.err(new MembershipError(ErrorCodes.ROSTER_UNAVAILABLE, undefined, cause));
+}
--- /dev/null
+++ b/packages/operate/src/index.ts
@@ -0,0 +1,5 @@
+export {
+  createOperateServer,
+  type OperateServer,
+  type OperateServerOptions,
+} from './operateServer.js';
--- /dev/null
+++ b/packages/operate/src/operateServer.ts
@@ -0,0 +1,109 @@
+/** The operators' interface over HTTP: health, readiness, status, traces and configuration. */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import { describeError, type Address } from '@celerybarrow/shared';
+import type { ConfigurationKeeper } from '@celerybarrow/configuration';
+import type { Router } from '@celerybarrow/jobs';
+import type { Logger } from '@celerybarrow/telemetry';
+
+const MAX_DOCUMENT_BYTES = 1_100_000;
+const TRACE_PATH = /^\/v1\/jobs\/([^/?]+)\/trace$/;
+
+export interface OperateServer {
+  listen(address: Address): Promise<Address>;
+  close(): Promise<void>;
+}
+
+export interface OperateServerOptions {
+  readonly isReady: () => boolean;
+  /** The status document. */
+  readonly status: () => unknown;
+  readonly router: Router;
+  readonly configuration: ConfigurationKeeper;
+  readonly logger: Logger;
+}
+
+export function createOperateServer(options: OperateServerOptions): OperateServer {
+  const server = createServer((request, response) => {
+    route(request, response).catch((error: unknown) => {
+      options.logger.error('Could not serve an operator.', { reason: describeError(error) });
+      reply(response, 500, { detail: 'see the log' });
+    });
+  });
+
+  async function route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = new URL(request.url ?? '/', 'http://operate').pathname;
+    const method = request.method ?? 'GET';
+    if (method === 'PUT' && path === '/v1/configuration') {
+      await takeConfiguration(request, response);
+      return;
+    }
+    if (method !== 'GET') {
+      reply(response, 405, { detail: 'only GET is allowed here' });
+      return;
+    }
+    await answerGet(path, response);
+  }
+
+  async function answerGet(path: string, response: ServerResponse): Promise<void> {
+    const traced = TRACE_PATH.exec(path)?.[1];
+    if (traced !== undefined) {
+      const events = await options.router.trace(decodeURIComponent(traced));
+      reply(response, events.length > 0 ? 200 : 404, { id: decodeURIComponent(traced), events });
+    } else if (path === '/healthz') {
+      reply(response, 200, { healthy: true });
+    } else if (path === '/readyz') {
+      const isReady = options.isReady();
+      reply(response, isReady ? 200 : 503, { ready: isReady });
+    } else if (path === '/v1/status') {
+      reply(response, 200, options.status());
+    } else if (path === '/v1/configuration') {
+      reply(response, 200, options.configuration.current());
+    } else {
+      reply(response, 404, { detail: `there is nothing at ${path}` });
+    }
+  }
+
+  /** Takes a published document from an operator, for instances that the platform cannot tell. */
+  async function takeConfiguration(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    let text = '';
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      text += chunk.toString('utf8');
+      if (text.length > MAX_DOCUMENT_BYTES) {
+        reply(response, 413, { detail: 'the document is too large' });
+        return;
+      }
+    }
+    const isInForce = options.configuration.offer(text, 'operator');
+    reply(response, isInForce ? 200 : 409, { version: options.configuration.current().version });
+  }
+
+  return {
+    async listen(address) {
+      server.listen(address.port, address.host);
+      await once(server, 'listening');
+      const bound = server.address();
+      const port = typeof bound === 'object' && bound !== null ? bound.port : address.port;
+      return { host: address.host, port };
+    },
+    async close() {
+      const closed = once(server, 'close');
+      server.close();
+      server.closeAllConnections();
+      await closed;
+    },
+  };
+}
+
+function reply(response: ServerResponse, status: number, body: unknown): void {
+  if (response.headersSent) return;
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
--- /dev/null
+++ b/packages/placement/src/endpointHealth.ts
@@ -0,0 +1,87 @@
+/**
+ * Speed and failures of one endpoint. An endpoint that fails much more than its peers is ejected
+ * and returns by a trickle: one task at a time until several in a row succeed. Hysteresis between
+ * the two thresholds keeps it from alternating.
+ */
+const SPEED_SMOOTHING = 0.1;
+const FAILURE_SMOOTHING = 0.15;
+const EJECT_FAILURE_RATIO = 0.5;
+const FAILURES_IN_A_ROW = 4;
+const PEERS_FAILURE_RATIO = 0.25;
+const FIRST_EJECTION_MS = 5_000;
+const LARGEST_EJECTION_MS = 60_000;
+const SUCCESSES_TO_RETURN = 5;
+const SLOWEST_SPEED = 0.02;
+const FASTEST_SPEED = 50;
+
+export const HealthStates = {
+  SERVING: 'serving',
+  EJECTED: 'ejected',
+  RETURNING: 'returning',
+} as const;
+export type HealthState = (typeof HealthStates)[keyof typeof HealthStates];
+
+export interface EndpointHealth {
+  /** Speed relative to the mean of the data centre; 1 until known. */
+  speed(): number;
+  failureRatio(): number;
+  /** The state at a moment of monotonic time. */
+  state(nowMs: number): HealthState;
+  onSuccess(expectedMs: number, ranMs: number): void;
+  /** Records a failure; `peersFailureRatio` is the median of the other endpoints. */
+  onFailure(nowMs: number, peersFailureRatio: number, mayEject: boolean): void;
+}
+
+export function createEndpointHealth(): EndpointHealth {
+  let logSpeed = 0;
+  let samples = 0;
+  let failureRatio = 0;
+  let failuresInARow = 0;
+  let successesInARow = 0;
+  let ejectedUntilMs = 0;
+  let ejectionMs = FIRST_EJECTION_MS;
+  let isReturning = false;
+
+  function eject(nowMs: number): void {
+    ejectedUntilMs = nowMs + ejectionMs;
+    ejectionMs = Math.min(LARGEST_EJECTION_MS, ejectionMs * 2);
+    isReturning = true;
+    successesInARow = 0;
+  }
+
+  return {
+    speed: () => Math.exp(logSpeed),
+    failureRatio: () => failureRatio,
+    state(nowMs) {
+      if (nowMs < ejectedUntilMs) return HealthStates.EJECTED;
+      return isReturning ? HealthStates.RETURNING : HealthStates.SERVING;
+    },
+    onSuccess(expectedMs, ranMs) {
+      samples += 1;
+      const weight = Math.max(SPEED_SMOOTHING, 1 / (samples + 1));
+      const seen = Math.log(clamp(expectedMs / Math.max(1, ranMs), SLOWEST_SPEED, FASTEST_SPEED));
+      logSpeed += weight * (seen - logSpeed);
+      failureRatio -= FAILURE_SMOOTHING * failureRatio;
+      failuresInARow = 0;
+      successesInARow += 1;
+      if (isReturning && successesInARow >= SUCCESSES_TO_RETURN) {
+        isReturning = false;
+        failureRatio = 0;
+        ejectionMs = FIRST_EJECTION_MS;
+      }
+    },
+    onFailure(nowMs, peersFailureRatio, mayEject) {
+      failureRatio += FAILURE_SMOOTHING * (1 - failureRatio);
+      failuresInARow += 1;
+      successesInARow = 0;
+      const isOutlier = peersFailureRatio < PEERS_FAILURE_RATIO;
+      const isFailing = failuresInARow >= FAILURES_IN_A_ROW || failureRatio > EJECT_FAILURE_RATIO;
+      if (nowMs < ejectedUntilMs) return;
+      if (isReturning || (isFailing && isOutlier && mayEject)) eject(nowMs);
+    },
+  };
+}
+
+function clamp(value: number, low: number, high: number): number {
+  return Math.min(high, Math.max(low, value));
+}
--- /dev/null
+++ b/packages/placement/src/placement.ts
@@ -0,0 +1,309 @@
+/**
+ * Places the tasks of jobs: on the endpoints of this instance, or in batches on those of peers.
+ * Tasks that come back as not started are placed again.
+ */
+import { ErrorCodes, type Random } from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import {
+  TaskOutcomes,
+  type Ask,
+  type BatchTask,
+  type Greeting,
+  type Load,
+  type Member,
+  type Reply,
+  type TaskResult,
+} from '@celerybarrow/protocol';
+import {
+  activeMembers,
+  type Heartbeat,
+  type Peers,
+  type RosterKeeper,
+} from '@celerybarrow/membership';
+import type { Metrics } from '@celerybarrow/telemetry';
+import { createBatchReceiver } from './batchReceiver.js';
+import { createBatchSender } from './batchSender.js';
+import { createDispatcher } from './dispatcher.js';
+import type { EndpointClient } from './endpointClient.js';
+import type { EndpointDirectory } from './endpointDirectory.js';
+import type { EndpointState } from './endpointState.js';
+import { createLoadReporter } from './loadReporter.js';
+import { createPeerLoads } from './peerLoads.js';
+import { PlacementError } from './placementError.js';
+import { planPlacement, type Assignment, type Candidate } from './planPlacement.js';
+import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
+import type { SlotPolicy } from './slotPolicy.js';
+import { assignStewards } from './stewardship.js';
+
+const REPLACE_PAUSE_MS = 20;
+
+/** A job as far as placement is concerned. */
+export interface PlacedJob {
+  readonly id: string;
+  readonly service: string;
+  readonly team: string;
+  readonly weight: number;
+  /** Wall-clock time after which no task may be started, milliseconds. */
+  readonly startBefore: number;
+  /** Wall-clock time at which the job was submitted, milliseconds. */
+  readonly submittedAt: number;
+  /** Called once for each task with its final result. */
+  readonly onResult: (result: TaskResult) => void;
+  /** Called for each task that may have been started by a peer that ended. */
+  readonly onLost: (index: number) => void;
+}
+
+interface OpenJob {
+  readonly job: PlacedJob;
+  readonly peers: Set<Member>;
+  isDropped: boolean;
+}
+
+export interface Placement {
+  /** Starts to place the tasks of a job. */
+  open(job: PlacedJob, tasks: readonly BatchTask[]): void;
+  /** Drops the tasks of a job that have not been started, here and at peers. */
+  drop(job: string): void;
+  /** Ends a job: results that come later are ignored. */
+  end(job: string): void;
+  readonly times: ServiceTimes;
+  load(): Load;
+  states(): readonly EndpointState[];
+  waiting(service: string): number;
+  isServing(service: string): boolean;
+  receiveBatch(ask: Ask<'batch'>, peer: Greeting): Reply<'batch'>;
+  receiveResults(ask: Ask<'results'>, peer: Greeting): Reply<'results'>;
+  receiveDrop(ask: Ask<'drop'>): Reply<'drop'>;
+  receiveLoad(ask: Ask<'load'>, peer: Greeting): Reply<'load'>;
+  onPeerLoad(incarnation: string, load: Load): void;
+  /** Stops taking new work; resolves when nothing that was taken is left. */
+  drain(): Promise<void>;
+  close(): void;
+}
+
+export interface PlacementOptions {
+  readonly self: Member;
+  readonly client: EndpointClient;
+  readonly directory: EndpointDirectory;
+  readonly rosters: RosterKeeper;
+  readonly peers: Peers;
+  readonly heartbeat: Heartbeat;
+  readonly policy: SlotPolicy;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly metrics: Metrics;
+}
+
+const DRAIN_CHECK_MS = 20;
+const DROP_TIMEOUT_MS = 2_000;
+
+export function createPlacement(options: PlacementOptions): Placement {
+  const { self, directory, rosters, peers, heartbeat, policy, timer, metrics } = options;
+  const times = createServiceTimes();
+  const loads = createPeerLoads();
+  const dispatcher = createDispatcher({
+    ...options,
+    times,
+    onLoadChange: () => {
+      reporter.onChange();
+    },
+    countEndpoints: () => directory.live().length,
+  });
+  const reporter = createLoadReporter({ ...options, load: () => dispatcher.load() });
+  const sender = createBatchSender({ peers, loads, timer });
+  const receiver = createBatchReceiver({
+    dispatcher,
+    peers,
+    timer,
+    findMember: (instance, incarnation) => rosters.findMember(instance, incarnation),
+  });
+  const openJobs = new Map<string, OpenJob>();
+
+  function divide(): void {
+    const view = rosters.own();
+    const members = view === undefined ? [] : activeMembers(view).map((member) => member.instance);
+    const all = directory.live();
+    if (!policy.usesStewards) {
+      dispatcher.setEndpoints(all);
+      return;
+    }
+    const stewards = assignStewards(all, members);
+    dispatcher.setEndpoints(all.filter((endpoint) => stewards.get(endpoint.id) === self.instance));
+  }
+
+  function place(open: OpenJob, tasks: readonly BatchTask[]): void {
+    const { job } = open;
+    const assignments = planPlacement(job.service, tasks, findCandidates());
+    if (assignments.length === 0) {
+      placeLater(open, tasks);
+      return;
+    }
+    for (const assignment of assignments) {
+      if (assignment.isSelf) placeHere(open, assignment.tasks);
+      else placeAtPeer(open, assignment);
+    }
+  }
+
+  function findCandidates(): readonly Candidate[] {
+    const own = { incarnation: self.incarnation, isSelf: true, load: dispatcher.load() };
+    const view = rosters.own();
+    if (view === undefined || !policy.usesStewards) return [own];
+    const others = activeMembers(view).flatMap((member) => {
+      if (member.incarnation === self.incarnation) return [];
+      const load = loads.find(member.incarnation);
+      if (load === undefined || !heartbeat.isReachable(member.incarnation)) return [];
+      return [{ incarnation: member.incarnation, isSelf: false, load }];
+    });
+    return [own, ...others];
+  }
+
+  /** No steward has an endpoint for the service at this moment; the deadline ends the attempts. */
+  function placeLater(open: OpenJob, tasks: readonly BatchTask[]): void {
+    const { job } = open;
+    if (open.isDropped || timer.wallMs() >= job.startBefore) {
+      const { message } = new PlacementError(
+        ErrorCodes.ENDPOINT_UNREACHABLE,
+        'no endpoint in time',
+      );
+      for (const { index } of tasks) {
+        job.onResult({ index, outcome: TaskOutcomes.NOT_STARTED, detail: message });
+      }
+      return;
+    }
+    timer.onAfter(REPLACE_PAUSE_MS, () => {
+      place(open, tasks);
+    });
+  }
+
+  function placeHere(open: OpenJob, tasks: readonly BatchTask[]): void {
+    const { job } = open;
+    for (const task of tasks) {
+      dispatcher.enqueue({
+        ...task,
+        job: job.id,
+        service: job.service,
+        team: job.team,
+        weight: job.weight,
+        startBefore: job.startBefore,
+        rank: job.submittedAt,
+        report: (result) => {
+          onResult(open, task, result);
+        },
+      });
+    }
+  }
+
+  function placeAtPeer(open: OpenJob, assignment: Assignment): void {
+    const { job } = open;
+    const view = rosters.own();
+    const member = view?.roster.members.find((one) => one.incarnation === assignment.incarnation);
+    if (member === undefined) {
+      placeLater(open, assignment.tasks);
+      return;
+    }
+    open.peers.add(member);
+    const byIndex = new Map(assignment.tasks.map((task) => [task.index, task]));
+    const nowMs = timer.wallMs();
+    metrics.increment('batches.sent');
+    sender.send(
+      member,
+      {
+        job: job.id,
+        service: job.service,
+        team: job.team,
+        weight: job.weight,
+        remainingMs: job.startBefore - nowMs,
+        ageMs: Math.max(0, nowMs - job.submittedAt),
+        tasks: assignment.tasks,
+      },
+      {
+        onResult(result) {
+          const task = byIndex.get(result.index);
+          if (task !== undefined) onResult(open, task, result);
+        },
+        onLost(indexes) {
+          if (openJobs.get(job.id) !== open) return;
+          for (const index of indexes) job.onLost(index);
+        },
+      },
+    );
+  }
+
+  function onResult(open: OpenJob, task: BatchTask, result: TaskResult): void {
+    const { job } = open;
+    if (result.outcome === TaskOutcomes.DONE && result.ranMs !== undefined) {
+      times.learn(job.service, task.kind, result.ranMs);
+    }
+    if (openJobs.get(job.id) !== open) return;
+    const mayPlaceAgain = !open.isDropped && timer.wallMs() < job.startBefore;
+    if (result.outcome === TaskOutcomes.NOT_STARTED && mayPlaceAgain) {
+      metrics.increment('tasks.placed-again');
+      placeLater(open, [task]);
+      return;
+    }
+    job.onResult(result);
+  }
+
+  function drop(job: string): void {
+    const open = openJobs.get(job);
+    if (open === undefined) return;
+    open.isDropped = true;
+    dispatcher.drop(job);
+    for (const member of open.peers) {
+      void peers.request(member, 'drop', { job }, { timeoutMs: DROP_TIMEOUT_MS });
+    }
+  }
+
+  /** After this instance has ceded, its endpoints have other stewards and its queue empties itself. */
+  async function drain(): Promise<void> {
+    receiver.drain();
+    while (dispatcher.running() > 0 || receiver.open() > 0) await timer.sleep(DRAIN_CHECK_MS);
+  }
+
+  directory.onChange(divide);
+  rosters.onChange((dataCentre) => {
+    if (dataCentre === rosters.dataCentre) divide();
+  });
+  divide();
+
+  return {
+    open(job, tasks) {
+      const open = { job, peers: new Set<Member>(), isDropped: false };
+      openJobs.set(job.id, open);
+      place(open, tasks);
+    },
+    drop,
+    end(job) {
+      openJobs.delete(job);
+    },
+    times,
+    load: () => dispatcher.load(),
+    states: () => dispatcher.states(),
+    waiting: (service) => dispatcher.waiting(service),
+    isServing: (service) =>
+      !directory.hasBeenRead() ||
+      directory.live().some((one) => one.service === undefined || one.service === service),
+    receiveBatch: (ask, peer) => receiver.receive(ask, peer),
+    receiveResults(ask, peer) {
+      sender.onResults(ask, peer);
+      return {};
+    },
+    receiveDrop(ask) {
+      dispatcher.drop(ask.job);
+      return {};
+    },
+    receiveLoad(ask, peer) {
+      loads.onReport(peer.incarnation, ask.load);
+      return {};
+    },
+    onPeerLoad: (incarnation, load) => {
+      loads.onReport(incarnation, load);
+    },
+    drain,
+    close() {
+      dispatcher.close();
+      receiver.close();
+      reporter.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/platform/src/httpPlatform.ts
@@ -0,0 +1,148 @@
+/**
+ * The platform over HTTP with `undici`. A failure to connect proves that nothing was written; any
+ * later failure of a write leaves its outcome unknown.
+ */
+import { Result } from 'true-myth';
+import { errors, Pool, type Dispatcher } from 'undici';
+import type { ZodType, ZodTypeDef } from 'zod';
+import { describeError, ErrorCodes } from '@celerybarrow/shared';
+import type { Change, Entry, Instance, Lease, Platform } from './platform.js';
+import { PlatformError } from './platformError.js';
+import { changeSchema, entrySchema, instancesSchema, leaseSchema } from './schemas.js';
+
+const CONNECTIONS = 8;
+const CALL_TIMEOUT_MS = 2_000;
+const WATCH_WAIT_MS = 30_000;
+const WATCH_GRACE_MS = 5_000;
+
+export interface HttpPlatform extends Platform {
+  /** Calls made so far, by kind. */
+  calls(): Record<string, number>;
+  close(): Promise<void>;
+}
+
+interface Call {
+  readonly kind: string;
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly body?: unknown;
+  readonly timeoutMs?: number;
+  readonly signal?: AbortSignal;
+}
+
+interface Reply {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+/** Creates a client for the platform at a URL such as `http://127.0.0.1:9000`. */
+export function createHttpPlatform(url: string): HttpPlatform {
+  const pool = new Pool(url, { connections: CONNECTIONS, connect: { timeout: CALL_TIMEOUT_MS } });
+  const calls = new Map<string, number>();
+
+  async function send(call: Call): Promise<Result<Reply, PlatformError>> {
+    calls.set(call.kind, (calls.get(call.kind) ?? 0) + 1);
+    const timeoutMs = call.timeoutMs ?? CALL_TIMEOUT_MS;
+    try {
+      const timeout = AbortSignal.timeout(timeoutMs);
+      const response = await pool.request({
+        method: call.method,
+        path: call.path,
+        signal: call.signal ? AbortSignal.any([call.signal, timeout]) : timeout,
+        headersTimeout: timeoutMs,
+        ...(call.body === undefined
+          ? {}
+          : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } }),
+      });
+      const text = await response.body.text();
+      return Result.ok({ status: response.statusCode, body: parseJson(text) });
+    } catch (error) {
+      return Result.err(toPlatformError(error, call.method === 'GET'));
+    }
+  }
+
+  async function read<T>(
+    call: Call,
+    schema: ZodType<T, ZodTypeDef, unknown>,
+  ): Promise<Result<T, PlatformError>> {
+    const reply = await send(call);
+    return reply.andThen((answer) => decode(answer, schema));
+  }
+
+  return {
+    async get(key) {
+      const path = `/v1/keys/${encodeURIComponent(key)}`;
+      const reply = await send({ kind: 'get', method: 'GET', path });
+      return reply.andThen((answer): Result<Entry | undefined, PlatformError> =>
+        answer.status === 404 ? Result.ok(undefined) : decode(answer, entrySchema),
+      );
+    },
+    compareAndSwap(key, expectedRevision, value, lease) {
+      const path = `/v1/keys/${encodeURIComponent(key)}`;
+      const body = { expectedRevision, value, lease: lease?.id };
+      return read<Entry>({ kind: 'compare-and-swap', method: 'PUT', path, body }, entrySchema);
+    },
+    watch(prefix, afterRevision, signal) {
+      const query = `prefix=${encodeURIComponent(prefix)}&after=${afterRevision}&waitMs=${WATCH_WAIT_MS}`;
+      const timeoutMs = WATCH_WAIT_MS + WATCH_GRACE_MS;
+      return read<Change>(
+        { kind: 'watch', method: 'GET', path: `/v1/watch?${query}`, timeoutMs, signal },
+        changeSchema,
+      );
+    },
+    grantLease(ttlMs) {
+      return read<Lease>(
+        { kind: 'lease', method: 'POST', path: '/v1/leases', body: { ttlMs } },
+        leaseSchema,
+      );
+    },
+    renewLease(lease) {
+      const path = `/v1/leases/${encodeURIComponent(lease.id)}`;
+      return read<Lease>({ kind: 'lease', method: 'PUT', path, body: {} }, leaseSchema);
+    },
+    instances() {
+      return read<readonly Instance[]>(
+        { kind: 'list', method: 'GET', path: '/v1/instances' },
+        instancesSchema,
+      );
+    },
+    calls: () => Object.fromEntries(calls),
+    close: () => pool.destroy(),
+  };
+}
+
+function decode<T>(
+  reply: Reply,
+  schema: ZodType<T, ZodTypeDef, unknown>,
+): Result<T, PlatformError> {
+  if (reply.status === 409) return Result.err(new PlatformError(ErrorCodes.PLATFORM_CONFLICT));
+  if (reply.status >= 500) {
+    return Result.err(
+      new PlatformError(ErrorCodes.PLATFORM_UNKNOWN_OUTCOME, `status ${reply.status}`),
+    );
+  }
+  const parsed = schema.safeParse(reply.body);
+  if (reply.status >= 400 || !parsed.success) {
+    return Result.err(new PlatformError(ErrorCodes.PLATFORM_BAD_ANSWER, `status ${reply.status}`));
+  }
+  return Result.ok(parsed.data);
+}
+
+function toPlatformError(error: unknown, isRead: boolean): PlatformError {
+  const unsent = isRead || isConnectFailure(error);
+  const code = unsent ? ErrorCodes.PLATFORM_UNREACHABLE : ErrorCodes.PLATFORM_UNKNOWN_OUTCOME;
+  return new PlatformError(code, describeError(error), error);
+}
+
+function isConnectFailure(error: unknown): boolean {
+  if (error instanceof errors.ConnectTimeoutError) return true;
+  return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return text === '' ? undefined : JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,46 @@
+export {
+  createFrameDecoder,
+  decodeFrames,
+  encodeFrame,
+  MAX_FRAME_BYTES,
+  type FrameDecoder,
+} from './frames.js';
+export {
+  PROTOCOL_VERSION,
+  rosterSchema,
+  TaskOutcomes,
+  type Answer,
+  type Ask,
+  type BatchTask,
+  type Claim,
+  type Greeting,
+  type GroupLoad,
+  type Load,
+  type Loss,
+  type Member,
+  type Problem,
+  type Reply,
+  type RequestType,
+  type Roster,
+  type Submission,
+  type Task,
+  type TaskAnswer,
+  type TaskBatch,
+  type TaskOutcome,
+  type TaskResult,
+  type TransferredRecord,
+} from './messages.js';
+export {
+  createPeerLink,
+  type PeerLink,
+  type PeerLinkOptions,
+  type RequestOptions,
+} from './peerLink.js';
+export {
+  createPeerServer,
+  type PeerServer,
+  type PeerServerOptions,
+  type RequestHandler,
+} from './peerServer.js';
+export { ProtocolError } from './protocolError.js';
+export { createTraffic, type Traffic, type TrafficCount } from './traffic.js';
--- /dev/null
+++ b/packages/protocol/src/peerLink.ts
@@ -0,0 +1,279 @@
+/**
+ * An outgoing connection to one peer, kept up by one task: connect, greet, read replies, and after
+ * a loss wait and connect again. Requests are matched to replies by id, so late and crossed replies
+ * find their own request, and a reply to a request that is no longer waited for is dropped.
+ */
+import { connect, type Socket } from 'node:net';
+import { once } from 'node:events';
+import { Result } from 'true-myth';
+import {
+  createDeferred,
+  ErrorCodes,
+  parseAddress,
+  spreadDelay,
+  type Deferred,
+  type ErrorCode,
+  type Random,
+} from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import { decodeFrames, encodeFrame } from './frames.js';
+import {
+  envelopeSchema,
+  greetingSchema,
+  requestSchemas,
+  type Ask,
+  type Greeting,
+  type Reply,
+  type RequestType,
+} from './messages.js';
+import { checkGreeting } from './greeting.js';
+import { ProtocolError } from './protocolError.js';
+import { payloadBytesOfAsk, type Traffic } from './traffic.js';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const FIRST_RECONNECT_MS = 50;
+const LARGEST_RECONNECT_MS = 2_000;
+const REFUSALS_OF_AN_ENDED_PROCESS = 3;
+const MAX_OUTSTANDING_REQUESTS = 8_192;
+const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
+
+export interface PeerLinkOptions {
+  /** `IP:PORT` of the peer. */
+  readonly address: string;
+  /** Local IP to connect from. */
+  readonly localHost?: string | undefined;
+  readonly self: Greeting;
+  /** Incarnation the peer must have; any when undefined. */
+  readonly expectedIncarnation?: string | undefined;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly traffic: Traffic;
+}
+
+export interface PeerLink {
+  readonly address: string;
+  isConnected(): boolean;
+  /** Consecutive attempts to connect that failed in any way. */
+  failedAttempts(): number;
+  /** Whether the process has certainly ended: its address refuses, or answers as another. */
+  isGone(): boolean;
+  /**
+   * Sends a request and waits for its reply. Errors: PEER_UNREACHABLE and PEER_BUSY when it was not
+   * sent, PEER_SILENT when it may have been received.
+   */
+  request<T extends RequestType>(
+    type: T,
+    ask: Ask<T>,
+    options: RequestOptions,
+  ): Promise<Result<Reply<T>, ProtocolError>>;
+  onState(subscriber: (isConnected: boolean) => void): void;
+  close(): void;
+}
+
+export interface RequestOptions {
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal | undefined;
+  /** How long to wait for a connection before giving up unsent. */
+  readonly connectWaitMs?: number;
+}
+
+interface Waiting {
+  readonly type: RequestType;
+  readonly settled: Deferred<Result<unknown, ProtocolError>>;
+}
+
+/** Creates a link and starts its task. */
+export function createPeerLink(options: PeerLinkOptions): PeerLink {
+  const { timer, random, traffic } = options;
+  const closing = new AbortController();
+  const waiting = new Map<number, Waiting>();
+  const subscribers = new Set<(isConnected: boolean) => void>();
+  let socket: Socket | undefined;
+  let connected = createDeferred<undefined>();
+  let nextRequest = 1;
+  let failures = 0;
+  let refusals = 0;
+  let lastFault: ErrorCode = ErrorCodes.PEER_UNREACHABLE;
+
+  async function run(): Promise<void> {
+    while (!closing.signal.aborted) {
+      const opened = await open();
+      if (opened !== undefined) await readReplies(opened.socket, opened.frames);
+      if (closing.signal.aborted) return;
+      await timer.sleep(reconnectDelay(), closing.signal);
+    }
+  }
+
+  async function open() {
+    const candidate = dial(options);
+    const abandon = timer.onAfter(CONNECT_TIMEOUT_MS, () => candidate.destroy());
+    const onClosing = () => candidate.destroy();
+    closing.signal.addEventListener('abort', onClosing, { once: true });
+    try {
+      await once(candidate, 'connect');
+      candidate.write(encodeFrame(options.self));
+      const frames = decodeFrames(candidate);
+      const first = await frames.next();
+      checkGreeting(greetingSchema.safeParse(first.value), options.expectedIncarnation);
+      return { socket: candidate, frames };
+    } catch (error) {
+      candidate.destroy();
+      failures += 1;
+      refusals = isRefusal(error) ? refusals + 1 : 0;
+      lastFault = error instanceof ProtocolError ? error.code : ErrorCodes.PEER_UNREACHABLE;
+      return undefined;
+    } finally {
+      abandon();
+      closing.signal.removeEventListener('abort', onClosing);
+    }
+  }
+
+  async function readReplies(opened: Socket, frames: AsyncGenerator<unknown>): Promise<void> {
+    socket = opened;
+    failures = 0;
+    refusals = 0;
+    connected.resolve(undefined);
+    notify(true);
+    try {
+      for await (const frame of frames) settle(frame);
+    } catch {
+      opened.destroy();
+    } finally {
+      socket = undefined;
+      connected = createDeferred();
+      failAll(ErrorCodes.PEER_SILENT);
+      notify(false);
+    }
+  }
+
+  function settle(frame: unknown): void {
+    const envelope = envelopeSchema.safeParse(frame);
+    if (!envelope.success || !('reply' in envelope.data)) {
+      throw new ProtocolError(ErrorCodes.MESSAGE_INVALID);
+    }
+    const one = waiting.get(envelope.data.reply);
+    if (one === undefined) return;
+    waiting.delete(envelope.data.reply);
+    if ('fault' in envelope.data) {
+      one.settled.resolve(
+        Result.err(new ProtocolError(ErrorCodes.PEER_SILENT, envelope.data.fault)),
+      );
+      return;
+    }
+    const body = requestSchemas[one.type].reply.safeParse(envelope.data.body);
+    one.settled.resolve(
+      body.success
+        ? Result.ok(body.data)
+        : Result.err(new ProtocolError(ErrorCodes.MESSAGE_INVALID, one.type)),
+    );
+  }
+
+  function failAll(code: ErrorCode): void {
+    for (const one of waiting.values()) one.settled.resolve(Result.err(new ProtocolError(code)));
+    waiting.clear();
+  }
+
+  function notify(isConnected: boolean): void {
+    for (const subscriber of subscribers) subscriber(isConnected);
+  }
+
+  function reconnectDelay(): number {
+    const delay = FIRST_RECONNECT_MS * 2 ** Math.min(failures, 10);
+    return spreadDelay(Math.min(LARGEST_RECONNECT_MS, delay), random);
+  }
+
+  async function request<T extends RequestType>(
+    type: T,
+    ask: Ask<T>,
+    requestOptions: RequestOptions,
+  ): Promise<Result<Reply<T>, ProtocolError>> {
+    if (socket === undefined && requestOptions.connectWaitMs !== undefined) {
+      await Promise.race([
+        connected.promise,
+        timer.sleep(requestOptions.connectWaitMs, requestOptions.signal),
+      ]);
+    }
+    const open = socket;
+    if (open === undefined) return Result.err(new ProtocolError(lastFault));
+    if (waiting.size >= MAX_OUTSTANDING_REQUESTS || open.writableLength > MAX_BUFFERED_BYTES) {
+      return Result.err(new ProtocolError(ErrorCodes.PEER_BUSY));
+    }
+    const id = nextRequest;
+    nextRequest += 1;
+    const frame = encodeFrame({ request: id, type, body: ask });
+    traffic.countSent(type, frame.length, payloadBytesOfAsk(type, ask));
+    const settled = createDeferred<Result<unknown, ProtocolError>>();
+    waiting.set(id, { type, settled });
+    writeTogether(open, frame);
+    return awaitReply<T>(id, settled, requestOptions);
+  }
+
+  async function awaitReply<T extends RequestType>(
+    id: number,
+    settled: Deferred<Result<unknown, ProtocolError>>,
+    { timeoutMs, signal }: RequestOptions,
+  ): Promise<Result<Reply<T>, ProtocolError>> {
+    const giveUp = () => {
+      settled.resolve(Result.err(new ProtocolError(ErrorCodes.PEER_SILENT, 'timed out')));
+    };
+    const cancelTimer = timer.onAfter(timeoutMs, giveUp);
+    signal?.addEventListener('abort', giveUp, { once: true });
+    try {
+      return (await settled.promise) as Result<Reply<T>, ProtocolError>;
+    } finally {
+      cancelTimer();
+      signal?.removeEventListener('abort', giveUp);
+      waiting.delete(id);
+    }
+  }
+
+  void run();
+
+  return {
+    address: options.address,
+    isConnected: () => socket !== undefined,
+    failedAttempts: () => failures,
+    isGone: () =>
+      refusals >= REFUSALS_OF_AN_ENDED_PROCESS || lastFault === ErrorCodes.PEER_REPLACED,
+    request,
+    onState(subscriber) {
+      subscribers.add(subscriber);
+    },
+    close() {
+      closing.abort();
+      socket?.destroy();
+      failAll(ErrorCodes.PEER_SILENT);
+    },
+  };
+}
+
+function isRefusal(error: unknown): boolean {
+  return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
+}
+
+function dial(options: PeerLinkOptions): Socket {
+  const address = parseAddress(options.address);
+  if (address === undefined) {
+    throw new ProtocolError(ErrorCodes.PEER_UNREACHABLE, `bad address ${options.address}`);
+  }
+  const socket = connect({
+    host: address.host,
+    port: address.port,
+    noDelay: true,
+    ...(options.localHost === undefined ? {} : { localAddress: options.localHost }),
+  });
+  // Errors reach the task through the stream's reads; this keeps late ones from being unhandled.
+  socket.on('error', () => undefined);
+  return socket;
+}
+
+/** Writes a frame; all frames of one turn of the event loop leave in one segment. */
+export function writeTogether(socket: Socket, frame: Buffer): void {
+  if (socket.writableCorked === 0) {
+    socket.cork();
+    setImmediate(() => {
+      socket.uncork();
+    });
+  }
+  socket.write(frame);
+}
--- /dev/null
+++ b/packages/protocol/src/peerServer.ts
@@ -0,0 +1,141 @@
+/**
+ * The listener for peers: one task for each connection, which reads requests and hands each to the
+ * handler of its type. Anything malformed ends that connection and no other.
+ */
+import { createServer, type Socket } from 'node:net';
+import { once } from 'node:events';
+import { describeError, ErrorCodes, type Address } from '@celerybarrow/shared';
+import type { TimerService } from '@celerybarrow/timer';
+import { checkGreeting } from './greeting.js';
+import { decodeFrames, encodeFrame } from './frames.js';
+import {
+  envelopeSchema,
+  greetingSchema,
+  requestSchemas,
+  type Ask,
+  type Greeting,
+  type Reply,
+  type RequestType,
+} from './messages.js';
+import { writeTogether } from './peerLink.js';
+import { ProtocolError } from './protocolError.js';
+import { payloadBytesOfReply, type Traffic } from './traffic.js';
+
+const GREETING_TIMEOUT_MS = 5_000;
+const MAX_CONNECTIONS = 1_024;
+
+export type RequestHandler<T extends RequestType> = (
+  ask: Ask<T>,
+  peer: Greeting,
+) => Promise<Reply<T>> | Reply<T>;
+
+export interface PeerServerOptions {
+  readonly self: Greeting;
+  readonly timer: TimerService;
+  readonly traffic: Traffic;
+  /** Told of each connection that ended because of a malformed message. */
+  readonly onFault?: (fault: ProtocolError, remote: string) => void;
+}
+
+export interface PeerServer {
+  onRequest<T extends RequestType>(type: T, handler: RequestHandler<T>): void;
+  /** Binds the listener and returns the bound address. */
+  listen(address: Address): Promise<Address>;
+  close(): Promise<void>;
+}
+
+type AnyHandler = (ask: unknown, peer: Greeting) => Promise<unknown>;
+
+export function createPeerServer(options: PeerServerOptions): PeerServer {
+  const { self, timer, traffic } = options;
+  const handlers = new Map<string, AnyHandler>();
+  const sockets = new Set<Socket>();
+  const server = createServer({ noDelay: true }, (socket) => {
+    void serve(socket);
+  });
+  server.maxConnections = MAX_CONNECTIONS;
+
+  async function serve(socket: Socket): Promise<void> {
+    sockets.add(socket);
+    socket.on('error', () => undefined);
+    const remote = `${socket.remoteAddress ?? '?'}:${socket.remotePort ?? 0}`;
+    const abandon = timer.onAfter(GREETING_TIMEOUT_MS, () => socket.destroy());
+    try {
+      const frames = decodeFrames(socket);
+      const first = await frames.next();
+      if (first.done === true) return;
+      const peer = checkGreeting(greetingSchema.safeParse(first.value));
+      abandon();
+      socket.write(encodeFrame(self));
+      for await (const frame of frames) void answer(socket, frame, peer);
+    } catch (error) {
+      if (error instanceof ProtocolError) options.onFault?.(error, remote);
+    } finally {
+      abandon();
+      sockets.delete(socket);
+      socket.destroy();
+    }
+  }
+
+  async function answer(socket: Socket, frame: unknown, peer: Greeting): Promise<void> {
+    const envelope = envelopeSchema.safeParse(frame);
+    if (!envelope.success || !('request' in envelope.data)) {
+      options.onFault?.(new ProtocolError(ErrorCodes.MESSAGE_INVALID), peer.instance);
+      socket.destroy();
+      return;
+    }
+    const { request, type, body } = envelope.data;
+    const reply = await handle(type, body, peer);
+    if (socket.destroyed) return;
+    const encoded = encodeReply(request, reply);
+    traffic.countSent(`${type}.reply`, encoded.length, payloadBytesOfReply(reply.body ?? {}));
+    writeTogether(socket, encoded);
+  }
+
+  async function handle(type: string, body: unknown, peer: Greeting): Promise<Handled> {
+    const handler = handlers.get(type);
+    if (handler === undefined) return { fault: `no handler for ${type}` };
+    try {
+      return { body: await handler(body, peer) };
+    } catch (error) {
+      return { fault: describeError(error) };
+    }
+  }
+
+  return {
+    onRequest(type, handler) {
+      handlers.set(type, async (body, peer) => {
+        const ask = requestSchemas[type].ask.safeParse(body);
+        if (!ask.success) throw new ProtocolError(ErrorCodes.MESSAGE_INVALID, type);
+        return handler(ask.data as Ask<typeof type>, peer);
+      });
+    },
+    async listen(address) {
+      server.listen(address.port, address.host);
+      await once(server, 'listening');
+      const bound = server.address();
+      const port = typeof bound === 'object' && bound !== null ? bound.port : address.port;
+      return { host: address.host, port };
+    },
+    async close() {
+      const closed = once(server, 'close');
+      server.close();
+      for (const socket of sockets) socket.destroy();
+      await closed;
+    },
+  };
+}
+
+interface Handled {
+  readonly body?: unknown;
+  readonly fault?: string;
+}
+
+function encodeReply(request: number, handled: Handled): Buffer {
+  if (handled.fault !== undefined) return encodeFrame({ reply: request, fault: handled.fault });
+  try {
+    return encodeFrame({ reply: request, body: handled.body });
+  } catch (error) {
+    return encodeFrame({ reply: request, fault: describeError(error) });
+  }
+}
--- /dev/null
+++ b/packages/shared/src/errorCodes.ts
@@ -0,0 +1,62 @@
+/**
+ * Numeric codes of every error the product raises, and the one table of their messages.
+ * The hundreds digit names the layer: 1 protocol, 2 platform, 3 configuration, 4 membership,
+ * 5 claims, 6 placement, 7 jobs, 8 settings.
+ */
+export const ErrorCodes = {
+  FRAME_TOO_LARGE: 101,
+  FRAME_MALFORMED: 102,
+  MESSAGE_INVALID: 103,
+  VERSION_MISMATCH: 104,
+  PEER_UNREACHABLE: 105,
+  PEER_SILENT: 106,
+  PEER_REPLACED: 107,
+  PEER_BUSY: 108,
+  PLATFORM_UNREACHABLE: 201,
+  PLATFORM_CONFLICT: 202,
+  PLATFORM_UNKNOWN_OUTCOME: 203,
+  PLATFORM_BAD_ANSWER: 204,
+  CONFIGURATION_INVALID: 301,
+  CONFIGURATION_CONFLICT: 302,
+  CONFIGURATION_UNAVAILABLE: 303,
+  ROSTER_UNAVAILABLE: 401,
+  ROSTER_CHANGED: 402,
+  NOT_A_MEMBER: 403,
+  CLAIM_REFUSED: 501,
+  CLAIM_UNWITNESSED: 502,
+  ENDPOINT_REFUSED: 601,
+  ENDPOINT_FAILED: 602,
+  ENDPOINT_UNREACHABLE: 603,
+  SUBMISSION_INVALID: 701,
+  SETTINGS_INVALID: 801,
+} as const;
+
+export type ErrorCode = (typeof ErrorCodes)[keyof typeof ErrorCodes];
+
+export const errorMessages: Readonly<Record<ErrorCode, string>> = {
+  [ErrorCodes.FRAME_TOO_LARGE]: 'frame is larger than the limit',
+  [ErrorCodes.FRAME_MALFORMED]: 'frame is not valid CBOR',
+  [ErrorCodes.MESSAGE_INVALID]: 'message does not match its schema',
+  [ErrorCodes.VERSION_MISMATCH]: 'peer speaks another protocol version',
+  [ErrorCodes.PEER_UNREACHABLE]: 'peer cannot be reached; the request was not sent',
+  [ErrorCodes.PEER_SILENT]: 'peer did not answer; the request may have been received',
+  [ErrorCodes.PEER_REPLACED]: 'peer is another incarnation than expected',
+  [ErrorCodes.PEER_BUSY]: 'peer has too many requests outstanding; the request was not sent',
+  [ErrorCodes.PLATFORM_UNREACHABLE]: 'platform cannot be reached; nothing was changed',
+  [ErrorCodes.PLATFORM_CONFLICT]: 'platform holds another revision',
+  [ErrorCodes.PLATFORM_UNKNOWN_OUTCOME]: 'platform did not answer; the write may have taken effect',
+  [ErrorCodes.PLATFORM_BAD_ANSWER]: 'platform answered with something unexpected',
+  [ErrorCodes.CONFIGURATION_INVALID]: 'configuration is not valid',
+  [ErrorCodes.CONFIGURATION_CONFLICT]: 'another operator changed the configuration first',
+  [ErrorCodes.CONFIGURATION_UNAVAILABLE]: 'configuration could not be read or written',
+  [ErrorCodes.ROSTER_UNAVAILABLE]: 'roster could not be read or written',
+  [ErrorCodes.ROSTER_CHANGED]: 'roster was changed by another instance',
+  [ErrorCodes.NOT_A_MEMBER]: 'instance is not a member of the roster',
+  [ErrorCodes.CLAIM_REFUSED]: 'claim was refused by the witness',
+  [ErrorCodes.CLAIM_UNWITNESSED]: 'no witness could be reached',
+  [ErrorCodes.ENDPOINT_REFUSED]: 'endpoint refused the task before starting it',
+  [ErrorCodes.ENDPOINT_FAILED]: 'endpoint failed the task',
+  [ErrorCodes.ENDPOINT_UNREACHABLE]: 'endpoint cannot be reached; the task was not started',
+  [ErrorCodes.SUBMISSION_INVALID]: 'submission is not valid',
+  [ErrorCodes.SETTINGS_INVALID]: 'settings are not valid',
+};
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,8 @@
+export { formatAddress, parseAddress, type Address } from './address.js';
+export { createDeferred, type Deferred } from './deferred.js';
+export { ErrorCodes, errorMessages, type ErrorCode } from './errorCodes.js';
+export { createUuidV7, readCreationTime } from './jobId.js';
+export { describeError, LayerError } from './layerError.js';
+export { Outcomes, type Outcome } from './outcome.js';
+export { createRandom, spreadDelay, type Random } from './random.js';
+export { rankByRendezvous, weigh } from './rendezvous.js';
--- /dev/null
+++ b/packages/standins/src/httpServer.ts
@@ -0,0 +1,81 @@
+/** A small JSON server for stand-ins. */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import { formatAddress, type Address } from '@celerybarrow/shared';
+
+export interface JsonRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly query: URLSearchParams;
+  readonly body: unknown;
+  readonly response: ServerResponse;
+}
+
+export interface JsonReply {
+  readonly status: number;
+  readonly body?: unknown;
+  readonly headers?: Record<string, string>;
+}
+
+/** Answers one request; undefined leaves the connection without an answer. */
+export type JsonHandler = (request: JsonRequest) => Promise<JsonReply | undefined>;
+
+export interface JsonServer {
+  readonly address: Address;
+  readonly url: string;
+  close(): Promise<void>;
+}
+
+export async function startJsonServer(listen: Address, handle: JsonHandler): Promise<JsonServer> {
+  const server = createServer((request, response) => {
+    serve(request, response, handle).catch(() => {
+      response.destroy();
+    });
+  });
+  // Clients keep connections for a while; a stand-in must not close one under a request.
+  server.keepAliveTimeout = 60_000;
+  server.listen(listen.port, listen.host);
+  await once(server, 'listening');
+  const bound = server.address();
+  const port = typeof bound === 'object' && bound !== null ? bound.port : listen.port;
+  const address = { host: listen.host, port };
+  return {
+    address,
+    url: `http://${formatAddress(address)}`,
+    async close() {
+      const closed = once(server, 'close');
+      server.close();
+      server.closeAllConnections();
+      await closed;
+    },
+  };
+}
+
+async function serve(
+  request: IncomingMessage,
+  response: ServerResponse,
+  handle: JsonHandler,
+): Promise<void> {
+  const url = new URL(request.url ?? '/', 'http://standin');
+  const chunks: Buffer[] = [];
+  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+  const text = Buffer.concat(chunks).toString('utf8');
+  const reply = await handle({
+    method: request.method ?? 'GET',
+    path: decodeURIComponent(url.pathname),
+    query: url.searchParams,
+    body: text === '' ? undefined : (JSON.parse(text) as unknown),
+    response,
+  });
+  if (reply === undefined) {
+    response.destroy();
+    return;
+  }
+  const body = JSON.stringify(reply.body ?? {});
+  response.writeHead(reply.status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(body),
+    ...reply.headers,
+  });
+  response.end(body);
+}
--- /dev/null
+++ b/packages/standins/src/platformStandin.ts
@@ -0,0 +1,153 @@
+/**
+ * A stand-in for the platform over HTTP, with faults on demand: down, slow, answers lost after the
+ * write took effect, a lagging list and lapsed leases.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import { z } from 'zod';
+import type { Address } from '@celerybarrow/shared';
+import {
+  startJsonServer,
+  type JsonReply,
+  type JsonRequest,
+  type JsonServer,
+} from './httpServer.js';
+import { createPlatformStore, type PlatformStore } from './platformStore.js';
+
+const faultsSchema = z.object({
+  /** Drops every call without an answer. */
+  down: z.boolean().default(false),
+  slowMs: z.number().nonnegative().default(0),
+  /** Writes whose answers will be lost after they took effect. */
+  loseAnswers: z.number().int().nonnegative().default(0),
+  listLagMs: z.number().nonnegative().default(0),
+});
+export type PlatformFaults = z.infer<typeof faultsSchema>;
+
+const swapSchema = z.object({
+  expectedRevision: z.number().int().nonnegative(),
+  value: z.string().max(1_048_576),
+  lease: z.string().optional(),
+});
+const leaseSchema = z.object({ ttlMs: z.number().positive() });
+const instanceSchema = z.object({ id: z.string().optional() }).passthrough();
+
+export interface PlatformStandin extends JsonServer {
+  setFaults(faults: Partial<PlatformFaults>): void;
+  readonly store: PlatformStore;
+  calls(): Record<string, number>;
+}
+
+export async function startPlatformStandin(listen: Address): Promise<PlatformStandin> {
+  const store = createPlatformStore();
+  const calls = new Map<string, number>();
+  let faults: PlatformFaults = faultsSchema.parse({});
+
+  async function handle(request: JsonRequest): Promise<JsonReply | undefined> {
+    if (request.path === '/v1/faults' && request.method === 'PUT') {
+      faults = faultsSchema.parse(request.body);
+      return { status: 200, body: faults };
+    }
+    if (request.path === '/v1/leases/lapse' && request.method === 'POST') {
+      store.lapseLeases();
+      return { status: 200 };
+    }
+    if (request.path === '/v1/calls') return { status: 200, body: Object.fromEntries(calls) };
+    const isList = request.path.startsWith('/v1/instances') && request.method !== 'GET';
+    if (isList) return changeList(request);
+    if (faults.down) return undefined;
+    if (faults.slowMs > 0) await delay(faults.slowMs);
+    const reply = await answer(request);
+    return hasLostAnswer(request) ? undefined : reply;
+  }
+
+  function hasLostAnswer(request: JsonRequest): boolean {
+    if (request.method !== 'PUT' || faults.loseAnswers === 0) return false;
+    faults = { ...faults, loseAnswers: faults.loseAnswers - 1 };
+    return true;
+  }
+
+  function answer(request: JsonRequest): Promise<JsonReply> | JsonReply {
+    const [, version, kind, ...rest] = request.path.split('/');
+    const name = rest.join('/');
+    calls.set(kind ?? '', (calls.get(kind ?? '') ?? 0) + 1);
+    if (version !== 'v1') return { status: 404 };
+    if (kind === 'keys') return request.method === 'PUT' ? swap(name, request.body) : get(name);
+    if (kind === 'watch') return watch(request);
+    if (kind === 'leases') return request.method === 'POST' ? grant(request.body) : renew(name);
+    if (kind === 'instances') return { status: 200, body: store.instances(faults.listLagMs) };
+    return { status: 404 };
+  }
+
+  function get(key: string): JsonReply {
+    const entry = store.get(key);
+    return entry === undefined ? { status: 404 } : { status: 200, body: entry };
+  }
+
+  function swap(key: string, body: unknown): JsonReply {
+    const parsed = swapSchema.safeParse(body);
+    if (!parsed.success) return { status: 400 };
+    const { expectedRevision, value, lease } = parsed.data;
+    const entry = store.swap(key, expectedRevision, value, lease);
+    return entry === undefined ? { status: 409 } : { status: 200, body: entry };
+  }
+
+  async function watch({ query, response }: JsonRequest): Promise<JsonReply> {
+    const prefix = query.get('prefix') ?? '';
+    const after = Number(query.get('after') ?? 0);
+    const endMs = performance.now() + Number(query.get('waitMs') ?? 0);
+    for (;;) {
+      const entries = store.changesAfter(prefix, after);
+      const leftMs = endMs - performance.now();
+      if (entries.length > 0 || after === 0 || leftMs <= 0 || response.destroyed) {
+        return { status: 200, body: { revision: store.revision(), entries } };
+      }
+      await waitForChange(leftMs);
+      if (faults.down) response.destroy();
+    }
+  }
+
+  function waitForChange(timeoutMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      const timeout = setTimeout(finish, Math.min(timeoutMs, 1_000));
+      const unsubscribe = store.onChange(finish);
+      function finish(): void {
+        clearTimeout(timeout);
+        unsubscribe();
+        resolve();
+      }
+    });
+  }
+
+  function grant(body: unknown): JsonReply {
+    const parsed = leaseSchema.safeParse(body);
+    if (!parsed.success) return { status: 400 };
+    const { ttlMs } = parsed.data;
+    return { status: 200, body: { id: store.grantLease(ttlMs), ttlMs } };
+  }
+
+  function renew(id: string): JsonReply {
+    const ttlMs = store.renewLease(id);
+    return ttlMs === undefined ? { status: 404 } : { status: 200, body: { id, ttlMs } };
+  }
+
+  function changeList({ method, path, body }: JsonRequest): JsonReply {
+    const id = path.slice('/v1/instances/'.length);
+    if (method === 'DELETE') store.deleteInstance(id);
+    else store.putInstance({ ...instanceSchema.parse(body), id });
+    return { status: 200 };
+  }
+
+  const server = await startJsonServer(listen, handle);
+  return {
+    ...server,
+    store,
+    setFaults(next) {
+      faults = { ...faults, ...next };
+    },
+    calls: () => Object.fromEntries(calls),
+    async close() {
+      store.close();
+      await server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/timer/src/index.ts
@@ -0,0 +1,2 @@
+export { createManualTimer, type ManualTimer } from './manualTimer.js';
+export { createTimerService, type TimerService, type Unsubscribe } from './timerService.js';
--- /dev/null
+++ b/packages/timer/src/timerService.ts
@@ -0,0 +1,61 @@
+/**
+ * Time for every part of the product. Parts subscribe to ticks or wait on the service and never
+ * call the runtime's timers or clocks themselves, so that tests can drive time by hand.
+ */
+export type Unsubscribe = () => void;
+
+export interface TimerService {
+  /** Wall-clock time, milliseconds since the epoch. */
+  wallMs(): number;
+  /** Monotonic time in milliseconds; comparable only within one process. */
+  nowMs(): number;
+  /** Calls the subscriber every `everyMs` until it unsubscribes. */
+  onEvery(everyMs: number, subscriber: () => void): Unsubscribe;
+  /** Calls the subscriber once, after `delayMs`. */
+  onAfter(delayMs: number, subscriber: () => void): Unsubscribe;
+  /** Resolves after `delayMs`, or at once when the signal is aborted. */
+  sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
+}
+
+/** Creates the timer service that runs on the machine's clocks. */
+export function createTimerService(): TimerService {
+  function onAfter(delayMs: number, subscriber: () => void): Unsubscribe {
+    const handle = setTimeout(subscriber, delayMs);
+    return () => {
+      clearTimeout(handle);
+    };
+  }
+
+  return {
+    wallMs: () => Date.now(),
+    nowMs: () => performance.now(),
+    onEvery(everyMs, subscriber) {
+      const handle = setInterval(subscriber, everyMs);
+      return () => {
+        clearInterval(handle);
+      };
+    },
+    onAfter,
+    sleep: (delayMs, signal) => sleepOn(onAfter, delayMs, signal),
+  };
+}
+
+export function sleepOn(
+  onAfter: TimerService['onAfter'],
+  delayMs: number,
+  signal?: AbortSignal,
+): Promise<void> {
+  return new Promise((resolve) => {
+    if (signal?.aborted === true) {
+      resolve();
+      return;
+    }
+    const cancel = onAfter(delayMs, finish);
+    signal?.addEventListener('abort', finish, { once: true });
+    function finish(): void {
+      cancel();
+      signal?.removeEventListener('abort', finish);
+      resolve();
+    }
+  });
+}
--- /dev/null
+++ b/scripts/ensureInstalled.mjs
@@ -0,0 +1,8 @@
+// Installs the locked dependencies on a fresh clone, and does nothing when they are present.
+import { spawnSync } from 'node:child_process';
+import { existsSync } from 'node:fs';
+
+if (!existsSync('node_modules/.package-lock.json')) {
+  const install = spawnSync('npm', ['ci', '--no-audit', '--no-fund'], { stdio: 'inherit' });
+  process.exitCode = install.status ?? 1;
+}
