test(scenarios): prove the properties with real processes under failure

A small scenario language (YAML, zod schema) over real daemons, with stand-ins for the platform, the endpoints and the links. The runner always counts starts at the endpoints and checks every not-run and every complete answer.

--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -20,6 +20,8 @@
 /** How long a submission looks for an instance that takes it. */
 const ROUTE_PATIENCE_MS = 8_000;
 const RETRY_PAUSE_MS = 50;
+/** Time after which an instance that did not answer must have taken a submission. */
+const TAKEN_AFTER_MS = 5_000;
 const MEMBER_CHECK_MS = 250;
 const LOOKUP_TIMEOUT_MS = 2_000;
 const MAX_HOPS = 2;
@@ -49,23 +51,20 @@
 export function createRouter(options: RouterOptions): Router {
   const { self, jobs, rosters, peers, timer, random } = options;
 
-  async function submit(submission: Submission, hops = 0): Promise<Answer> {
-    const endMs = timer.nowMs() + (submission.deadlineMs ?? LONGEST_JOB_MS) + ANSWER_GRACE_MS;
-    let giveUpMs =
-      timer.nowMs() + Math.min(ROUTE_PATIENCE_MS, submission.deadlineMs ?? ROUTE_PATIENCE_MS);
+  async function submit(submission: Submission): Promise<Answer> {
+    const limitMs = submission.deadlineMs ?? LONGEST_JOB_MS;
+    const endMs = timer.nowMs() + limitMs + ANSWER_GRACE_MS;
+    let giveUpMs = timer.nowMs() + Math.min(ROUTE_PATIENCE_MS, limitMs);
     for (let attempt = 0; timer.nowMs() < giveUpMs; attempt += 1) {
       const target = chooseTarget(submission, attempt);
+      const startedMs = timer.nowMs();
       if (target !== undefined) {
-        const startedMs = timer.nowMs();
-        const answer = await tryTarget(target, submission, hops, endMs);
+        const answer = await tryTarget(target, submission, 1, endMs);
         if (answer !== undefined) return answer;
-        // Only the time spent without an instance that took the submission counts.
-        giveUpMs = Math.min(
-          endMs,
-          giveUpMs +
-            (timer.nowMs() - startedMs > RETRY_PAUSE_MS * 4 ? timer.nowMs() - startedMs : 0),
-        );
       }
+      // An instance that held the submission for long had taken it; the search starts anew.
+      const hadTaken = timer.nowMs() - startedMs > TAKEN_AFTER_MS;
+      if (hadTaken) giveUpMs = Math.min(endMs, timer.nowMs() + ROUTE_PATIENCE_MS);
       await timer.sleep(spreadDelay(RETRY_PAUSE_MS, random));
     }
     return giveUp(submission);
@@ -86,7 +85,6 @@
     endMs: number,
   ): Promise<Answer | undefined> {
     if (target.incarnation === self.incarnation) return jobs.submit(submission);
-    if (hops >= MAX_HOPS) return undefined;
     const stop = new AbortController();
     const stopChecking = timer.onEvery(MEMBER_CHECK_MS, () => {
       if (!isMember(submission.home, target)) stop.abort();
@@ -94,7 +92,7 @@
     const reply = await peers.request(
       target,
       'submit',
-      { submission, hops: hops + 1 },
+      { submission, hops },
       { timeoutMs: endMs - timer.nowMs(), connectWaitMs: MEMBER_CHECK_MS, signal: stop.signal },
     );
     stopChecking();
@@ -125,8 +123,11 @@
   async function receive({ submission, hops }: Ask<'submit'>): Promise<Reply<'submit'>> {
     const answer = await jobs.submit(submission);
     if (answer !== undefined) return { answer };
-    if (hops >= MAX_HOPS) return {};
-    return { answer: await submit(submission, hops) };
+    const owner = chooseTarget(submission, 0);
+    const isElsewhere = owner !== undefined && owner.incarnation !== self.incarnation;
+    if (hops >= MAX_HOPS || !isElsewhere) return {};
+    const endMs = timer.nowMs() + (submission.deadlineMs ?? LONGEST_JOB_MS) + ANSWER_GRACE_MS;
+    return { answer: await tryTarget(owner, submission, hops + 1, endMs) };
   }
 
   /** Asks this instance, and then every other one, as an id alone does not tell its named home. */
--- a/packages/placement/src/batchSender.ts
+++ b/packages/placement/src/batchSender.ts
@@ -21,6 +21,8 @@
 const ACCEPT_TIMEOUT_MS = 2_000;
 const RESEND_PAUSE_MS = 100;
 const PEER_CHECK_INTERVAL_MS = 250;
+/** How long results are waited for from a peer that is no member and cannot be reached. */
+const ABANDON_AFTER_MS = 10_000;
 
 export interface BatchSender {
   send(member: Member, batch: Omit<TaskBatch, 'batch'>, sink: BatchSink): void;
@@ -39,6 +41,8 @@
   readonly peers: Peers;
   readonly loads: PeerLoads;
   readonly timer: TimerService;
+  /** Whether an incarnation is a member of the data centre's roster. */
+  readonly isMember: (incarnation: string) => boolean;
 }
 
 interface OpenBatch {
@@ -84,8 +88,12 @@
   }
 
   async function awaitResults(member: Member, open: OpenBatch): Promise<void> {
+    let heardMs = timer.nowMs();
     const stopChecking = timer.onEvery(PEER_CHECK_INTERVAL_MS, () => {
-      if (peers.linkTo(member).isGone()) open.ended.resolve(undefined);
+      const link = peers.linkTo(member);
+      if (link.isConnected() || options.isMember(member.incarnation)) heardMs = timer.nowMs();
+      const isAbandoned = timer.nowMs() - heardMs > ABANDON_AFTER_MS;
+      if (link.isGone() || isAbandoned) open.ended.resolve(undefined);
     });
     await open.ended.promise;
     stopChecking();
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -110,7 +110,13 @@
     countEndpoints: () => directory.live().length,
   });
   const reporter = createLoadReporter({ ...options, load: () => dispatcher.load() });
-  const sender = createBatchSender({ peers, loads, timer });
+  const sender = createBatchSender({
+    peers,
+    loads,
+    timer,
+    isMember: (incarnation) =>
+      rosters.own()?.roster.members.some((one) => one.incarnation === incarnation) === true,
+  });
   const receiver = createBatchReceiver({
     dispatcher,
     peers,
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -165,6 +165,8 @@
 
 /** What a request of each type carries and what it is answered with. */
 export const requestSchemas = {
+  /** Asks for a sign of life on a connection with open requests. */
+  alive: { ask: none, reply: none },
   ping: { ask: pingSchema, reply: pingSchema },
   /** Answered when the job ends; without an answer when the id belongs to another instance. */
   submit: {
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -33,6 +33,9 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const FIRST_RECONNECT_MS = 50;
 const LARGEST_RECONNECT_MS = 2_000;
+const ALIVE_INTERVAL_MS = 1_000;
+/** Silence, while requests are open, after which a connection is taken to be dead. */
+const SILENCE_LIMIT_MS = 3_000;
 const REFUSALS_OF_AN_ENDED_PROCESS = 3;
 const MAX_OUTSTANDING_REQUESTS = 8_192;
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -93,6 +96,7 @@
   let nextRequest = 1;
   let failures = 0;
   let refusals = 0;
+  let heardMs = 0;
   let lastFault: ErrorCode = ErrorCodes.PEER_UNREACHABLE;
 
   async function run(): Promise<void> {
@@ -132,13 +136,18 @@
     socket = opened;
     failures = 0;
     refusals = 0;
+    heardMs = timer.nowMs();
     connected.resolve(undefined);
     notify(true);
+    const stopWatching = timer.onEvery(ALIVE_INTERVAL_MS, () => {
+      watchSilence(opened);
+    });
     try {
       for await (const frame of frames) settle(frame);
     } catch {
       opened.destroy();
     } finally {
+      stopWatching();
       socket = undefined;
       connected = createDeferred();
       failAll(ErrorCodes.PEER_SILENT);
@@ -146,7 +155,17 @@
     }
   }
 
+  /** A cut network does not end a connection; only silence shows it. */
+  function watchSilence(opened: Socket): void {
+    const silentMs = timer.nowMs() - heardMs;
+    if (waiting.size === 0) heardMs = timer.nowMs();
+    else if (silentMs > SILENCE_LIMIT_MS) opened.destroy();
+    else if (silentMs > ALIVE_INTERVAL_MS)
+      void request('alive', {}, { timeoutMs: SILENCE_LIMIT_MS });
+  }
+
   function settle(frame: unknown): void {
+    heardMs = timer.nowMs();
     const envelope = envelopeSchema.safeParse(frame);
     if (!envelope.success || !('reply' in envelope.data)) {
       throw new ProtocolError(ErrorCodes.MESSAGE_INVALID);
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -102,6 +102,8 @@
     }
   }
 
+  handlers.set('alive', () => Promise.resolve({}));
+
   return {
     onRequest(type, handler) {
       handlers.set(type, async (body, peer) => {
--- /dev/null
+++ b/packages/scenarios/src/callers.ts
@@ -0,0 +1,165 @@
+/** Callers of a scenario: they submit jobs, keep every answer and check it as it arrives. */
+import { createHash } from 'node:crypto';
+import { Agent, request } from 'undici';
+import { createUuidV7 } from '@celerybarrow/shared';
+import { rankMembers } from '@celerybarrow/membership';
+import { z } from 'zod';
+import type { Fleet } from './fleet.js';
+import type { ScenarioOutcome, SubmitStep } from './scenarioSchema.js';
+
+const DRAWS = 2_000;
+const ANSWER_TIMEOUT_MS = 60_000;
+
+export interface Job {
+  readonly id: string;
+  readonly home: string;
+  readonly body: string;
+  readonly tasks: readonly { readonly name: string; readonly payload: unknown }[];
+}
+
+export interface Answered {
+  readonly job: Job;
+  /** Undefined when the connection ended without an answer. */
+  readonly outcome: ScenarioOutcome | undefined;
+  readonly text: string;
+  /** Tasks of the job that had been started anywhere when the answer came. */
+  readonly starts: number;
+}
+
+export interface Callers {
+  create(step: Omit<SubmitStep, 'as' | 'at'>): Job;
+  send(job: Job, entryUrl: string): Promise<Answered>;
+  cancel(job: Job, entryUrl: string): Promise<void>;
+  /** What was wrong with answers so far. */
+  readonly faults: string[];
+  readonly answers: Answered[];
+  close(): Promise<void>;
+}
+
+const completeSchema = z.object({
+  id: z.string(),
+  outcome: z.literal('complete'),
+  answers: z.array(z.object({ name: z.string(), body: z.object({ echo: z.unknown() }) })),
+});
+const problemSchema = z.object({ outcome: z.enum(['failed', 'not-run', 'may-have-run']) });
+
+export function createCallers(fleet: Fleet): Callers {
+  const agent = new Agent({ connections: 256 });
+  const faults: string[] = [];
+  const answers: Answered[] = [];
+
+  function create(step: Omit<SubmitStep, 'as' | 'at'>): Job {
+    const id = drawId(step);
+    const tasks = Array.from({ length: step.tasks }, (_, index) => ({
+      name: `t${index + 1}`,
+      kind: step.kind,
+      payload: { workMs: step.workMs, token: tokenOf(id, index) },
+    }));
+    const { home, deadlineMs } = step;
+    const body = JSON.stringify({ id, service: 'notesmith', home, deadlineMs, tasks });
+    return { id, home, body, tasks };
+  }
+
+  function drawId(step: Omit<SubmitStep, 'as' | 'at'>): string {
+    const roster = fleet.roster(step.home);
+    for (let draw = 0; draw < DRAWS; draw += 1) {
+      const id = createUuidV7(Date.now());
+      if (step.owner === undefined && step.witness === undefined) return id;
+      if (roster === undefined) break;
+      const [owner, witness] = rankMembers({ roster, ceded: new Set() }, id);
+      if (step.owner !== undefined && owner?.instance !== step.owner) continue;
+      if (step.witness !== undefined && witness?.instance !== step.witness) continue;
+      return id;
+    }
+    throw new Error(`no id falls to owner ${step.owner ?? '*'} and witness ${step.witness ?? '*'}`);
+  }
+
+  async function send(job: Job, entryUrl: string): Promise<Answered> {
+    const exchanged = await exchange(job, entryUrl);
+    const answered = { ...exchanged, starts: countStarts(fleet, job.id) };
+    check(answered);
+    answers.push(answered);
+    return answered;
+  }
+
+  async function exchange(job: Job, entryUrl: string): Promise<Omit<Answered, 'starts'>> {
+    try {
+      const response = await request(`${entryUrl}/v1/jobs`, {
+        dispatcher: agent,
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: job.body,
+        headersTimeout: ANSWER_TIMEOUT_MS,
+      });
+      const text = await response.body.text();
+      return { job, text, outcome: readOutcome(response.statusCode, text) };
+    } catch (error) {
+      return { job, text: String(error), outcome: undefined };
+    }
+  }
+
+  /** Whole answers carry the echo of every task in order, and "not run" holds when it is said. */
+  function check({ job, outcome, text, starts }: Answered): void {
+    if (outcome === 'not-run' && starts > 0) {
+      faults.push(`job ${job.id} was answered not-run, and ${starts} of its tasks were started`);
+    }
+    if (outcome !== 'complete') return;
+    const answer = completeSchema.safeParse(JSON.parse(text));
+    const echoes = answer.data?.answers.map((one) => ({ name: one.name, payload: one.body.echo }));
+    const expected = job.tasks.map(({ name, payload }) => ({ name, payload }));
+    if (JSON.stringify(echoes) !== JSON.stringify(expected)) {
+      faults.push(
+        `job ${job.id} got an answer that is not its own whole answer: ${text.slice(0, 200)}`,
+      );
+    }
+  }
+
+  return {
+    create,
+    send,
+    faults,
+    answers,
+    async cancel(job, entryUrl) {
+      const response = await request(`${entryUrl}/v1/jobs/${job.id}`, {
+        dispatcher: agent,
+        method: 'DELETE',
+      });
+      await response.body.dump();
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+function tokenOf(id: string, index: number): string {
+  return createHash('sha1').update(`${id}/${index}`).digest('hex').slice(0, 12);
+}
+
+function readOutcome(status: number, text: string): ScenarioOutcome | undefined {
+  if (status === 200) return 'complete';
+  try {
+    return problemSchema.safeParse(JSON.parse(text)).data?.outcome;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Starts of a job's tasks at all endpoints. */
+export function countStarts(fleet: Fleet, jobId: string): number {
+  let total = 0;
+  for (const endpoint of fleet.endpoints.values()) {
+    for (const [key, starts] of endpoint.standin.starts()) {
+      if (key.startsWith(`${jobId}/`)) total += starts;
+    }
+  }
+  return total;
+}
+
+/** Tasks that were started more than once, as `job/task`. */
+export function findDoubleStarts(fleet: Fleet): string[] {
+  const totals = new Map<string, number>();
+  for (const endpoint of fleet.endpoints.values()) {
+    for (const [key, starts] of endpoint.standin.starts())
+      totals.set(key, (totals.get(key) ?? 0) + starts);
+  }
+  return [...totals].filter(([, starts]) => starts > 1).map(([key]) => key);
+}
--- /dev/null
+++ b/packages/scenarios/src/conditions.ts
@@ -0,0 +1,56 @@
+/** Waiting for conditions. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { request } from 'undici';
+
+const CHECK_INTERVAL_MS = 20;
+
+/** Checks a condition until it holds; throws with its description after `withinMs`. */
+export async function waitUntil(
+  description: string,
+  withinMs: number,
+  isMet: () => Promise<boolean> | boolean,
+): Promise<void> {
+  const endMs = performance.now() + withinMs;
+  while (!(await isMet())) {
+    if (performance.now() > endMs) throw new Error(`not within ${withinMs} ms: ${description}`);
+    await delay(CHECK_INTERVAL_MS);
+  }
+}
+
+export interface InstanceStatus {
+  readonly role: string;
+  readonly epoch: number;
+  readonly configuration: { readonly version: number };
+  readonly roster?: { readonly settled: boolean };
+}
+
+/** The status of an instance; undefined when it does not answer. */
+export async function readStatus(operateUrl: string): Promise<InstanceStatus | undefined> {
+  try {
+    const response = await request(`${operateUrl}/v1/status`, {
+      headersTimeout: 1_000,
+      bodyTimeout: 1_000,
+    });
+    return (await response.body.json()) as InstanceStatus;
+  } catch {
+    return undefined;
+  }
+}
+
+export function isReady(operateUrl: string): Promise<boolean> {
+  return answersOk(`${operateUrl}/readyz`);
+}
+
+export function isHealthy(operateUrl: string): Promise<boolean> {
+  return answersOk(`${operateUrl}/healthz`);
+}
+
+async function answersOk(url: string): Promise<boolean> {
+  try {
+    const response = await request(url, { headersTimeout: 1_000, bodyTimeout: 1_000 });
+    await response.body.dump();
+    return response.statusCode === 200;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/scenarios/src/fleet.ts
@@ -0,0 +1,261 @@
+/**
+ * The processes of a scenario. Instances are real processes; the platform, the endpoints and the
+ * links between instances are stand-ins in the runner. Every process has loopback addresses of its
+ * own, so that a link knows its source and scenarios do not share ports.
+ */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { createWriteStream } from 'node:fs';
+import { once } from 'node:events';
+import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { formatAddress, type Address } from '@celerybarrow/shared';
+import { rosterSchema, type Roster } from '@celerybarrow/protocol';
+import {
+  startEndpointStandin,
+  startLinkStandin,
+  startPlatformStandin,
+  type EndpointStandin,
+  type LinkStandin,
+  type PlatformStandin,
+} from '@celerybarrow/standins';
+import { isHealthy, waitUntil } from './conditions.js';
+import type { Scenario } from './scenarioSchema.js';
+
+const DAEMON = fileURLToPath(new URL('../../../daemon/bin/celerybarrowd.js', import.meta.url));
+const START_PATIENCE_MS = 15_000;
+const LISTEN_PORT = 8080;
+const OPERATE_PORT = 8081;
+const PEER_PORT = 8082;
+const PLATFORM_PORT = 9000;
+const ENDPOINT_PORT = 9100;
+const LINK_HOST_OFFSET = 100;
+const PLATFORM_LINK_HOST_OFFSET = 150;
+const ENDPOINT_HOST_OFFSET = 200;
+const PLATFORM_HOST = 99;
+const FIRST_SUBNET = 64;
+const SUBNETS = 128;
+
+export interface FleetInstance {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly listen: string;
+  readonly operate: string;
+  start(): Promise<void>;
+  signal(signal: NodeJS.Signals): void;
+  isRunning(): boolean;
+  /** Resolves with the exit status once the process has ended. */
+  ended(): Promise<number | null>;
+  readonly peerLink: () => LinkStandin | undefined;
+  readonly platformLink: LinkStandin;
+}
+
+export interface FleetEndpoint {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly standin: EndpointStandin;
+  setState(state: 'live' | 'leaving'): void;
+  die(): Promise<void>;
+}
+
+export interface Fleet {
+  readonly platform: PlatformStandin;
+  readonly instances: ReadonlyMap<string, FleetInstance>;
+  readonly endpoints: ReadonlyMap<string, FleetEndpoint>;
+  roster(dataCentre: string): Roster | undefined;
+  setCut(between: readonly [string, string], isCut: boolean): void;
+  close(): Promise<void>;
+}
+
+export interface FleetOptions {
+  readonly scenario: Scenario;
+  /** Distinguishes scenarios that run at the same time, 1 to 250. */
+  readonly number: number;
+  /** Folder for the logs of the instances; none are kept when undefined. */
+  readonly logFolder?: string | undefined;
+  readonly extraSettings?: readonly string[];
+}
+
+export async function startFleet(options: FleetOptions): Promise<Fleet> {
+  const { scenario } = options;
+  const subnet = `127.${FIRST_SUBNET + (process.pid % SUBNETS)}.${options.number}`;
+  const platform = await startPlatformStandin({
+    host: `${subnet}.${PLATFORM_HOST}`,
+    port: PLATFORM_PORT,
+  });
+  const instances = new Map<string, FleetInstance>();
+  const endpoints = new Map<string, FleetEndpoint>();
+  const initial: FleetInstance[] = [];
+  let nextHost = 1;
+
+  for (const [dataCentre, content] of Object.entries(scenario.fleet)) {
+    for (const [index, behaviour] of content.endpoints.entries()) {
+      const id = `${dataCentre}-w${index + 1}`;
+      const host = `${subnet}.${ENDPOINT_HOST_OFFSET + endpoints.size}`;
+      endpoints.set(id, await startEndpoint(platform, { id, dataCentre, host, behaviour }));
+    }
+    for (const name of [...content.instances, ...content.spare]) {
+      const instance = await createInstance({
+        name,
+        dataCentre,
+        subnet,
+        host: nextHost,
+        platform,
+        options,
+      });
+      nextHost += 1;
+      instances.set(name, instance);
+      if (content.instances.includes(name)) initial.push(instance);
+    }
+  }
+  await Promise.all(initial.map((instance) => instance.start()));
+
+  function find(name: string): FleetInstance[] {
+    const one = instances.get(name);
+    if (one !== undefined) return [one];
+    const group = [...instances.values()].filter((instance) => instance.dataCentre === name);
+    if (group.length === 0)
+      throw new Error(`the scenario names ${name}, which the fleet does not have`);
+    return group;
+  }
+
+  function setCut([a, b]: readonly [string, string], isCut: boolean): void {
+    if (b === 'platform') {
+      for (const instance of find(a)) instance.platformLink.setCut('*', isCut);
+      return;
+    }
+    for (const left of find(a)) {
+      for (const right of find(b)) {
+        if (left === right) continue;
+        left.peerLink()?.setCut(right.host, isCut);
+        right.peerLink()?.setCut(left.host, isCut);
+      }
+    }
+  }
+
+  return {
+    platform,
+    instances,
+    endpoints,
+    roster(dataCentre) {
+      const entry = platform.store.get(`celerybarrow/roster/${dataCentre}`);
+      return entry === undefined ? undefined : rosterSchema.parse(JSON.parse(entry.value));
+    },
+    setCut,
+    async close() {
+      await Promise.all([...instances.values()].map(endInstance));
+      await Promise.all([...endpoints.values()].map((endpoint) => endpoint.standin.close()));
+      await platform.close();
+    },
+  };
+}
+
+async function endInstance(instance: FleetInstance): Promise<void> {
+  instance.signal('SIGCONT');
+  instance.signal('SIGKILL');
+  await instance.ended();
+  await Promise.all([instance.peerLink()?.close(), instance.platformLink.close()]);
+}
+
+interface EndpointPlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly behaviour: Scenario['fleet'][string]['endpoints'][number];
+}
+
+async function startEndpoint(
+  platform: PlatformStandin,
+  plan: EndpointPlan,
+): Promise<FleetEndpoint> {
+  const { id, dataCentre, host, behaviour } = plan;
+  const standin = await startEndpointStandin({ listen: { host, port: ENDPOINT_PORT }, behaviour });
+
+  function setState(state: 'live' | 'leaving'): void {
+    platform.store.putInstance({
+      id,
+      role: 'endpoint',
+      service: 'notesmith',
+      dataCentre,
+      rack: 'r1',
+      address: formatAddress(standin.address),
+      state,
+      slots: behaviour.slots,
+    });
+  }
+
+  setState('live');
+  return { id, dataCentre, standin, setState, die: () => standin.close() };
+}
+
+interface InstancePlan {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly subnet: string;
+  readonly host: number;
+  readonly platform: PlatformStandin;
+  readonly options: FleetOptions;
+}
+
+async function createInstance(plan: InstancePlan): Promise<FleetInstance> {
+  const { name, dataCentre, subnet, platform, options } = plan;
+  const host = `${subnet}.${plan.host}`;
+  const linkAddress: Address = {
+    host: `${subnet}.${LINK_HOST_OFFSET + plan.host}`,
+    port: PEER_PORT,
+  };
+  const platformLink = await startLinkStandin(
+    { host: `${subnet}.${PLATFORM_LINK_HOST_OFFSET + plan.host}`, port: PLATFORM_PORT },
+    platform.address,
+  );
+  let child: ChildProcess | undefined;
+  let peerLink: LinkStandin | undefined;
+  let ended: Promise<number | null> = Promise.resolve(null);
+
+  async function start(): Promise<void> {
+    peerLink = await startLinkStandin(linkAddress, { host, port: PEER_PORT });
+    const link = peerLink;
+    const flags = {
+      instance: name,
+      'data-centre': dataCentre,
+      listen: `${host}:${LISTEN_PORT}`,
+      operate: `${host}:${OPERATE_PORT}`,
+      peer: `${host}:${PEER_PORT}`,
+      'advertise-peer': formatAddress(linkAddress),
+      platform: `http://${formatAddress(platformLink.address)}`,
+      'drain-grace-ms': '300',
+    };
+    const argv = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, value]);
+    const started = spawn(process.execPath, [DAEMON, ...argv, ...(options.extraSettings ?? [])], {
+      stdio: ['ignore', 'inherit', options.logFolder === undefined ? 'ignore' : 'pipe'],
+    });
+    if (options.logFolder !== undefined) {
+      started.stderr?.pipe(
+        createWriteStream(join(options.logFolder, `${name}.log`), { flags: 'a' }),
+      );
+    }
+    child = started;
+    ended = once(started, 'exit').then(async ([status]) => {
+      // A host refuses connections to a process that has ended; so does its link.
+      await link.close();
+      return status as number | null;
+    });
+    await waitUntil(`${name} is up`, START_PATIENCE_MS, () =>
+      isHealthy(`http://${host}:${OPERATE_PORT}`),
+    );
+  }
+
+  return {
+    name,
+    dataCentre,
+    host,
+    listen: `http://${host}:${LISTEN_PORT}`,
+    operate: `http://${host}:${OPERATE_PORT}`,
+    start,
+    signal: (signal) => child?.kill(signal),
+    isRunning: () => child !== undefined && child.exitCode === null && child.signalCode === null,
+    ended: () => ended,
+    peerLink: () => peerLink,
+    platformLink,
+  };
+}
--- a/packages/scenarios/src/index.ts
+++ b/packages/scenarios/src/index.ts
@@ -1,1 +1,2 @@
-export {};
+export { runScenario, type ScenarioOptions, type ScenarioReport } from './runScenario.js';
+export { parseScenario, type Scenario } from './scenarioSchema.js';
--- /dev/null
+++ b/packages/scenarios/src/runScenario.ts
@@ -0,0 +1,375 @@
+/**
+ * Runs one scenario. Besides what its steps expect, the runner always checks that no task was
+ * started twice, that every "not run" was true and that every complete answer was whole.
+ */
+import { setTimeout as delay } from 'node:timers/promises';
+import { createUuidV7 } from '@celerybarrow/shared';
+import { createHttpPlatform } from '@celerybarrow/platform';
+import { publish, readServiceFile } from '@celerybarrow/configuration';
+import {
+  countStarts,
+  createCallers,
+  findDoubleStarts,
+  type Answered,
+  type Callers,
+  type Job,
+} from './callers.js';
+import { isReady, readStatus, waitUntil } from './conditions.js';
+import { startFleet, type Fleet, type FleetInstance } from './fleet.js';
+import type { ExpectStep, Scenario, Step, SubmitStep, WaitStep } from './scenarioSchema.js';
+
+const START_PATIENCE_MS = 20_000;
+const STOP_PATIENCE_MS = 30_000;
+const DEFAULT_RATE = 100_000;
+const QUIET_MS = 1_500;
+
+export interface ScenarioReport {
+  readonly name: string;
+  readonly submissions: number;
+  readonly outcomes: Record<string, number>;
+  /** Answers "may have run" for jobs of which nothing was started. */
+  readonly needlessDoubts: number;
+}
+
+export interface ScenarioOptions {
+  readonly number: number;
+  readonly logFolder?: string | undefined;
+  readonly extraSettings?: readonly string[];
+}
+
+/** Throws with all faults when the scenario does not hold. */
+export async function runScenario(
+  scenario: Scenario,
+  options: ScenarioOptions,
+): Promise<ScenarioReport> {
+  const fleet = await startFleet({ scenario, ...options });
+  const callers = createCallers(fleet);
+  const stage = createStage(scenario, fleet, callers);
+  try {
+    await stage.prepare();
+    for (const [index, step] of scenario.steps.entries()) {
+      await stage.take(step).catch((error: unknown) => {
+        throw new Error(`step ${index + 1} ${JSON.stringify(step)}: ${String(error)}`, {
+          cause: error,
+        });
+      });
+    }
+    return await stage.conclude();
+  } finally {
+    await callers.close();
+    await fleet.close();
+  }
+}
+
+interface Load {
+  isRunning: boolean;
+  readonly answers: Answered[];
+  readonly ended: Promise<void>;
+}
+
+function createStage(scenario: Scenario, fleet: Fleet, callers: Callers) {
+  const jobs = new Map<string, Job>();
+  const pending = new Map<string, Promise<Answered>>();
+  const answered = new Map<string, Answered>();
+  const loads = new Map<string, Load>();
+  let version = 0;
+
+  async function prepare(): Promise<void> {
+    await publishRate(DEFAULT_RATE);
+    await waitUntil(
+      'every instance is a member and has the configuration',
+      START_PATIENCE_MS,
+      async () => {
+        const statuses = await Promise.all(
+          runningInstances().map((one) => readStatus(one.operate)),
+        );
+        const isJoined = statuses.every(
+          (status) => status?.role === 'member' && status.configuration.version === version,
+        );
+        return isJoined && Object.keys(scenario.fleet).every(isSettled);
+      },
+    );
+  }
+
+  function isSettled(dataCentre: string): boolean {
+    const roster = fleet.roster(dataCentre);
+    const wanted = scenario.fleet[dataCentre]?.instances.length ?? 0;
+    return wanted === 0 || (roster?.members.length === wanted && roster.sources.length === 0);
+  }
+
+  function runningInstances(): FleetInstance[] {
+    return [...fleet.instances.values()].filter((instance) => instance.isRunning());
+  }
+
+  async function publishRate(ratePerSecond: number): Promise<boolean> {
+    const file = readServiceFile({ path: 'celerybarrow.yaml', text: serviceFile(ratePerSecond) });
+    if (file.isErr) throw new Error(file.error.map((fault) => fault.message).join('; '));
+    const platform = createHttpPlatform(fleet.platform.url);
+    const published = await publish({
+      platform,
+      services: [file.value],
+      removals: [],
+      publication: createUuidV7(Date.now()),
+      pause: (ms) => delay(ms),
+    });
+    await platform.close();
+    if (published.isOk) version = Math.max(version, published.value.configuration.version);
+    return published.isOk;
+  }
+
+  async function take(step: Step): Promise<void> {
+    if ('start' in step) await Promise.all(step.start.map((name) => instance(name).start()));
+    else if ('stop' in step) await Promise.all(step.stop.map(stop));
+    else if ('beginStop' in step)
+      for (const name of step.beginStop) instance(name).signal('SIGTERM');
+    else if ('kill' in step) await Promise.all(step.kill.map(kill));
+    else if ('freeze' in step) for (const name of step.freeze) instance(name).signal('SIGSTOP');
+    else if ('thaw' in step) for (const name of step.thaw) instance(name).signal('SIGCONT');
+    else if ('cut' in step) fleet.setCut(step.cut.between, true);
+    else if ('heal' in step) fleet.setCut(step.heal.between, false);
+    else if ('platform' in step) fleet.platform.setFaults(withoutUndefined(step.platform));
+    else if ('lapseLeases' in step) fleet.platform.store.lapseLeases();
+    else if ('submit' in step) submit(step.submit);
+    else if ('resubmit' in step) resubmit(step.resubmit);
+    else if ('cancel' in step)
+      await callers.cancel(job(step.cancel.job), instance(step.cancel.at).listen);
+    else if ('load' in step) startLoad(step.load);
+    else if ('endLoad' in step) await endLoad(step.endLoad);
+    else if ('endpoint' in step) await changeEndpoint(step.endpoint);
+    else if ('publish' in step) await publishStep(step.publish);
+    else if ('pause' in step) await delay(step.pause);
+    else if ('wait' in step) await wait(step.wait);
+    else expectThat(step.expect);
+  }
+
+  async function stop(name: string): Promise<void> {
+    instance(name).signal('SIGTERM');
+    const status = await Promise.race([instance(name).ended(), delay(STOP_PATIENCE_MS)]);
+    if (status !== 0) throw new Error(`${name} ended with ${String(status)} after SIGTERM`);
+  }
+
+  async function kill(name: string): Promise<void> {
+    instance(name).signal('SIGKILL');
+    await instance(name).ended();
+  }
+
+  function submit(step: SubmitStep): void {
+    const created = callers.create(step);
+    jobs.set(step.as, created);
+    track(step.as, callers.send(created, instance(step.at).listen));
+  }
+
+  function resubmit(step: { job: string; at: string; as: string }): void {
+    track(step.as, callers.send(job(step.job), instance(step.at).listen));
+  }
+
+  function track(name: string, answer: Promise<Answered>): void {
+    pending.set(
+      name,
+      answer.then((one) => {
+        answered.set(name, one);
+        return one;
+      }),
+    );
+  }
+
+  /** Callers behind a balancer: each job goes to an instance that is ready. */
+  function startLoad(step: {
+    as: string;
+    home: string;
+    perSecond: number;
+    tasks: number;
+    workMs: number;
+  }): void {
+    const load: Load = { isRunning: true, answers: [], ended: Promise.resolve() };
+    const sent: Promise<void>[] = [];
+    const run = async () => {
+      for (let turn = 0; load.isRunning; turn += 1) {
+        const ready = await readyInstances();
+        const target = ready[turn % Math.max(1, ready.length)];
+        if (target !== undefined) {
+          const created = callers.create({ ...step, kind: 'stamp' });
+          sent.push(
+            callers.send(created, target.listen).then((one) => void load.answers.push(one)),
+          );
+        }
+        await delay(1_000 / step.perSecond);
+      }
+      await Promise.all(sent);
+    };
+    loads.set(step.as, { ...load, ended: Promise.resolve() });
+    const started = run();
+    loads.set(step.as, Object.assign(load, { ended: started }));
+  }
+
+  async function readyInstances(): Promise<FleetInstance[]> {
+    const running = runningInstances();
+    const ready = await Promise.all(running.map((one) => isReady(one.operate)));
+    return running.filter((_, index) => ready[index]);
+  }
+
+  async function endLoad(name: string): Promise<void> {
+    const load = find(loads, name);
+    load.isRunning = false;
+    await load.ended;
+  }
+
+  async function changeEndpoint({ id, state }: { id: string; state: string }): Promise<void> {
+    const endpoint = find(fleet.endpoints, id);
+    if (state === 'leaving') endpoint.setState('leaving');
+    else if (state === 'dead') await endpoint.die();
+    else endpoint.standin.setBehaviour({ failRatio: state === 'failing' ? 1 : 0 });
+  }
+
+  async function publishStep(step: { rate: number; twice: boolean }): Promise<void> {
+    const rates = step.twice ? [step.rate, step.rate + 1] : [step.rate];
+    const accepted = await Promise.all(rates.map(publishRate));
+    if (!accepted.some(Boolean)) throw new Error('no publication was accepted');
+    if (step.twice && accepted.every(Boolean))
+      throw new Error('both racing publications were accepted');
+  }
+
+  async function wait(step: WaitStep): Promise<void> {
+    const { withinMs, started, members, version: awaited, loadAnswers } = step;
+    const what = JSON.stringify(step);
+    if (started !== undefined) {
+      await waitUntil(
+        what,
+        withinMs,
+        () => countStarts(fleet, job(started.job).id) >= started.atLeast,
+      );
+    }
+    if (step.answered !== undefined) {
+      await waitUntil(
+        what,
+        withinMs,
+        () => step.answered?.every((name) => answered.has(name)) ?? true,
+      );
+    }
+    if (members !== undefined) await waitUntil(what, withinMs, () => hasMembers(members));
+    if (awaited !== undefined) await waitUntil(what, withinMs, () => hasVersion(awaited));
+    if (loadAnswers !== undefined) {
+      const load = find(loads, loadAnswers.load);
+      const before = load.answers.length;
+      await waitUntil(what, withinMs, () => load.answers.length - before >= loadAnswers.atLeast);
+    }
+    const idle = step.endpointIdle;
+    if (idle !== undefined) await waitForQuiet(idle, withinMs);
+  }
+
+  function hasMembers(members: { dataCentre: string; are: readonly string[] }): boolean {
+    const roster = fleet.roster(members.dataCentre);
+    if (roster === undefined || roster.sources.length > 0) return false;
+    const names = roster.members.map((member) => member.instance).sort();
+    return JSON.stringify(names) === JSON.stringify([...members.are].sort());
+  }
+
+  async function hasVersion(awaited: { number: number; at: readonly string[] }): Promise<boolean> {
+    const statuses = await Promise.all(
+      awaited.at.map((name) => readStatus(instance(name).operate)),
+    );
+    return statuses.every((status) => (status?.configuration.version ?? 0) >= awaited.number);
+  }
+
+  /** Waits until an endpoint has got no new work for a while. */
+  async function waitForQuiet(id: string, withinMs: number): Promise<void> {
+    const endpoint = find(fleet.endpoints, id);
+    let lastCount = -1;
+    let sinceMs = performance.now();
+    await waitUntil(`${id} gets no new work`, withinMs, () => {
+      const count = endpoint.standin.starts().size;
+      if (count !== lastCount) {
+        lastCount = count;
+        sinceMs = performance.now();
+      }
+      return performance.now() - sinceMs > QUIET_MS;
+    });
+  }
+
+  function expectThat(step: ExpectStep): void {
+    if (step.answer !== undefined) {
+      const found = find(answered, step.answer);
+      if (!step.outcome?.some((outcome) => outcome === found.outcome)) {
+        throw new Error(
+          `${step.answer} got ${found.outcome ?? 'no answer'}: ${found.text.slice(0, 300)}`,
+        );
+      }
+    }
+    if (step.sameAnswer !== undefined) {
+      const [first, second] = step.sameAnswer.map((name) => find(answered, name).text);
+      if (first !== second)
+        throw new Error(`the answers differ: ${first ?? ''} and ${second ?? ''}`);
+    }
+    if (step.load !== undefined) expectLoad(step.load, step.incomplete ?? 0);
+    if (step.startsOf !== undefined) {
+      const starts = countStarts(fleet, job(step.startsOf.job).id);
+      if (starts > step.startsOf.atMost) throw new Error(`${starts} tasks were started`);
+    }
+  }
+
+  function expectLoad(name: string, allowed: number): void {
+    const incomplete = find(loads, name).answers.filter((one) => one.outcome !== 'complete');
+    if (incomplete.length <= allowed) return;
+    const samples = incomplete.slice(0, 3).map((one) => one.text.slice(0, 200));
+    throw new Error(
+      `${incomplete.length} answers of ${name} were not complete: ${samples.join(' | ')}`,
+    );
+  }
+
+  async function conclude(): Promise<ScenarioReport> {
+    for (const load of loads.values()) load.isRunning = false;
+    await Promise.all([...loads.values()].map((load) => load.ended));
+    await Promise.all(pending.values());
+    const faults = [
+      ...callers.faults,
+      ...findDoubleStarts(fleet).map((task) => `${task} was started twice`),
+    ];
+    if (faults.length > 0) throw new Error(faults.join('\n'));
+    return describeAnswers();
+  }
+
+  function describeAnswers(): ScenarioReport {
+    const outcomes: Record<string, number> = {};
+    for (const { outcome } of callers.answers) {
+      const key = outcome ?? 'no answer';
+      outcomes[key] = (outcomes[key] ?? 0) + 1;
+    }
+    const doubts = callers.answers.filter((one) => one.outcome === 'may-have-run');
+    const needlessDoubts = doubts.filter((one) => one.starts === 0).length;
+    return { name: scenario.name, submissions: callers.answers.length, outcomes, needlessDoubts };
+  }
+
+  function instance(name: string): FleetInstance {
+    return find(fleet.instances, name);
+  }
+
+  function job(name: string): Job {
+    return find(jobs, name);
+  }
+
+  return { prepare, take, conclude };
+}
+
+function find<T>(map: ReadonlyMap<string, T>, name: string): T {
+  const found = map.get(name);
+  if (found === undefined) throw new Error(`there is no ${name} yet`);
+  return found;
+}
+
+function withoutUndefined<T extends object>(
+  value: T,
+): { [K in keyof T]: Exclude<T[K], undefined> } {
+  const entries = Object.entries(value).filter(([, one]) => one !== undefined);
+  return Object.fromEntries(entries) as { [K in keyof T]: Exclude<T[K], undefined> };
+}
+
+function serviceFile(ratePerSecond: number): string {
+  return `
+service: notesmith
+team: editors
+kinds:
+  stamp: { expectedMs: 50, idempotent: false }
+  render: { expectedMs: 300, idempotent: true }
+limits: { ratePerSecond: ${ratePerSecond}, concurrency: 64, queue: 20000 }
+`;
+}
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -50,5 +50,14 @@
   ],
   cli: ['shared', 'platform', 'configuration'],
   standins: ['shared'],
-  scenarios: ['shared', 'timer', 'platform', 'configuration', 'daemon', 'standins'],
+  scenarios: [
+    'shared',
+    'timer',
+    'protocol',
+    'platform',
+    'configuration',
+    'membership',
+    'daemon',
+    'standins',
+  ],
 };
