--- a/packages/scenarios/src/callers.ts
+++ b/packages/scenarios/src/callers.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici';
 import { createUuidV7 } from '@celerybarrow/shared';
 import { rankMembers } from '@celerybarrow/membership';
+import type { Roster } from '@celerybarrow/protocol';
 import { z } from 'zod';
 import type { Fleet } from './fleet.js';
 import type { ScenarioOutcome, SubmitStep } from './scenarioSchema.js';
@@ -64,12 +65,7 @@
     const roster = fleet.roster(step.home);
     for (let draw = 0; draw < DRAWS; draw += 1) {
       const id = createUuidV7(Date.now());
-      if (step.owner === undefined && step.witness === undefined) return id;
-      if (roster === undefined) break;
-      const [owner, witness] = rankMembers({ roster, ceded: new Set() }, id);
-      if (step.owner !== undefined && owner?.instance !== step.owner) continue;
-      if (step.witness !== undefined && witness?.instance !== step.witness) continue;
-      return id;
+      if (roster === undefined || fallsAsWanted(roster, id, step)) return id;
     }
     throw new Error(`no id falls to owner ${step.owner ?? '*'} and witness ${step.witness ?? '*'}`);
   }
@@ -130,6 +126,16 @@
   };
 }
 
+function fallsAsWanted(roster: Roster, id: string, step: Omit<SubmitStep, 'as' | 'at'>): boolean {
+  const [owner, witness] = rankMembers({ roster, ceded: new Set() }, id);
+  if (step.owner !== undefined && owner?.instance !== step.owner) return false;
+  if (step.witness !== undefined && witness?.instance !== step.witness) return false;
+  if (step.futureOwner === undefined) return true;
+  const joined = { instance: step.futureOwner, incarnation: 'future', peer: 'future' };
+  const future = { ...roster, members: [...roster.members, joined] };
+  return rankMembers({ roster: future, ceded: new Set() }, id)[0] === joined;
+}
+
 function tokenOf(id: string, index: number): string {
   return createHash('sha1').update(`${id}/${index}`).digest('hex').slice(0, 12);
 }
--- a/packages/scenarios/src/scenarioSchema.ts
+++ b/packages/scenarios/src/scenarioSchema.ts
@@ -43,6 +43,8 @@
     /** Instances that own and witness the job: the id is drawn until it falls to them. */
     owner: name.optional(),
     witness: name.optional(),
+    /** Instance that is not yet a member, and to which the id will fall once it is. */
+    futureOwner: name.optional(),
   })
   .strict();
 
