fix(claims): make a claim anew when the epoch changed, and count only base members as sources

Randomized schedules (fast-check) of the real registry, handover and job service over injected time, network and platform. Found: - schedule 2471: a member that was taken out without knowing went on with a pending claim after it had joined again, while a sole member had run the job in between. Ruled out: the intake, which was complete. A registration now ends when the epoch changes and the submission is looked at anew. - the same schedule, next: claims of a sole member are held by it alone, but members that joined before the roster settled counted as sources, so its eviction lost them unnoticed. Every not-run of an owner is now confirmed by a member of the same epoch, at one message pair for a batch of refusals. - joining instances took out silent members after 1 s; they now wait 10 s, as members do.

--- a/packages/claims/src/claimError.ts
+++ b/packages/claims/src/claimError.ts
@@ -1,4 +1,4 @@
-/** Errors of the claims layer; codes 501 and 502. */
+/** Errors of the claims layer; codes 501 to 503. */
 import { LayerError } from '@celerybarrow/shared';
 
 export class ClaimError extends LayerError {}
--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -24,13 +24,20 @@
 const CLAIM_TIMEOUT_MS = 1_000;
 const REGISTER_PATIENCE_MS = 5_000;
 const RETRY_PAUSE_MS = 20;
+const CONFIRM_ATTEMPTS = 3;
 
 export interface ClaimRegistry {
   /**
    * Registers the claim of this instance. Errors: CLAIM_REFUSED when another runner holds the id,
-   * CLAIM_UNWITNESSED when no witness answered in time. After either error no task may be started.
+   * CLAIM_UNWITNESSED when no witness answered in time, CLAIM_OUTDATED when the epoch changed. After
+   * any of them no task may be started.
    */
   register(claim: Claim, patienceMs?: number): Promise<Result<Claim, ClaimError>>;
+  /**
+   * Whether no later epoch can have run an id that this instance owns: another member has just
+   * confirmed that it is still in the same epoch, or this one surely holds the sole lock.
+   */
+  confirm(id: string): Promise<boolean>;
   /** Answers the claims of another member. */
   witness(ask: Ask<'claim'>, peer: Greeting): Reply<'claim'>;
   /** Registers no more claims in this epoch. */
@@ -66,9 +73,14 @@
   ): Promise<Result<Claim, ClaimError>> {
     const giveUpMs = timer.nowMs() + patienceMs;
     const tried = new Set<string>();
+    const epoch = rosters.own()?.roster.epoch;
     do {
       const view = rosters.own();
       if (view === undefined || isCeded || !hasMember(view.roster, self.incarnation)) break;
+      // This instance may have been out of the roster between the epochs while another one ran the
+      // job, so the claim has to be made anew under the rules of the present epoch.
+      if (view.roster.epoch !== epoch)
+        return Result.err(new ClaimError(ErrorCodes.CLAIM_OUTDATED, claim.id));
       const [witness, isSole] = chooseWitness(view, claim.id, tried);
       // Whoever takes out a sole member waits for its lock to lapse and then refuses all ids created
       // before that moment, so the lock must be held only now and not while the tasks start.
@@ -88,6 +100,21 @@
     return Result.err(new ClaimError(ErrorCodes.CLAIM_UNWITNESSED, claim.id));
   }
 
+  async function confirm(id: string): Promise<boolean> {
+    const tried = new Set<string>();
+    for (let attempt = 0; attempt < CONFIRM_ATTEMPTS; attempt += 1) {
+      const view = rosters.own();
+      if (view === undefined || isCeded || !hasMember(view.roster, self.incarnation)) return false;
+      const [witness, isSole] = chooseWitness(view, id, tried);
+      if (isSole) return soleLock.heldUntilMs() > 0;
+      if (witness === undefined) return false;
+      const reply = await sendTogether(view, witness);
+      if (reply?.accepted === true && reply.epoch === view.roster.epoch) return true;
+      tried.add(witness.incarnation);
+    }
+    return false;
+  }
+
   function chooseWitness(
     view: View,
     id: string,
@@ -95,7 +122,7 @@
   ): [Member | undefined, boolean] {
     const ranked = rankMembers(view, id);
     const others = ranked.filter((member) => member.incarnation !== self.incarnation);
-    if (others.length === 0) return [undefined, ranked.length === 1];
+    if (others.length === 0) return [undefined, view.roster.members.length === 1];
     const owner = ranked[0];
     if (owner !== undefined && owner.incarnation !== self.incarnation) return [owner, false];
     const untried = others.filter((member) => !tried.has(member.incarnation));
@@ -113,15 +140,16 @@
   function sendTogether(
     view: View,
     witness: Member,
-    claim: Claim,
+    claim?: Claim,
   ): Promise<Reply<'claim'> | undefined> {
     const key = `${view.roster.epoch}/${witness.incarnation}`;
     const known = batches.get(key);
     if (known !== undefined) {
-      known.claims.push(claim);
+      if (claim !== undefined) known.claims.push(claim);
       return known.reply.promise;
     }
-    const batch: PendingBatch = { claims: [claim], reply: createDeferred() };
+    const claims = claim === undefined ? [] : [claim];
+    const batch: PendingBatch = { claims, reply: createDeferred() };
     batches.set(key, batch);
     setImmediate(() => {
       batches.delete(key);
@@ -153,6 +181,7 @@
 
   return {
     register,
+    confirm,
     witness,
     cede() {
       isCeded = true;
--- a/packages/claims/src/claimStore.ts
+++ b/packages/claims/src/claimStore.ts
@@ -13,6 +13,8 @@
 export interface ClaimRecord {
   claim: Claim;
   answer?: Answer | undefined;
+  /** Whether this instance ran the job to its end; stays when the answer is forgotten. */
+  hasEnded?: boolean;
 }
 
 export interface ClaimStore {
@@ -65,7 +67,9 @@
     },
     setAnswer(id, answer) {
       const record = byId.get(id);
-      if (record !== undefined) record.answer = answer;
+      if (record === undefined) return;
+      record.answer = answer;
+      record.hasEnded = true;
     },
     remove(id) {
       const record = byId.get(id);
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -128,12 +128,21 @@
     const { id, digest } = submission;
     if (record.claim.digest !== digest) return reject(id, problems.otherContent(id));
     if (record.answer !== undefined) return record.answer;
-    if (record.claim.runnerIncarnation === self.incarnation) {
-      return reject(id, problems.answerForgotten());
-    }
+    if (record.claim.runnerIncarnation === self.incarnation)
+      return answerOwnRecord(submission, record);
     return joinRunner(submission, record.claim);
   }
 
+  /** A claim of this instance without a running job: its job ended, or was given up unstarted. */
+  async function answerOwnRecord(
+    submission: Submission,
+    record: ClaimRecord,
+  ): Promise<Answer | undefined> {
+    if (record.hasEnded === true) return reject(submission.id, problems.answerForgotten());
+    if (!isOwner(submission.id)) return undefined;
+    return handover.isComplete(submission.id) ? start(submission) : afterIntake(submission);
+  }
+
   async function joinRunner(submission: Submission, claim: Claim): Promise<Answer | undefined> {
     const { id, digest } = submission;
     const runner = {
@@ -161,7 +170,9 @@
     const known = active.get(id);
     if (known !== undefined) return joinActive(id, digest, known);
     const record = store.find(id);
-    if (record === undefined) return Promise.resolve({ released: true });
+    const isGivenUp =
+      record?.claim.runnerIncarnation === self.incarnation && record.hasEnded !== true;
+    if (record === undefined || isGivenUp) return Promise.resolve({ released: true });
     const answer = record.answer ?? problems.toAnswer(id, problems.answerForgotten());
     return Promise.resolve({ answer, released: false });
   }
@@ -177,9 +188,9 @@
   /** From here to the registered claim the job is in `active`, so that nobody starts it again. */
   function start(submission: Submission, supersedes?: string): Promise<Answer | undefined> {
     const cause = findTimeProblem(submission);
-    if (cause !== undefined) return Promise.resolve(reject(submission.id, cause));
+    if (cause !== undefined) return refuse(submission.id, cause);
     const admitted = admit(submission);
-    if ('status' in admitted) return Promise.resolve(reject(submission.id, admitted));
+    if ('status' in admitted) return refuse(submission.id, admitted);
     const job: ActiveJob = {
       digest: submission.digest,
       isCancelled: false,
@@ -211,9 +222,10 @@
     if (registered.isErr) {
       active.delete(id);
       store.remove(id);
+      if (registered.error.code === ErrorCodes.CLAIM_OUTDATED) return submit(submission);
       if (registered.error.code === ErrorCodes.CLAIM_REFUSED)
         return reject(id, problems.claimContested());
-      return isOwner(id) ? reject(id, problems.noWitness()) : undefined;
+      return isOwner(id) ? refuse(id, problems.noWitness()) : undefined;
     }
     options.traces.add(id, `Claimed in epoch ${rosters.own()?.roster.epoch ?? 0}.`);
     const answer = await runClaimed(submission, admitted);
@@ -309,6 +321,12 @@
     return { service, tasks, startBefore: timer.wallMs() + remainingMs };
   }
 
+  /** An owner that was replaced without knowing cannot say that nothing ran. */
+  async function refuse(id: string, cause: Problem): Promise<Answer> {
+    const isCertain = cause.outcome !== Outcomes.NOT_RUN || (await registry.confirm(id));
+    return reject(id, isCertain ? cause : { ...cause, outcome: Outcomes.MAY_HAVE_RUN });
+  }
+
   function reject(id: string, cause: Problem): Answer {
     metrics.increment(`refused.${cause.outcome}`);
     options.traces.add(id, `Refused: ${cause.title} (${cause.outcome}).`);
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -66,6 +66,7 @@
   const suspectedSince = new Map<string, number>();
   const ended = new Set<string>();
   let hasAnnouncedDataCentre = false;
+  let silentSinceMs: number | undefined;
 
   async function tend(): Promise<void> {
     while (!closing.signal.aborted) {
@@ -122,19 +123,33 @@
   async function findAbsent(roster: Roster): Promise<readonly Eviction[] | undefined> {
     const answers = await Promise.all(roster.members.map(probe));
     const answered = answers.filter((answer) => answer === 'answered').length;
-    const replaced = roster.members
-      .filter((member) => member.instance === self.instance)
-      .map((member) => ({ incarnation: member.incarnation, isProven: true }));
-    if (answered * 2 >= roster.members.length) return replaced;
+    if (answered > 0) silentSinceMs = undefined;
+    if (answered * 2 >= roster.members.length)
+      return roster.members.filter(isReplaced).map(toEnded);
     if (answered > 0) return undefined;
+    if (!answers.every((answer) => answer === 'gone') && !hasWaitedForSilent()) return undefined;
     return roster.members.map((member, index) => ({
       incarnation: member.incarnation,
       isProven: answers[index] === 'gone',
     }));
   }
 
+  /** An earlier process at the address that this one has bound has certainly ended. */
+  function isReplaced(member: Member): boolean {
+    return member.peer === self.peer && member.incarnation !== self.incarnation;
+  }
+
+  function toEnded(member: Member): Eviction {
+    return { incarnation: member.incarnation, isProven: true };
+  }
+
+  function hasWaitedForSilent(): boolean {
+    silentSinceMs ??= timer.nowMs();
+    return timer.nowMs() - silentSinceMs >= MINORITY_PATIENCE_MS;
+  }
+
   async function probe(member: Member): Promise<'answered' | 'gone' | 'silent'> {
-    if (member.instance === self.instance || options.isDelisted(member.instance)) return 'gone';
+    if (isReplaced(member) || options.isDelisted(member.instance)) return 'gone';
     const ask = { dataCentre: rosters.dataCentre };
     const reply = await peers.request(member, 'roster', ask, {
       timeoutMs: PROBE_TIMEOUT_MS,
--- a/packages/membership/src/rosterChanges.ts
+++ b/packages/membership/src/rosterChanges.ts
@@ -51,11 +51,12 @@
   return eviction.isProven || roster.lost.every((loss) => loss.isProven);
 }
 
-/** Whether nobody else would remain who can hold a copy of the member's claims. */
+/**
+ * Whether a member is the last one that has been a member since the roster was settled. Members that
+ * joined since then may not hold what it registered alone.
+ */
 export function isLastSource(roster: Roster, incarnation: string): boolean {
-  const sources = isSettled(roster) ? roster.members : roster.sources;
-  const lost = new Set([...roster.lost.map((loss) => loss.incarnation), incarnation]);
-  return sources.every((source) => lost.has(source.incarnation));
+  return roster.base.every((one) => one === incarnation);
 }
 
 /** Takes out a member without its word; the claims it holds are lost. */
