feat(scenarios): compare policies against the ideal with real instances

An experiment drives the real daemons with open-loop arrivals and gives response time over a central first-in-first-out queue, wasted messages, and control cost of each instance.

--- /dev/null
+++ b/packages/scenarios/src/experiment/experimentSchema.ts
@@ -0,0 +1,51 @@
+/** The description of an experiment, in YAML: a deployment, a load, and the policies to compare. */
+import { parse } from 'yaml';
+import { z } from 'zod';
+
+const kindSchema = z
+  .object({
+    /** Share of the tasks. */
+    share: z.number().positive(),
+    medianMs: z.number().positive(),
+    /** Spread of the lognormal run times. */
+    sigma: z.number().nonnegative().default(0.3),
+    /** What the service file declares; may be wrong. */
+    declaredMs: z.number().positive().optional(),
+  })
+  .strict();
+
+const experimentSchema = z
+  .object({
+    name: z.string(),
+    seed: z.number().int().default(1),
+    durationMs: z.number().positive(),
+    /** Jobs that arrive before this moment are not counted. */
+    warmupMs: z.number().nonnegative().default(2_000),
+    dataCentres: z.number().int().positive(),
+    instancesEach: z.number().int().positive(),
+    /** Delay between data centres one way, milliseconds. */
+    betweenMs: z.number().nonnegative().default(0),
+    endpointsEach: z.number().int().positive(),
+    slots: z.number().int().positive().default(8),
+    /** Speeds, dealt to the endpoints in turn. */
+    speeds: z.array(z.number().positive()).default([1]),
+    /** Endpoints of each data centre that fail every task. */
+    failingEach: z.number().int().nonnegative().default(0),
+    straggleRatio: z.number().min(0).max(1).default(0),
+    kinds: z.record(kindSchema),
+    tasksPerJob: z.object({ mean: z.number().positive(), most: z.number().int().max(140) }),
+    /** Offered work relative to the capacity of the slots. */
+    load: z.number().positive(),
+    arrivals: z.enum(['steady', 'bursts', 'dawn']).default('steady'),
+    teams: z.number().int().positive().default(1),
+    deadlineMs: z.number().positive().optional(),
+    policies: z.array(z.string()).default(['stewards']),
+    instanceFlags: z.array(z.string()).default([]),
+  })
+  .strict();
+
+export type Experiment = z.infer<typeof experimentSchema>;
+
+export function parseExperiment(text: string, changes: Partial<Experiment> = {}): Experiment {
+  return experimentSchema.parse({ ...(parse(text) as object), ...changes });
+}
--- /dev/null
+++ b/packages/scenarios/src/experiment/idealTimes.ts
@@ -0,0 +1,62 @@
+/**
+ * The ideal response times of a workload: in each data centre one queue, first in first out, that
+ * knows every slot and takes the fastest free one, without any message. Beside it the bound that no
+ * scheduler passes: a job's longest task on the fastest endpoint.
+ */
+import type { Experiment } from './experimentSchema.js';
+import { dataCentreNames, speedOf, type PlannedJob } from './workload.js';
+
+export interface IdealTime {
+  readonly responseMs: number;
+  readonly boundMs: number;
+}
+
+interface Slot {
+  readonly speed: number;
+  freeAtMs: number;
+}
+
+/** Ideal times in the order of the jobs. */
+export function computeIdeal(experiment: Experiment, jobs: readonly PlannedJob[]): IdealTime[] {
+  const slotsOf = new Map(
+    dataCentreNames(experiment).map((name) => [name, createSlots(experiment)]),
+  );
+  const fastest = Math.max(...experiment.speeds);
+  return jobs.map((job) => {
+    const slots = slotsOf.get(job.home) ?? [];
+    let endMs = job.atMs;
+    let longestMs = 0;
+    for (const task of job.tasks) {
+      endMs = Math.max(endMs, runOn(slots, job.atMs, task.workMs));
+      longestMs = Math.max(longestMs, task.workMs);
+    }
+    return { responseMs: endMs - job.atMs, boundMs: longestMs / fastest };
+  });
+}
+
+function createSlots(experiment: Experiment): Slot[] {
+  const serving = experiment.endpointsEach - experiment.failingEach;
+  return Array.from({ length: serving }, (_, index) =>
+    Array.from({ length: experiment.slots }, () => ({
+      speed: speedOf(experiment, index),
+      freeAtMs: 0,
+    })),
+  ).flat();
+}
+
+/** Runs a task on the slot that a first-in-first-out queue would give it, and returns its end. */
+function runOn(slots: Slot[], arrivalMs: number, workMs: number): number {
+  let best: Slot | undefined;
+  for (const slot of slots) {
+    if (best === undefined || isBetter(slot, best, arrivalMs)) best = slot;
+  }
+  if (best === undefined) return Number.POSITIVE_INFINITY;
+  best.freeAtMs = Math.max(best.freeAtMs, arrivalMs) + workMs / best.speed;
+  return best.freeAtMs;
+}
+
+function isBetter(slot: Slot, best: Slot, arrivalMs: number): boolean {
+  const startMs = Math.max(slot.freeAtMs, arrivalMs);
+  const bestStartMs = Math.max(best.freeAtMs, arrivalMs);
+  return startMs < bestStartMs || (startMs === bestStartMs && slot.speed > best.speed);
+}
--- /dev/null
+++ b/packages/scenarios/src/experiment/main.ts
@@ -0,0 +1,41 @@
+/** Runs experiment files: `npm run experiment -- [--out FOLDER] [--load X] [--seed N] FILE...`. */
+import { readFile } from 'node:fs/promises';
+import { cac } from 'cac';
+import { parseExperiment, type Experiment } from './experimentSchema.js';
+import { formatResults, writeReport } from './report.js';
+import { runPolicy } from './runExperiment.js';
+import type { PolicyResult } from './summary.js';
+
+const FIRST_SUBNET = 200;
+
+const cli = cac('experiment');
+cli.option('--out <FOLDER>', 'Where the results go', { default: 'results' });
+cli.option('--load <X>', 'Offered work relative to the capacity');
+cli.option('--seed <N>', 'Seed of the workload');
+cli.option('--policies <NAMES>', 'Policies, separated by commas');
+cli.option('--duration-ms <MS>', 'Length of the run');
+cli.option('--endpoints <N>', 'Endpoints of each data centre');
+cli.option('--instances <N>', 'Instances of each data centre');
+cli.help();
+const { args, options } = cli.parse(process.argv, { run: false });
+
+for (const file of args) {
+  const experiment = parseExperiment(await readFile(file, 'utf8'), readChanges(options));
+  const results: PolicyResult[] = [];
+  for (const [index, policy] of experiment.policies.entries()) {
+    results.push(await runPolicy(experiment, policy, FIRST_SUBNET + index));
+  }
+  await writeReport(String(options['out']), experiment, results);
+  process.stdout.write(`${formatResults(experiment, results).join('\n')}\n\n`);
+}
+
+function readChanges(given: Record<string, unknown>): Partial<Experiment> {
+  const changes: Record<string, unknown> = {};
+  if (given['load'] !== undefined) changes['load'] = Number(given['load']);
+  if (given['seed'] !== undefined) changes['seed'] = Number(given['seed']);
+  if (given['durationMs'] !== undefined) changes['durationMs'] = Number(given['durationMs']);
+  if (given['endpoints'] !== undefined) changes['endpointsEach'] = Number(given['endpoints']);
+  if (given['instances'] !== undefined) changes['instancesEach'] = Number(given['instances']);
+  if (given['policies'] !== undefined) changes['policies'] = String(given['policies']).split(',');
+  return changes;
+}
--- /dev/null
+++ b/packages/scenarios/src/experiment/runExperiment.ts
@@ -0,0 +1,185 @@
+/** Runs one policy of an experiment against real instances and gathers its figures. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { Agent, request } from 'undici';
+import { createUuidV7 } from '@celerybarrow/shared';
+import { createHttpPlatform } from '@celerybarrow/platform';
+import { publish, readServiceFile } from '@celerybarrow/configuration';
+import { readStatus, waitUntil } from '../conditions.js';
+import { startFleet, type Fleet } from '../fleet.js';
+import type { Scenario } from '../scenarioSchema.js';
+import type { Experiment } from './experimentSchema.js';
+import { computeIdeal, type IdealTime } from './idealTimes.js';
+import { summarize, type PolicyResult, type UsageSample } from './summary.js';
+import { dataCentreNames, planWorkload, speedOf, type PlannedJob } from './workload.js';
+
+const START_PATIENCE_MS = 30_000;
+const UNLIMITED = 10_000_000;
+
+export interface JobResult {
+  readonly job: PlannedJob;
+  readonly ideal: IdealTime;
+  readonly outcome: string;
+  readonly responseMs: number;
+}
+
+export async function runPolicy(
+  experiment: Experiment,
+  policy: string,
+  number: number,
+): Promise<PolicyResult> {
+  const fleet = await startFleet({
+    scenario: createFleetPlan(experiment),
+    number,
+    extraSettings: ['--policy', policy, ...experiment.instanceFlags],
+  });
+  const agent = new Agent({ connections: 512 });
+  try {
+    await prepare(fleet, experiment);
+    const jobs = planWorkload(experiment);
+    const ideal = computeIdeal(experiment, jobs);
+    const before = await sampleUsage(fleet);
+    const results = await offer(fleet, agent, experiment, jobs, ideal);
+    const after = await sampleUsage(fleet);
+    return summarize({ policy, experiment, results, before, after });
+  } finally {
+    await agent.destroy();
+    await fleet.close();
+  }
+}
+
+function createFleetPlan(experiment: Experiment): Scenario {
+  const fleet = Object.fromEntries(
+    dataCentreNames(experiment).map((name) => [
+      name,
+      {
+        instances: Array.from(
+          { length: experiment.instancesEach },
+          (_, index) => `${name}-e${index + 1}`,
+        ),
+        spare: [],
+        endpoints: Array.from({ length: experiment.endpointsEach }, (_, index) => ({
+          slots: experiment.slots,
+          speed: speedOf(experiment, index),
+          failRatio: index >= experiment.endpointsEach - experiment.failingEach ? 1 : 0,
+        })),
+      },
+    ]),
+  );
+  return { name: experiment.name, property: 1, fleet, steps: [] };
+}
+
+async function prepare(fleet: Fleet, experiment: Experiment): Promise<void> {
+  const platform = createHttpPlatform(fleet.platform.url);
+  const services = Array.from({ length: experiment.teams }, (_, index) => {
+    const file = readServiceFile({ path: 'experiment', text: serviceFile(experiment, index + 1) });
+    if (file.isErr) throw new Error(file.error.map((fault) => fault.message).join('; '));
+    return file.value;
+  });
+  await publish({
+    platform,
+    services,
+    removals: [],
+    publication: createUuidV7(Date.now()),
+    pause: (ms) => delay(ms),
+  });
+  await platform.close();
+  if (experiment.straggleRatio > 0) {
+    for (const { standin } of fleet.endpoints.values())
+      standin.setBehaviour({ straggleRatio: experiment.straggleRatio });
+  }
+  await waitUntil('the fleet is ready', START_PATIENCE_MS, async () => {
+    const statuses = await Promise.all(
+      [...fleet.instances.values()].map((one) => readStatus(one.operate)),
+    );
+    return statuses.every(
+      (status) =>
+        status?.role === 'member' &&
+        status.configuration.version > 0 &&
+        status.roster?.settled === true,
+    );
+  });
+  for (const instance of fleet.instances.values()) instance.peerLink()?.setDelay(0);
+}
+
+/** Every team has a service of its own; all services run on every endpoint. */
+function serviceFile(experiment: Experiment, team: number): string {
+  const kinds = Object.entries(experiment.kinds).map(
+    ([name, kind]) =>
+      `  ${name}: { expectedMs: ${kind.declaredMs ?? kind.medianMs}, idempotent: true }`,
+  );
+  return [
+    `service: ${serviceOf(`team${team}`)}`,
+    `team: team${team}`,
+    'kinds:',
+    ...kinds,
+    `limits: { ratePerSecond: ${UNLIMITED}, concurrency: 10000, queue: 1000000 }`,
+  ].join('\n');
+}
+
+/** The first team's service is the one that the endpoints are listed with. */
+function serviceOf(team: string): string {
+  return team === 'team1' ? 'notesmith' : `notesmith-${team}`;
+}
+
+async function offer(
+  fleet: Fleet,
+  agent: Agent,
+  experiment: Experiment,
+  jobs: readonly PlannedJob[],
+  ideal: readonly IdealTime[],
+): Promise<JobResult[]> {
+  const entries = [...fleet.instances.values()];
+  const startMs = performance.now();
+  const sent = jobs.map(async (job, index): Promise<JobResult> => {
+    await delay(Math.max(0, job.atMs - (performance.now() - startMs)));
+    // Callers reach an instance of the home, as a balancer of the data centre gives them.
+    const near = entries.filter((entry) => entry.dataCentre === job.home);
+    const entry = near[index % near.length];
+    const sentMs = performance.now();
+    const outcome = await submit(agent, entry?.listen ?? '', experiment, job);
+    const one = ideal[index] ?? { responseMs: 0, boundMs: 0 };
+    return { job, ideal: one, outcome, responseMs: performance.now() - sentMs };
+  });
+  return Promise.all(sent);
+}
+
+async function submit(
+  agent: Agent,
+  entry: string,
+  experiment: Experiment,
+  job: PlannedJob,
+): Promise<string> {
+  const body = JSON.stringify({
+    id: createUuidV7(Date.now()),
+    service: serviceOf(job.team),
+    home: job.home,
+    deadlineMs: experiment.deadlineMs,
+    tasks: job.tasks.map((task, index) => ({
+      name: `t${index}`,
+      kind: task.kind,
+      payload: { workMs: task.workMs },
+    })),
+  });
+  try {
+    const response = await request(`${entry}/v1/jobs`, {
+      dispatcher: agent,
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body,
+      headersTimeout: 0,
+    });
+    const answer = (await response.body.json()) as { outcome?: string };
+    return answer.outcome ?? `status ${response.statusCode}`;
+  } catch {
+    return 'no answer';
+  }
+}
+
+async function sampleUsage(fleet: Fleet): Promise<UsageSample[]> {
+  return Promise.all(
+    [...fleet.instances.values()].map(async (instance) => {
+      const response = await request(`${instance.operate}/v1/status`);
+      return (await response.body.json()) as UsageSample;
+    }),
+  );
+}
--- /dev/null
+++ b/packages/scenarios/src/experiment/summary.ts
@@ -0,0 +1,185 @@
+/** Figures of one policy: response time over the ideal, wasted messages, and what control costs. */
+import { build } from 'hdr-histogram-js';
+import type { Experiment } from './experimentSchema.js';
+import type { JobResult } from './runExperiment.js';
+
+export interface TrafficSample {
+  readonly messages: number;
+  readonly controlBytes: number;
+  readonly payloadBytes: number;
+}
+
+export interface UsageSample {
+  readonly instance: string;
+  readonly counters: Record<string, number>;
+  readonly traffic: { readonly sent: Record<string, TrafficSample> };
+  readonly process: {
+    readonly cpuMs: number;
+    readonly residentBytes: number;
+    readonly uptimeMs: number;
+  };
+}
+
+export interface Quantiles {
+  readonly p50: number;
+  readonly p90: number;
+  readonly p99: number;
+}
+
+export interface PolicyResult {
+  readonly policy: string;
+  readonly jobs: number;
+  readonly tasks: number;
+  readonly outcomes: Record<string, number>;
+  /** Quantiles of the response times, of the ideal ones and of the bound, milliseconds. */
+  readonly responseMs: Quantiles;
+  readonly idealMs: Quantiles;
+  readonly boundMs: Quantiles;
+  /** Quantiles of the response times over the same quantiles of the ideal. */
+  readonly overIdeal: Quantiles;
+  readonly overIdealByTeam: Record<string, Quantiles>;
+  /** Requests that led to no start (refused, placed again), for each task started. */
+  readonly wastedPerTask: number;
+  readonly messagesPerTask: number;
+  readonly messagesPerJob: number;
+  readonly perInstance: {
+    readonly startsPerSecond: number;
+    readonly cpuShare: number;
+    readonly residentMegabytes: number;
+    readonly controlBytesPerSecond: number;
+    readonly controlBytesPerTask: number;
+  };
+  readonly controlBytesByType: Record<string, number>;
+}
+
+export interface SummaryOptions {
+  readonly policy: string;
+  readonly experiment: Experiment;
+  readonly results: readonly JobResult[];
+  readonly before: readonly UsageSample[];
+  readonly after: readonly UsageSample[];
+}
+
+const BYTES_IN_A_MEGABYTE = 1_048_576;
+
+export function summarize(options: SummaryOptions): PolicyResult {
+  const { policy, experiment, results } = options;
+  const counted = results.filter((one) => one.job.atMs >= experiment.warmupMs);
+  const complete = counted.filter((one) => one.outcome === 'complete');
+  const responseMs = quantilesOf(complete.map((one) => one.responseMs));
+  const idealMs = quantilesOf(complete.map((one) => one.ideal.responseMs));
+  const usage = describeUsage(options);
+  return {
+    policy,
+    jobs: counted.length,
+    tasks: counted.reduce((sum, one) => sum + one.job.tasks.length, 0),
+    outcomes: countBy(counted.map((one) => one.outcome)),
+    responseMs,
+    idealMs,
+    boundMs: quantilesOf(complete.map((one) => one.ideal.boundMs)),
+    overIdeal: divide(responseMs, idealMs),
+    overIdealByTeam: byTeam(complete),
+    ...usage,
+  };
+}
+
+function describeUsage({ results, before, after }: SummaryOptions) {
+  const seconds = spanSeconds(before, after);
+  const instances = Math.max(1, after.length);
+  const sent = difference(before, after, (sample) =>
+    sumOf(Object.values(sample.traffic.sent), (one) => one.messages),
+  );
+  const bytes = difference(before, after, (sample) =>
+    sumOf(Object.values(sample.traffic.sent), (one) => one.controlBytes),
+  );
+  const wasted = difference(
+    before,
+    after,
+    (sample) =>
+      (sample.counters['tasks.refused'] ?? 0) + (sample.counters['tasks.placed-again'] ?? 0),
+  );
+  const started = Math.max(
+    1,
+    difference(
+      before,
+      after,
+      (sample) => (sample.counters['tasks.done'] ?? 0) + (sample.counters['tasks.failed'] ?? 0),
+    ),
+  );
+  const cpuMs = difference(before, after, (sample) => sample.process.cpuMs);
+  return {
+    wastedPerTask: wasted / started,
+    messagesPerTask: sent / started,
+    messagesPerJob: sent / Math.max(1, results.length),
+    perInstance: {
+      startsPerSecond: started / seconds / instances,
+      cpuShare: cpuMs / 1_000 / seconds / instances,
+      residentMegabytes:
+        sumOf(after, (sample) => sample.process.residentBytes) / instances / BYTES_IN_A_MEGABYTE,
+      controlBytesPerSecond: bytes / seconds / instances,
+      controlBytesPerTask: bytes / started,
+    },
+    controlBytesByType: bytesByType(before, after),
+  };
+}
+
+function spanSeconds(before: readonly UsageSample[], after: readonly UsageSample[]): number {
+  const spanMs = (after[0]?.process.uptimeMs ?? 1) - (before[0]?.process.uptimeMs ?? 0);
+  return Math.max(0.001, spanMs / 1_000);
+}
+
+function difference(
+  before: readonly UsageSample[],
+  after: readonly UsageSample[],
+  valueOf: (sample: UsageSample) => number,
+): number {
+  return sumOf(after, valueOf) - sumOf(before, valueOf);
+}
+
+function bytesByType(
+  before: readonly UsageSample[],
+  after: readonly UsageSample[],
+): Record<string, number> {
+  const types = new Set(after.flatMap((sample) => Object.keys(sample.traffic.sent)));
+  return Object.fromEntries(
+    [...types].map((type) => [
+      type,
+      difference(before, after, (sample) => sample.traffic.sent[type]?.controlBytes ?? 0),
+    ]),
+  );
+}
+
+function byTeam(results: readonly JobResult[]): Record<string, Quantiles> {
+  const teams = [...new Set(results.map((one) => one.job.team))].sort();
+  return Object.fromEntries(
+    teams.map((team) => {
+      const own = results.filter((one) => one.job.team === team);
+      const response = quantilesOf(own.map((one) => one.responseMs));
+      return [team, divide(response, quantilesOf(own.map((one) => one.ideal.responseMs)))];
+    }),
+  );
+}
+
+function quantilesOf(values: readonly number[]): Quantiles {
+  const histogram = build({ numberOfSignificantValueDigits: 3, highestTrackableValue: 3_600_000 });
+  for (const value of values) histogram.recordValue(Math.max(0, Math.round(value)));
+  return {
+    p50: histogram.getValueAtPercentile(50),
+    p90: histogram.getValueAtPercentile(90),
+    p99: histogram.getValueAtPercentile(99),
+  };
+}
+
+function divide(a: Quantiles, b: Quantiles): Quantiles {
+  return { p50: a.p50 / b.p50, p90: a.p90 / b.p90, p99: a.p99 / b.p99 };
+}
+
+function countBy(names: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
+  return counts;
+}
+
+function sumOf<T>(values: readonly T[], valueOf: (value: T) => number): number {
+  return values.reduce((total, value) => total + valueOf(value), 0);
+}
