--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -90,13 +90,16 @@
 
   function findRateRefusal({ service, tasks }: AdmissionRequest): Refusal | undefined {
     const nowMs = timer.nowMs();
-    const serviceLimit = limitOf(`service/${service.service}`, service.limits.ratePerSecond);
-    const serviceWaitMs = serviceLimit.tryTake(tasks, nowMs);
-    if (serviceWaitMs > 0) return refuse(RefusalReasons.SERVICE_RATE, serviceWaitMs);
+    const ofService = limitOf(`service/${service.service}`, service.limits.ratePerSecond);
     const quota = configuration.findQuota(service.team);
-    if (quota === undefined) return undefined;
-    const teamWaitMs = limitOf(`team/${service.team}`, quota.ratePerSecond).tryTake(tasks, nowMs);
-    return teamWaitMs > 0 ? refuse(RefusalReasons.TEAM_RATE, teamWaitMs) : undefined;
+    const ofTeam = quota && limitOf(`team/${service.team}`, quota.ratePerSecond);
+    const teamWaitMs = ofTeam?.waitMs(nowMs) ?? 0;
+    if (teamWaitMs > 0) return refuse(RefusalReasons.TEAM_RATE, teamWaitMs);
+    const serviceWaitMs = ofService.waitMs(nowMs);
+    if (serviceWaitMs > 0) return refuse(RefusalReasons.SERVICE_RATE, serviceWaitMs);
+    ofTeam?.take(tasks);
+    ofService.take(tasks);
+    return undefined;
   }
 
   return { admit, refusals: () => Object.fromEntries(refusals) };
--- a/packages/admission/src/rateLimit.ts
+++ b/packages/admission/src/rateLimit.ts
@@ -3,8 +3,10 @@
  * all its tasks, so that a large job is delayed by its size and never refused for it.
  */
 export interface RateLimit {
-  /** Takes tokens for a job; otherwise returns the milliseconds until the next may be admitted. */
-  tryTake(tokens: number, nowMs: number): number;
+  /** Milliseconds until the next job may be admitted; 0 when it may be now. */
+  waitMs(nowMs: number): number;
+  /** Takes the tokens of an admitted job. */
+  take(tokens: number): void;
   setRate(ratePerSecond: number, burst: number): void;
 }
 
@@ -21,11 +23,12 @@
   }
 
   return {
-    tryTake(wanted, nowMs) {
+    waitMs(nowMs) {
       fill(nowMs);
-      if (tokens <= 0) return ((1 - tokens) / rate) * 1_000;
+      return tokens > 0 ? 0 : ((1 - tokens) / rate) * 1_000;
+    },
+    take(wanted) {
       tokens -= wanted;
-      return 0;
     },
     setRate(nextRate, nextBurst) {
       rate = nextRate;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -110,6 +110,7 @@
     timer,
     random,
     metrics,
+    concurrencyOf,
   });
   const soleLock = createSoleLock({
     platform,
@@ -146,7 +147,7 @@
     configuration,
     timer,
     random,
-    countInstances: () => rosters.rosters().reduce((sum, one) => sum + one.members.length, 0),
+    countInstances,
   });
   const traces = createTraces(() => timer.wallMs());
   const jobs = createJobService({
@@ -207,6 +208,17 @@
     logger: createLogger('operate'),
   });
 
+  function countInstances(): number {
+    return rosters.rosters().reduce((sum, one) => sum + one.members.length, 0);
+  }
+
+  /** An even share of the service's limit; at least one task, so that nothing waits for ever. */
+  function concurrencyOf(service: string): number {
+    const limit = configuration.findService(service)?.limits.concurrency;
+    if (limit === undefined) return Number.POSITIVE_INFINITY;
+    return Math.max(1, Math.ceil(limit / Math.max(1, countInstances())));
+  }
+
   function createPing(): Ask<'ping'> {
     return {
       epoch: rosters.own()?.roster.epoch ?? 0,
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -314,7 +314,7 @@
       service,
       tasks: tasks.length,
       waitingTasks: placement.waiting(submission.service),
-      expectedMs: 0,
+      expectedMs: placement.estimateMs(submission.service, tasks),
       remainingMs,
       hasEndpoints: placement.isServing(submission.service),
     });
--- /dev/null
+++ b/packages/membership/__tests__/rosters.spec.ts
@@ -0,0 +1,134 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import type { Member, Roster } from '@celerybarrow/protocol';
+import { createLogger } from '@celerybarrow/telemetry';
+import {
+  createFirstRoster,
+  createRosterKeeper,
+  evictMember,
+  findHome,
+  isEvictionSafe,
+  isLastSource,
+  isSettled,
+  joinRoster,
+  leaveRoster,
+  rankMembers,
+  settleRoster,
+} from '../src/index.js';
+
+const SEED = 20261204;
+const NOW_MS = 1_000_000;
+const write = { writeId: 'w', nowMs: NOW_MS };
+const member = (name: string): Member => ({
+  instance: name,
+  incarnation: `${name}.1`,
+  peer: '127.0.0.1:1',
+});
+
+function rosterOf(...names: string[]): Roster {
+  const [first = 'a', ...others] = names;
+  const joined = others.reduce(
+    (roster, name) => joinRoster(roster, member(name), write),
+    createFirstRoster('dub1', member(first), write),
+  );
+  return settleRoster(joined, write);
+}
+
+const lose = (roster: Roster, name: string, isProven = true) =>
+  evictMember(roster, { incarnation: `${name}.1`, isProven }, write);
+
+describe('roster changes', () => {
+  const cases: [string, Roster, boolean][] = [
+    ['one loss', lose(rosterOf('a', 'b', 'c'), 'a'), false],
+    [
+      'a loss after a settled one',
+      lose(settleRoster(lose(rosterOf('a', 'b', 'c'), 'a'), write), 'b'),
+      false,
+    ],
+    ['two losses before the first is settled', lose(lose(rosterOf('a', 'b', 'c'), 'a'), 'b'), true],
+    ['the loss of a sole member', lose(rosterOf('a'), 'a'), true],
+    ['a leave and a loss', lose(leaveRoster(rosterOf('a', 'b', 'c'), 'a.1', write), 'b'), false],
+    [
+      'the loss of the last settled member beside a new one',
+      lose(joinRoster(rosterOf('a'), member('b'), write), 'a'),
+      true,
+    ],
+  ];
+  for (const [what, roster, isLost] of cases) {
+    it(`keep or give up memory after ${what}`, () => {
+      expect(roster.memoryLostBefore > NOW_MS).toEqual(isLost);
+    });
+  }
+
+  it('allow one silent member to be taken out at a time, and any number of ended ones', () => {
+    const roster = lose(rosterOf('a', 'b', 'c', 'd'), 'a', false);
+    expect(isEvictionSafe(roster, { incarnation: 'b.1', isProven: false })).toEqual(false);
+    expect(isEvictionSafe(roster, { incarnation: 'b.1', isProven: true })).toEqual(true);
+    expect(
+      isEvictionSafe(settleRoster(roster, write), { incarnation: 'b.1', isProven: false }),
+    ).toEqual(true);
+  });
+
+  it('know the last source of claims', () => {
+    expect(isLastSource(rosterOf('a', 'b'), 'a.1')).toEqual(false);
+    expect(isLastSource(lose(rosterOf('a', 'b'), 'b'), 'a.1')).toEqual(true);
+  });
+
+  it('raise the version with every change and the epoch with every change of members', () => {
+    const settled = rosterOf('a', 'b');
+    const left = leaveRoster(settled, 'b.1', write);
+    expect([left.version, left.epoch]).toEqual([settled.version + 1, settled.epoch + 1]);
+    const again = settleRoster(left, write);
+    expect([again.version, again.epoch, isSettled(again)]).toEqual([
+      left.version + 1,
+      left.epoch,
+      true,
+    ]);
+    expect(joinRoster(settled, member('a'), write)).toEqual(settled);
+  });
+});
+
+describe('ownership', () => {
+  it('moves only the ids of a member that leaves', () => {
+    fc.assert(
+      fc.property(fc.uuid(), (id) => {
+        const before = rankMembers({ roster: rosterOf('a', 'b', 'c', 'd'), ceded: new Set() }, id);
+        const after = rankMembers({ roster: rosterOf('a', 'b', 'd'), ceded: new Set() }, id);
+        const expected = before.filter((one) => one.instance !== 'c').map((one) => one.instance);
+        expect(after.map((one) => one.instance)).toEqual(expected);
+      }),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+
+  it('makes the witness the owner when the owner has ceded', () => {
+    const roster = rosterOf('a', 'b', 'c');
+    const [owner, witness] = rankMembers({ roster, ceded: new Set() }, 'x');
+    const [successor] = rankMembers({ roster, ceded: new Set([owner?.incarnation ?? '']) }, 'x');
+    expect(successor).toEqual(witness);
+  });
+
+  it('keeps the home of an id when data centres are added', () => {
+    const before = { dataCentres: [{ name: 'dub1', since: 0 }] };
+    const after = { dataCentres: [...before.dataCentres, { name: 'dub2', since: NOW_MS }] };
+    for (let index = 0; index < 50; index += 1) {
+      expect(findHome(after, `id${index}`, NOW_MS - 1)).toEqual('dub1');
+    }
+    const homes = new Set(
+      Array.from({ length: 50 }, (_, index) => findHome(after, `id${index}`, NOW_MS)),
+    );
+    expect(homes.size).toEqual(2);
+  });
+});
+
+describe('the roster keeper', () => {
+  it('keeps the higher version and ignores what is not a roster', () => {
+    const keeper = createRosterKeeper('dub1', createLogger('test'));
+    const newer = rosterOf('a', 'b');
+    keeper.offer(newer);
+    keeper.offer(rosterOf('a'));
+    for (const text of ['', '{}', '[]', 'null', '{"epoch":99}']) keeper.offerText(text);
+    expect(keeper.own()?.roster).toEqual(newer);
+  });
+});
--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -44,6 +44,8 @@
   readonly metrics: Metrics;
   /** Called when slots, the queue or endpoints changed. */
   readonly onLoadChange: () => void;
+  /** Tasks of a service that this instance may run at once. */
+  readonly concurrencyOf: (service: string) => number;
   /** Endpoints of the whole data centre. */
   readonly countEndpoints: () => number;
 }
@@ -54,6 +56,7 @@
   const budget = createRetryBudget();
   const known = new Map<string, EndpointState>();
   let own: EndpointState[] = [];
+  const runningOf = new Map<string, number>();
   let running = 0;
   let isPumping = false;
 
@@ -78,7 +81,7 @@
 
   function pumpService(service: string): void {
     const candidates = own.filter((state) => isUsableFor(state, service));
-    while (queue.count(service) > 0) {
+    while (queue.count(service) > 0 && hasRoom(service)) {
       const state = policy.choose(candidates);
       if (state === undefined) return;
       const task = queue.take(service);
@@ -91,6 +94,15 @@
     }
   }
 
+  function hasRoom(service: string): boolean {
+    return (runningOf.get(service) ?? 0) < options.concurrencyOf(service);
+  }
+
+  function countRunning(service: string, by: 1 | -1): void {
+    running += by;
+    runningOf.set(service, (runningOf.get(service) ?? 0) + by);
+  }
+
   function isUsableFor(state: EndpointState, service: string): boolean {
     if (state.endpoint.service !== undefined && state.endpoint.service !== service) return false;
     return state.servingSlots() > 0;
@@ -99,7 +111,7 @@
   async function run(task: QueuedTask, state: EndpointState): Promise<void> {
     const startedMs = timer.nowMs();
     state.onStart();
-    running += 1;
+    countRunning(task.service, 1);
     metrics.increment('tasks.sent');
     const answer = await client.run({
       address: state.endpoint.address,
@@ -111,7 +123,7 @@
       timeoutMs: Math.max(SHORTEST_TASK_TIMEOUT_MS, task.expectedMs * LONGEST_TASK_FACTOR),
     });
     state.onEnd();
-    running -= 1;
+    countRunning(task.service, -1);
     if (answer.isOk) onDone(task, state, timer.nowMs() - startedMs, answer.value);
     else if (answer.error.isNotStarted) onNotStarted(task, state, answer.error);
     else onFailed(task, state, answer.error);
@@ -191,10 +203,11 @@
 
   function describeGroup(service: string | undefined, states: readonly EndpointState[]): GroupLoad {
     const services = service === undefined ? queue.services() : [service];
+    const isFull = service !== undefined && !hasRoom(service);
     return {
       ...(service === undefined ? {} : { service }),
       slots: sum(states.map((state) => state.servingSlots())),
-      free: describeFree(states, sum(services.map((name) => queue.count(name)))),
+      free: isFull ? [] : describeFree(states, sum(services.map((name) => queue.count(name)))),
       queuedMs: Math.round(sum(services.map((name) => queue.queuedMs(name)))),
       capacity: roundSpeed(sum(states.map((state) => state.servingSlots() * state.health.speed()))),
     };
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -30,6 +30,7 @@
 import { createLoadReporter } from './loadReporter.js';
 import { createPeerLoads } from './peerLoads.js';
 import { PlacementError } from './placementError.js';
+import { estimateEnd } from './estimateEnd.js';
 import { planPlacement, type Assignment, type Candidate } from './planPlacement.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import type { SlotPolicy } from './slotPolicy.js';
@@ -70,6 +71,8 @@
   load(): Load;
   states(): readonly EndpointState[];
   waiting(service: string): number;
+  /** The earliest that tasks of these expected times could all end, milliseconds from now. */
+  estimateMs(service: string, tasks: readonly BatchTask[]): number;
   isServing(service: string): boolean;
   receiveBatch(ask: Ask<'batch'>, peer: Greeting): Reply<'batch'>;
   receiveResults(ask: Ask<'results'>, peer: Greeting): Reply<'results'>;
@@ -92,6 +95,8 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly metrics: Metrics;
+  /** Tasks of a service that this instance may run at once. */
+  readonly concurrencyOf: (service: string) => number;
 }
 
 const DRAIN_CHECK_MS = 20;
@@ -286,6 +291,7 @@
     load: () => dispatcher.load(),
     states: () => dispatcher.states(),
     waiting: (service) => dispatcher.waiting(service),
+    estimateMs: (service, tasks) => estimateEnd(service, tasks, findCandidates()),
     isServing: (service) =>
       !directory.hasBeenRead() ||
       directory.live().some((one) => one.service === undefined || one.service === service),
--- /dev/null
+++ b/packages/platform/__tests__/httpPlatform.spec.ts
@@ -0,0 +1,152 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { ErrorCodes, type ErrorCode } from '@celerybarrow/shared';
+import { createTimerService } from '@celerybarrow/timer';
+import { createHttpPlatform, settleSwap, type HttpPlatform } from '../src/index.js';
+
+type Answer = (request: IncomingMessage, response: ServerResponse) => void;
+
+const opened: (() => Promise<unknown>)[] = [];
+
+afterEach(async () => {
+  for (const close of opened.splice(0).reverse()) await close();
+});
+
+async function startPlatform(answer: Answer): Promise<[HttpPlatform, Server]> {
+  const server = createServer(answer);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const address = server.address();
+  const port = typeof address === 'object' && address !== null ? address.port : 0;
+  const platform = createHttpPlatform(`http://127.0.0.1:${port}`);
+  opened.push(async () => {
+    await platform.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  return [platform, server];
+}
+
+function say(status: number, body: unknown): Answer {
+  return (_request, response) => {
+    response.writeHead(status).end(JSON.stringify(body));
+  };
+}
+
+interface FaultCase {
+  readonly fault: string;
+  readonly answer: Answer;
+  readonly read: ErrorCode;
+  readonly write: ErrorCode;
+}
+
+const { PLATFORM_BAD_ANSWER, PLATFORM_CONFLICT, PLATFORM_UNKNOWN_OUTCOME, PLATFORM_UNREACHABLE } =
+  ErrorCodes;
+
+const faultCases: FaultCase[] = [
+  {
+    fault: 'drops the connection',
+    answer: (request) => request.socket.destroy(),
+    read: PLATFORM_UNREACHABLE,
+    write: PLATFORM_UNKNOWN_OUTCOME,
+  },
+  {
+    fault: 'fails',
+    answer: say(500, {}),
+    read: PLATFORM_UNKNOWN_OUTCOME,
+    write: PLATFORM_UNKNOWN_OUTCOME,
+  },
+  {
+    fault: 'finds another revision',
+    answer: say(409, {}),
+    read: PLATFORM_CONFLICT,
+    write: PLATFORM_CONFLICT,
+  },
+  {
+    fault: 'answers with other types',
+    answer: say(200, { key: 1 }),
+    read: PLATFORM_BAD_ANSWER,
+    write: PLATFORM_BAD_ANSWER,
+  },
+  {
+    fault: 'answers without JSON',
+    answer: (_request, response) => response.end('<html>'),
+    read: PLATFORM_BAD_ANSWER,
+    write: PLATFORM_BAD_ANSWER,
+  },
+];
+
+describe('the platform client', () => {
+  for (const { fault, answer, read, write } of faultCases) {
+    it(`tells a read from a write when the platform ${fault}`, async () => {
+      const [platform] = await startPlatform(answer);
+      const found = await platform.get('a');
+      expect(found.isErr && found.error.code).toEqual(read);
+      const written = await platform.compareAndSwap('a', 0, 'x');
+      expect(written.isErr && written.error.code).toEqual(write);
+    });
+  }
+
+  it('knows that nothing was written when it cannot connect', async () => {
+    const platform = createHttpPlatform('http://127.0.0.1:1');
+    opened.push(() => platform.close());
+    const written = await platform.compareAndSwap('a', 0, 'x');
+    expect(written.isErr && written.error.code).toEqual(PLATFORM_UNREACHABLE);
+  });
+
+  it('returns a key that is not there as undefined', async () => {
+    const [platform] = await startPlatform(say(404, {}));
+    expect((await platform.get('a')).unwrapOr({ key: '', value: '', revision: 0 })).toEqual(
+      undefined,
+    );
+  });
+});
+
+/** A store whose answer to the first write is lost, after or before the write takes effect. */
+function createLossyStore(takesEffect: boolean, changedTo?: string): Answer {
+  let entry: { key: string; value: string; revision: number } | undefined;
+  let writes = 0;
+  return (request, response) => {
+    let text = '';
+    request.on('data', (chunk: Buffer) => (text += chunk.toString()));
+    request.on('end', () => {
+      if (request.method === 'GET') {
+        response.writeHead(entry === undefined ? 404 : 200).end(JSON.stringify(entry ?? {}));
+        return;
+      }
+      writes += 1;
+      const { value, expectedRevision } = JSON.parse(text) as {
+        value: string;
+        expectedRevision: number;
+      };
+      const isExpected = (entry?.revision ?? 0) === expectedRevision;
+      if (isExpected && (takesEffect || writes > 1)) entry = { key: 'a', value, revision: writes };
+      if (writes === 1 && changedTo !== undefined)
+        entry = { key: 'a', value: changedTo, revision: 9 };
+      if (writes === 1) request.socket.destroy();
+      else response.writeHead(isExpected ? 200 : 409).end(JSON.stringify(entry));
+    });
+  };
+}
+
+describe('a write whose answer is lost', () => {
+  const timer = createTimerService();
+
+  it('counts as done when it took effect', async () => {
+    const [platform] = await startPlatform(createLossyStore(true));
+    expect((await settleSwap(platform, timer, 'a', 0, 'mine')).isOk).toEqual(true);
+  });
+
+  it('is made again when it did not take effect', async () => {
+    const [platform] = await startPlatform(createLossyStore(false));
+    expect((await settleSwap(platform, timer, 'a', 0, 'mine')).isOk).toEqual(true);
+  });
+
+  it('is a conflict when another writer was faster', async () => {
+    const [platform] = await startPlatform(createLossyStore(false, 'theirs'));
+    const settled = await settleSwap(platform, timer, 'a', 0, 'mine');
+    expect(settled.isErr && settled.error.code).toEqual(PLATFORM_CONFLICT);
+  });
+});
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -262,7 +262,7 @@
 /** The envelope of every frame after the greeting. */
 export const envelopeSchema = z.union([
   z.object({ request: count, type: z.string(), body: z.unknown() }),
-  z.object({ reply: count, body: z.unknown() }),
   z.object({ reply: count, fault: z.string() }),
+  z.object({ reply: count, body: z.unknown() }),
 ]);
 export type Envelope = z.infer<typeof envelopeSchema>;
--- a/packages/scenarios/src/experiment/runExperiment.ts
+++ b/packages/scenarios/src/experiment/runExperiment.ts
@@ -140,6 +140,7 @@
     const one = ideal[index] ?? { responseMs: 0, boundMs: 0 };
     return { job, ideal: one, outcome, responseMs: performance.now() - sentMs };
   });
+  await delay(Math.max(0, experiment.durationMs - (performance.now() - startMs)));
   return Promise.all(sent);
 }
 
