perf(placement): learn speeds steadily, report loads at once, keep account of unanswered batches

Changes: speed smoothing 0.1 to 0.03 with a quick estimate for sudden changes; load reports leave at once within an allowance and not on a 50 ms tick; a peer's report no longer hides a batch that it has not answered.

--- a/packages/placement/src/batchReceiver.ts
+++ b/packages/placement/src/batchReceiver.ts
@@ -54,11 +54,12 @@
 
   function receive(ask: Ask<'batch'>, peer: Greeting): Reply<'batch'> {
     const owner = options.findMember(peer.instance, peer.incarnation);
-    const isNew = !seen.has(keyOf(ask, peer));
+    const key = keyOf(ask, peer);
+    const isNew = !seen.has(key);
     if (isNew && (isDraining || owner === undefined)) {
       return { accepted: false, load: dispatcher.load() };
     }
-    if (isNew && owner !== undefined) take(ask, owner, keyOf(ask, peer));
+    if (isNew && owner !== undefined) take(ask, owner, key);
     return { accepted: true, load: dispatcher.load() };
   }
 
--- a/packages/placement/src/batchSender.ts
+++ b/packages/placement/src/batchSender.ts
@@ -15,7 +15,7 @@
   type TaskResult,
 } from '@celerybarrow/protocol';
 import type { Peers } from '@celerybarrow/membership';
-import type { PeerLoads } from './peerLoads.js';
+import type { PeerLoads, SentWork } from './peerLoads.js';
 
 const ACCEPT_TIMEOUT_MS = 2_000;
 const RESEND_PAUSE_MS = 100;
@@ -48,6 +48,7 @@
   readonly member: Member;
   readonly sink: BatchSink;
   readonly outstanding: Set<number>;
+  readonly work: SentWork;
   readonly ended: Deferred<undefined>;
 }
 
@@ -58,6 +59,7 @@
 
   async function follow(member: Member, ask: TaskBatch, open: OpenBatch): Promise<void> {
     const isAccepted = await deliver(member, ask, open);
+    loads.onAnswered(member.incarnation, open.work);
     if (isAccepted) await awaitResults(member, open);
     batches.delete(ask.batch);
     if (open.outstanding.size > 0) open.sink.onLost([...open.outstanding]);
@@ -120,10 +122,11 @@
       const ask = { ...content, batch: nextBatch };
       nextBatch += 1;
       const outstanding = new Set(content.tasks.map((task) => task.index));
-      const open = { member, sink, outstanding, ended: createDeferred<undefined>() };
-      batches.set(ask.batch, open);
       const workMs = content.tasks.reduce((total, task) => total + task.expectedMs, 0);
-      loads.addSent(member.incarnation, content.service, content.tasks.length, workMs);
+      const work = { service: content.service, tasks: content.tasks.length, workMs };
+      const open = { member, sink, outstanding, work, ended: createDeferred<undefined>() };
+      batches.set(ask.batch, open);
+      loads.onSent(member.incarnation, work);
       void follow(member, ask, open);
     },
     onResults(ask, peer) {
--- a/packages/placement/src/endpointHealth.ts
+++ b/packages/placement/src/endpointHealth.ts
@@ -3,7 +3,10 @@
  * and returns by a trickle: one task at a time until several in a row succeed. Hysteresis between
  * the two thresholds keeps it from alternating.
  */
-const SPEED_SMOOTHING = 0.1;
+const SPEED_SMOOTHING = 0.03;
+/** A quick second estimate takes over when it leaves the steady one by this factor (log 2). */
+const QUICK_SMOOTHING = 0.2;
+const SUDDEN_CHANGE = Math.log(2);
 /** Optimism about an unknown endpoint makes the steward try it before it settles on others. */
 const PRIOR_SPEED = 2;
 const PRIOR_SAMPLES = 0.5;
@@ -37,6 +40,7 @@
 
 export function createEndpointHealth(): EndpointHealth {
   let logSpeed = Math.log(PRIOR_SPEED);
+  let quickLogSpeed = logSpeed;
   let samples = 0;
   let failureRatio = 0;
   let failuresInARow = 0;
@@ -64,6 +68,8 @@
       const weight = Math.max(SPEED_SMOOTHING, 1 / (samples + PRIOR_SAMPLES));
       const seen = Math.log(clamp(expectedMs / Math.max(1, ranMs), SLOWEST_SPEED, FASTEST_SPEED));
       logSpeed += weight * (seen - logSpeed);
+      quickLogSpeed += Math.max(QUICK_SMOOTHING, weight) * (seen - quickLogSpeed);
+      if (Math.abs(quickLogSpeed - logSpeed) > SUDDEN_CHANGE) logSpeed = quickLogSpeed;
       failureRatio -= FAILURE_SMOOTHING * failureRatio;
       failuresInARow = 0;
       successesInARow += 1;
--- a/packages/placement/src/loadReporter.ts
+++ b/packages/placement/src/loadReporter.ts
@@ -1,6 +1,6 @@
 /**
- * Tells the other members of the data centre when the load of this instance changes. The interval
- * grows with their number, so that the bytes sent for it stay bounded.
+ * Tells the other members of the data centre when the load of this instance changes. The mean
+ * interval grows with their number, so that the bytes sent for it stay bounded.
  */
 import type { TimerService } from '@celerybarrow/timer';
 import type { Load, Member } from '@celerybarrow/protocol';
@@ -13,6 +13,8 @@
 
 const SHORTEST_INTERVAL_MS = 50;
 const INTERVAL_FOR_A_PEER_MS = 20;
+/** Reports that may follow each other closely after a quiet time. */
+const LARGEST_ALLOWANCE = 4;
 const REPORT_TIMEOUT_MS = 1_000;
 /** Change of the queued work, relative to the capacity for this time, that is worth a report. */
 const QUEUE_CHANGE_MS = 20;
@@ -34,25 +36,35 @@
 
 export function createLoadReporter(options: LoadReporterOptions): LoadReporter {
   const { self, rosters, peers, heartbeat, timer } = options;
-  let isChanged = false;
-  let reportedMs = 0;
+  const closing = new AbortController();
+  let isScheduled = false;
+  let allowance = LARGEST_ALLOWANCE;
+  let allowedMs = timer.nowMs();
   let reported: Load = { groups: [] };
 
-  function reportIfDue(): void {
-    if (!isChanged) return;
-    const others = findOthers();
-    const intervalMs = Math.max(SHORTEST_INTERVAL_MS, others.length * INTERVAL_FOR_A_PEER_MS);
-    if (timer.nowMs() - reportedMs < intervalMs) return;
-    isChanged = false;
+  /** Reports at once while the allowance lasts, and otherwise when it has grown to one again. */
+  async function report(): Promise<void> {
+    const waitMs = untilAllowed();
+    if (waitMs > 0) await timer.sleep(waitMs, closing.signal);
+    isScheduled = false;
+    if (closing.signal.aborted) return;
     const load = options.load();
     if (!isWorthReporting(reported, load)) return;
+    allowance -= 1;
     reported = load;
-    reportedMs = timer.nowMs();
-    for (const member of others) {
+    for (const member of findOthers()) {
       void peers.request(member, 'load', { load }, { timeoutMs: REPORT_TIMEOUT_MS });
     }
   }
 
+  function untilAllowed(): number {
+    const intervalMs = Math.max(SHORTEST_INTERVAL_MS, findOthers().length * INTERVAL_FOR_A_PEER_MS);
+    const nowMs = timer.nowMs();
+    allowance = Math.min(LARGEST_ALLOWANCE, allowance + (nowMs - allowedMs) / intervalMs);
+    allowedMs = nowMs;
+    return allowance >= 1 ? 0 : (1 - allowance) * intervalMs;
+  }
+
   function findOthers(): readonly Member[] {
     const view = rosters.own();
     if (view === undefined) return [];
@@ -62,13 +74,17 @@
     );
   }
 
-  const stop = timer.onEvery(SHORTEST_INTERVAL_MS, reportIfDue);
-
   return {
     onChange() {
-      isChanged = true;
+      if (isScheduled) return;
+      isScheduled = true;
+      setImmediate(() => {
+        void report();
+      });
+    },
+    close() {
+      closing.abort();
     },
-    close: stop,
   };
 }
 
--- a/packages/placement/src/peerLoads.ts
+++ b/packages/placement/src/peerLoads.ts
@@ -1,33 +1,53 @@
 /**
- * What the other members last said of their load. Work sent to a member is added at once, so that
- * several jobs between two reports do not all choose the same one.
+ * What the other members last said of their load. Work sent to a member is added at once and stays
+ * added until the member has answered the batch, because its reports may be older than the batch.
  */
 import type { GroupLoad, Load } from '@celerybarrow/protocol';
 
+export interface SentWork {
+  readonly service: string;
+  readonly tasks: number;
+  /** Expected run time at speed 1, milliseconds. */
+  readonly workMs: number;
+}
+
 export interface PeerLoads {
   /** Replaces what is known of a member with its own report. */
   onReport(incarnation: string, load: Load): void;
   find(incarnation: string): Load | undefined;
-  /** Adds work that was sent to a member but is not yet in its reports. */
-  addSent(incarnation: string, service: string, tasks: number, workMs: number): void;
+  /** Adds work that was sent to a member and not yet answered. */
+  onSent(incarnation: string, work: SentWork): void;
+  /** The member answered the batch; its reports now contain the work. */
+  onAnswered(incarnation: string, work: SentWork): void;
   forget(incarnation: string): void;
 }
 
+interface PeerLoad {
+  reported: Load;
+  readonly unanswered: Set<SentWork>;
+}
+
 export function createPeerLoads(): PeerLoads {
-  const loads = new Map<string, Load>();
+  const loads = new Map<string, PeerLoad>();
 
   return {
     onReport(incarnation, load) {
-      loads.set(incarnation, load);
+      const known = loads.get(incarnation);
+      if (known === undefined) loads.set(incarnation, { reported: load, unanswered: new Set() });
+      else known.reported = load;
+    },
+    find(incarnation) {
+      const known = loads.get(incarnation);
+      if (known === undefined) return undefined;
+      let load = known.reported;
+      for (const work of known.unanswered) load = withWork(load, work);
+      return load;
     },
-    find: (incarnation) => loads.get(incarnation),
-    addSent(incarnation, service, tasks, workMs) {
-      const load = loads.get(incarnation);
-      if (load === undefined) return;
-      const groups = load.groups.map((group) =>
-        isGroupFor(group, service) ? withWork(group, tasks, workMs) : group,
-      );
-      loads.set(incarnation, { groups });
+    onSent(incarnation, work) {
+      loads.get(incarnation)?.unanswered.add(work);
+    },
+    onAnswered(incarnation, work) {
+      loads.get(incarnation)?.unanswered.delete(work);
     },
     forget(incarnation) {
       loads.delete(incarnation);
@@ -40,8 +60,16 @@
   return group.service === undefined || group.service === service;
 }
 
+function withWork(load: Load, work: SentWork): Load {
+  return {
+    groups: load.groups.map((group) =>
+      isGroupFor(group, work.service) ? groupWithWork(group, work) : group,
+    ),
+  };
+}
+
 /** The group after tasks took its free slots, the fastest first, and the rest were queued. */
-function withWork(group: GroupLoad, tasks: number, workMs: number): GroupLoad {
+function groupWithWork(group: GroupLoad, { tasks, workMs }: SentWork): GroupLoad {
   let left = tasks;
   const free = group.free.map((one) => {
     const taken = Math.min(left, one.slots);
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -142,7 +142,7 @@
     dispatcher.setEndpoints(all.filter((endpoint) => stewards.get(endpoint.id) === self.instance));
   }
 
-  function place(open: OpenJob, tasks: readonly BatchTask[]): void {
+  function place(open: OpenJob, tasks: readonly BatchTask[], isAgain = false): void {
     const { job } = open;
     const assignments = planPlacement(job.service, tasks, findCandidates());
     if (assignments.length === 0) {
@@ -151,7 +151,7 @@
     }
     for (const assignment of assignments) {
       if (assignment.isSelf) placeHere(open, assignment.tasks);
-      else placeAtPeer(open, assignment);
+      else placeAtPeer(open, assignment, isAgain);
     }
   }
 
@@ -182,7 +182,7 @@
       return;
     }
     timer.onAfter(REPLACE_PAUSE_MS, () => {
-      place(open, tasks);
+      place(open, tasks, true);
     });
   }
 
@@ -204,7 +204,7 @@
     }
   }
 
-  function placeAtPeer(open: OpenJob, assignment: Assignment): void {
+  function placeAtPeer(open: OpenJob, assignment: Assignment, isAgain: boolean): void {
     const { job } = open;
     const view = rosters.own();
     const member = view?.roster.members.find((one) => one.incarnation === assignment.incarnation);
@@ -215,7 +215,7 @@
     open.peers.add(member);
     const byIndex = new Map(assignment.tasks.map((task) => [task.index, task]));
     const nowMs = timer.wallMs();
-    metrics.increment('batches.sent');
+    metrics.increment(isAgain ? 'batches.sent-again' : 'batches.sent');
     sender.send(
       member,
       {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -221,7 +221,10 @@
     reply: z.object({ accepted: z.boolean() }),
   },
   settled: { ask: z.object({ epoch: count }), reply: z.object({ settled: z.boolean() }) },
-  batch: { ask: taskBatchSchema, reply: z.object({ accepted: z.boolean(), load: loadSchema }) },
+  batch: {
+    ask: taskBatchSchema,
+    reply: z.object({ accepted: z.boolean(), load: loadSchema }),
+  },
   results: {
     ask: z.object({ batch: count, results: z.array(taskResultSchema), load: loadSchema }),
     reply: none,
--- a/packages/scenarios/src/experiment/runExperiment.ts
+++ b/packages/scenarios/src/experiment/runExperiment.ts
@@ -30,6 +30,7 @@
   const fleet = await startFleet({
     scenario: createFleetPlan(experiment),
     number,
+    isMeasured: true,
     extraSettings: ['--policy', policy, ...experiment.instanceFlags],
   });
   const agent = new Agent({ connections: 512 });
@@ -116,9 +117,8 @@
   ].join('\n');
 }
 
-/** The first team's service is the one that the endpoints are listed with. */
 function serviceOf(team: string): string {
-  return team === 'team1' ? 'notesmith' : `notesmith-${team}`;
+  return `service-${team}`;
 }
 
 async function offer(
--- a/packages/scenarios/src/experiment/summary.ts
+++ b/packages/scenarios/src/experiment/summary.ts
@@ -38,7 +38,7 @@
   /** Quantiles of the response times over the same quantiles of the ideal. */
   readonly overIdeal: Quantiles;
   readonly overIdealByTeam: Record<string, Quantiles>;
-  /** Requests that led to no start (refused, placed again), for each task started. */
+  /** Requests that led to no start (refused tasks, batches sent again), for each task started. */
   readonly wastedPerTask: number;
   readonly messagesPerTask: number;
   readonly messagesPerJob: number;
@@ -96,7 +96,7 @@
     before,
     after,
     (sample) =>
-      (sample.counters['tasks.refused'] ?? 0) + (sample.counters['tasks.placed-again'] ?? 0),
+      (sample.counters['tasks.refused'] ?? 0) + (sample.counters['batches.sent-again'] ?? 0),
   );
   const started = Math.max(
     1,
--- a/packages/scenarios/src/fleet.ts
+++ b/packages/scenarios/src/fleet.ts
@@ -11,14 +11,13 @@
 import { formatAddress, type Address } from '@celerybarrow/shared';
 import { rosterSchema, type Roster } from '@celerybarrow/protocol';
 import {
-  startEndpointStandin,
   startLinkStandin,
   startPlatformStandin,
-  type EndpointStandin,
   type LinkStandin,
   type PlatformStandin,
 } from '@celerybarrow/standins';
 import { isHealthy, waitUntil } from './conditions.js';
+import { startEndpoint, type FleetEndpoint } from './fleetEndpoint.js';
 import type { Scenario } from './scenarioSchema.js';
 
 const DAEMON = fileURLToPath(new URL('../../../daemon/bin/celerybarrowd.js', import.meta.url));
@@ -27,7 +26,6 @@
 const OPERATE_PORT = 8081;
 const PEER_PORT = 8082;
 const PLATFORM_PORT = 9000;
-const ENDPOINT_PORT = 9100;
 const LINK_HOST_OFFSET = 100;
 const PLATFORM_LINK_HOST_OFFSET = 150;
 const ENDPOINT_HOST_OFFSET = 200;
@@ -50,14 +48,6 @@
   readonly platformLink: LinkStandin;
 }
 
-export interface FleetEndpoint {
-  readonly id: string;
-  readonly dataCentre: string;
-  readonly standin: EndpointStandin;
-  setState(state: 'live' | 'leaving'): void;
-  die(): Promise<void>;
-}
-
 export interface Fleet {
   readonly platform: PlatformStandin;
   readonly instances: ReadonlyMap<string, FleetInstance>;
@@ -74,6 +64,8 @@
   /** Folder for the logs of the instances; none are kept when undefined. */
   readonly logFolder?: string | undefined;
   readonly extraSettings?: readonly string[];
+  /** For measurements: endpoints are processes of their own and run every service. */
+  readonly isMeasured?: boolean;
 }
 
 export async function startFleet(options: FleetOptions): Promise<Fleet> {
@@ -92,7 +84,10 @@
     for (const [index, behaviour] of content.endpoints.entries()) {
       const id = `${dataCentre}-w${index + 1}`;
       const host = `${subnet}.${ENDPOINT_HOST_OFFSET + endpoints.size}`;
-      endpoints.set(id, await startEndpoint(platform, { id, dataCentre, host, behaviour }));
+      const isSeparate = options.isMeasured === true;
+      const service = isSeparate ? undefined : 'notesmith';
+      const plan = { id, dataCentre, host, behaviour, service, isSeparate };
+      endpoints.set(id, await startEndpoint(platform, plan));
     }
     for (const name of [...content.instances, ...content.spare]) {
       const instance = await createInstance({
@@ -157,37 +152,6 @@
   await Promise.all([instance.peerLink()?.close(), instance.platformLink.close()]);
 }
 
-interface EndpointPlan {
-  readonly id: string;
-  readonly dataCentre: string;
-  readonly host: string;
-  readonly behaviour: Scenario['fleet'][string]['endpoints'][number];
-}
-
-async function startEndpoint(
-  platform: PlatformStandin,
-  plan: EndpointPlan,
-): Promise<FleetEndpoint> {
-  const { id, dataCentre, host, behaviour } = plan;
-  const standin = await startEndpointStandin({ listen: { host, port: ENDPOINT_PORT }, behaviour });
-
-  function setState(state: 'live' | 'leaving'): void {
-    platform.store.putInstance({
-      id,
-      role: 'endpoint',
-      service: 'notesmith',
-      dataCentre,
-      rack: 'r1',
-      address: formatAddress(standin.address),
-      state,
-      slots: behaviour.slots,
-    });
-  }
-
-  setState('live');
-  return { id, dataCentre, standin, setState, die: () => standin.close() };
-}
-
 interface InstancePlan {
   readonly name: string;
   readonly dataCentre: string;
--- /dev/null
+++ b/packages/scenarios/src/fleetEndpoint.ts
@@ -0,0 +1,104 @@
+/** The endpoints of a fleet: stand-ins in the runner, or processes of their own for measurements. */
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { fileURLToPath } from 'node:url';
+import { request } from 'undici';
+import { formatAddress } from '@celerybarrow/shared';
+import {
+  startEndpointStandin,
+  type EndpointStandin,
+  type PlatformStandin,
+} from '@celerybarrow/standins';
+import { waitUntil } from './conditions.js';
+import type { Scenario } from './scenarioSchema.js';
+
+const STANDIN = fileURLToPath(
+  new URL('../../../standins/bin/celerybarrow-standin.js', import.meta.url),
+);
+const ENDPOINT_PORT = 9100;
+const START_PATIENCE_MS = 15_000;
+
+export interface FleetEndpoint {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly standin: RunningEndpoint;
+  setState(state: 'live' | 'leaving'): void;
+  die(): Promise<void>;
+}
+
+type RunningEndpoint = Pick<EndpointStandin, 'starts' | 'setBehaviour' | 'close'>;
+
+export interface EndpointPlan {
+  readonly id: string;
+  readonly dataCentre: string;
+  readonly host: string;
+  readonly behaviour: Scenario['fleet'][string]['endpoints'][number];
+  /** Any service when undefined. */
+  readonly service: string | undefined;
+  /** Whether the endpoint is a process of its own; its starts are then not counted. */
+  readonly isSeparate: boolean;
+}
+
+export async function startEndpoint(
+  platform: PlatformStandin,
+  plan: EndpointPlan,
+): Promise<FleetEndpoint> {
+  const { id, dataCentre, host, behaviour, service } = plan;
+  const address = { host, port: ENDPOINT_PORT };
+  const standin = plan.isSeparate
+    ? await startSeparate(plan)
+    : await startEndpointStandin({ listen: address, behaviour });
+
+  function setState(state: 'live' | 'leaving'): void {
+    platform.store.putInstance({
+      id,
+      role: 'endpoint',
+      ...(service === undefined ? {} : { service }),
+      dataCentre,
+      rack: 'r1',
+      address: formatAddress(address),
+      state,
+      slots: behaviour.slots,
+    });
+  }
+
+  setState('live');
+  return { id, dataCentre, standin, setState, die: () => standin.close() };
+}
+
+async function startSeparate({ host, behaviour }: EndpointPlan): Promise<RunningEndpoint> {
+  const address = `${host}:${ENDPOINT_PORT}`;
+  const flags = {
+    listen: address,
+    slots: String(behaviour.slots),
+    speed: String(behaviour.speed),
+    'fail-ratio': String(behaviour.failRatio),
+  };
+  const argv = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, value]);
+  const child = spawn(process.execPath, [STANDIN, 'endpoint', ...argv], { stdio: 'ignore' });
+  await waitUntil(`endpoint ${address} is up`, START_PATIENCE_MS, () => isUp(address));
+  return {
+    starts: () => new Map(),
+    setBehaviour(change) {
+      void request(`http://${address}/v1/behaviour`, {
+        method: 'PUT',
+        body: JSON.stringify(change),
+      });
+    },
+    async close() {
+      const ended = once(child, 'exit');
+      child.kill('SIGKILL');
+      await ended;
+    },
+  };
+}
+
+async function isUp(address: string): Promise<boolean> {
+  try {
+    const response = await request(`http://${address}/v1/starts`);
+    await response.body.dump();
+    return true;
+  } catch {
+    return false;
+  }
+}
