--- a/packages/configuration/src/mergeServices.ts
+++ b/packages/configuration/src/mergeServices.ts
@@ -1,5 +1,7 @@
 /** Joins service files into the next document, and tells what differs. */
 import { isDeepStrictEqual } from 'node:util';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as R from 'fp-ts/lib/Record.js';
 import { Result } from 'true-myth';
 import type { FileFault } from './readServiceFile.js';
 import { MAX_DOCUMENT_BYTES, type Configuration, type ServiceFile } from './schema.js';
@@ -62,13 +64,15 @@
   removals: readonly string[],
   publication: string,
 ): Configuration {
-  const next = { ...current.services };
-  for (const file of services) next[file.service] = file;
-  const kept = Object.entries(next).filter(([name]) => !removals.includes(name));
+  const published = Object.fromEntries(services.map((file) => [file.service, file]));
+  const kept = pipe(
+    { ...current.services, ...published },
+    R.filterWithIndex((name) => !removals.includes(name)),
+  );
   return {
     version: current.version + 1,
     publications: [...current.publications, publication].slice(-REMEMBERED_PUBLICATIONS),
-    services: Object.fromEntries(kept),
+    services: { ...kept },
   };
 }
 
--- a/packages/membership/src/rosterChanges.ts
+++ b/packages/membership/src/rosterChanges.ts
@@ -3,6 +3,8 @@
  * member keeps every claim; the change that loses a second one before the first loss is settled
  * moves `memoryLostBefore` forward. See docs/design/claims.md.
  */
+import * as A from 'fp-ts/lib/Array.js';
+import { pipe } from 'fp-ts/lib/function.js';
 import type { Member, Roster } from '@celerybarrow/protocol';
 
 /** How far a caller's clock may run ahead of an instance's. */
@@ -131,5 +133,8 @@
 }
 
 function withoutMember(members: readonly Member[], incarnation: string): Member[] {
-  return members.filter((member) => member.incarnation !== incarnation);
+  return pipe(
+    [...members],
+    A.filter((member) => member.incarnation !== incarnation),
+  );
 }
--- a/packages/placement/src/dispatcher.ts
+++ b/packages/placement/src/dispatcher.ts
@@ -132,7 +132,7 @@
 
   function onDone(task: QueuedTask, state: EndpointState, ranMs: number, body: string): void {
     budget.onStart();
-    state.health.onSuccess(times.expectMs(task.service, task.kind, task.expectedMs), ranMs);
+    state.health.onSuccess(expectRun(task), ranMs);
     metrics.increment('tasks.done');
     task.report({
       index: task.index,
@@ -142,6 +142,12 @@
     });
   }
 
+  /** Undefined while only the declaration is known, which says nothing of an endpoint's speed. */
+  function expectRun(task: QueuedTask): number | undefined {
+    const { service, kind, expectedMs } = task;
+    return times.isLearned(service, kind) ? times.expectMs(service, kind, expectedMs) : undefined;
+  }
+
   function onFailed(task: QueuedTask, state: EndpointState, error: PlacementError): void {
     budget.onStart();
     metrics.increment('tasks.failed');
--- a/packages/placement/src/endpointHealth.ts
+++ b/packages/placement/src/endpointHealth.ts
@@ -33,7 +33,8 @@
   failureRatio(): number;
   /** The state at a moment of monotonic time. */
   state(nowMs: number): HealthState;
-  onSuccess(expectedMs: number, ranMs: number): void;
+  /** Records a run; its speed is learned when the expected time is known. */
+  onSuccess(expectedMs: number | undefined, ranMs: number): void;
   /** Records a failure; `peersFailureRatio` is the median of the other endpoints. */
   onFailure(nowMs: number, peersFailureRatio: number, mayEject: boolean): void;
 }
@@ -56,6 +57,15 @@
     successesInARow = 0;
   }
 
+  function learnSpeed(expectedMs: number, ranMs: number): void {
+    samples += 1;
+    const weight = Math.max(SPEED_SMOOTHING, 1 / (samples + PRIOR_SAMPLES));
+    const seen = Math.log(clamp(expectedMs / Math.max(1, ranMs), SLOWEST_SPEED, FASTEST_SPEED));
+    logSpeed += weight * (seen - logSpeed);
+    quickLogSpeed += Math.max(QUICK_SMOOTHING, weight) * (seen - quickLogSpeed);
+    if (Math.abs(quickLogSpeed - logSpeed) > SUDDEN_CHANGE) logSpeed = quickLogSpeed;
+  }
+
   return {
     speed: () => Math.exp(logSpeed),
     failureRatio: () => failureRatio,
@@ -64,12 +74,7 @@
       return isReturning ? HealthStates.RETURNING : HealthStates.SERVING;
     },
     onSuccess(expectedMs, ranMs) {
-      samples += 1;
-      const weight = Math.max(SPEED_SMOOTHING, 1 / (samples + PRIOR_SAMPLES));
-      const seen = Math.log(clamp(expectedMs / Math.max(1, ranMs), SLOWEST_SPEED, FASTEST_SPEED));
-      logSpeed += weight * (seen - logSpeed);
-      quickLogSpeed += Math.max(QUICK_SMOOTHING, weight) * (seen - quickLogSpeed);
-      if (Math.abs(quickLogSpeed - logSpeed) > SUDDEN_CHANGE) logSpeed = quickLogSpeed;
+      if (expectedMs !== undefined) learnSpeed(expectedMs, ranMs);
       failureRatio -= FAILURE_SMOOTHING * failureRatio;
       failuresInARow = 0;
       successesInARow += 1;
--- a/packages/placement/src/planPlacement.ts
+++ b/packages/placement/src/planPlacement.ts
@@ -2,6 +2,12 @@
  * Chooses the steward of each task of a job: the one on whose slots the task is expected to end
  * first, by the free slots and queues that the stewards last reported.
  */
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as RNEA from 'fp-ts/lib/ReadonlyNonEmptyArray.js';
+import * as Semigroup from 'fp-ts/lib/Semigroup.js';
 import type { BatchTask, GroupLoad, Load } from '@celerybarrow/protocol';
 import { isGroupFor } from './peerLoads.js';
 
@@ -65,15 +71,11 @@
 }
 
 function findEarliest(outlooks: readonly Outlook[], task: BatchTask): Outlook | undefined {
-  let best: Outlook | undefined;
-  let bestMs = Number.POSITIVE_INFINITY;
-  for (const outlook of outlooks) {
-    const endMs = estimateEnd(outlook, task.expectedMs);
-    if (endMs >= bestMs) continue;
-    best = outlook;
-    bestMs = endMs;
-  }
-  return best;
+  const byEnd = pipe(
+    N.Ord,
+    Ord.contramap((outlook: Outlook) => estimateEnd(outlook, task.expectedMs)),
+  );
+  return RA.isNonEmpty(outlooks) ? pipe(outlooks, RNEA.concatAll(Semigroup.min(byEnd))) : undefined;
 }
 
 function estimateEnd(outlook: Outlook, expectedMs: number): number {
--- a/packages/placement/src/serviceTimes.ts
+++ b/packages/placement/src/serviceTimes.ts
@@ -8,6 +8,8 @@
 export interface ServiceTimes {
   /** Expected run time in milliseconds at speed 1. */
   expectMs(service: string, kind: string, declaredMs: number): number;
+  /** Whether enough runs were seen for the declaration to count no more. */
+  isLearned(service: string, kind: string): boolean;
   learn(service: string, kind: string, ranMs: number): void;
   entries(): Record<string, number>;
 }
@@ -28,6 +30,8 @@
       const trust = Math.min(1, estimate.samples / FIRST_SAMPLES);
       return Math.exp(trust * estimate.logMs + (1 - trust) * Math.log(declaredMs));
     },
+    isLearned: (service, kind) =>
+      (estimates.get(`${service}/${kind}`)?.samples ?? 0) >= FIRST_SAMPLES,
     learn(service, kind, ranMs) {
       const key = `${service}/${kind}`;
       const estimate = estimates.get(key) ?? { logMs: 0, samples: 0 };
--- a/packages/placement/src/stewardship.ts
+++ b/packages/placement/src/stewardship.ts
@@ -4,9 +4,21 @@
  * out the same division from the same lists; while lists differ an endpoint may have two stewards,
  * which costs refusals by its guard and nothing else.
  */
+import { pipe } from 'fp-ts/lib/function.js';
+import * as NEA from 'fp-ts/lib/NonEmptyArray.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
+import * as S from 'fp-ts/lib/string.js';
 import { rankByRendezvous } from '@celerybarrow/shared';
 import type { Endpoint } from './endpointDirectory.js';
 
+const ANY_SERVICE = '';
+
+const byId = pipe(
+  S.Ord,
+  Ord.contramap((endpoint: Endpoint) => endpoint.id),
+);
+
 /** Maps the id of each endpoint to the name of its steward. */
 export type Stewards = ReadonlyMap<string, string>;
 
@@ -17,7 +29,11 @@
 ): Stewards {
   const stewards = new Map<string, string>();
   if (members.length === 0) return stewards;
-  for (const group of groupByService(endpoints)) assignGroup(group, members, stewards);
+  const groups = pipe(
+    [...endpoints],
+    NEA.groupBy((endpoint) => endpoint.service ?? ANY_SERVICE),
+  );
+  for (const group of Object.values(groups)) assignGroup(group, members, stewards);
   return stewards;
 }
 
@@ -29,7 +45,7 @@
   const totalSlots = group.reduce((sum, endpoint) => sum + endpoint.slots, 0);
   const shareSlots = Math.ceil(totalSlots / members.length);
   const takenSlots = new Map<string, number>();
-  for (const endpoint of [...group].sort((a, b) => a.id.localeCompare(b.id))) {
+  for (const endpoint of pipe(group, RA.sort(byId))) {
     const ranked = rankByRendezvous(endpoint.id, members, (member) => member);
     const open = ranked.find((member) => (takenSlots.get(member) ?? 0) < shareSlots);
     const steward = open ?? ranked[0];
@@ -38,14 +54,3 @@
     takenSlots.set(steward, (takenSlots.get(steward) ?? 0) + endpoint.slots);
   }
 }
-
-function groupByService(endpoints: readonly Endpoint[]): readonly Endpoint[][] {
-  const groups = new Map<string, Endpoint[]>();
-  for (const endpoint of endpoints) {
-    const key = endpoint.service ?? '';
-    const group = groups.get(key) ?? [];
-    group.push(endpoint);
-    groups.set(key, group);
-  }
-  return [...groups.values()];
-}
--- a/packages/shared/src/rendezvous.ts
+++ b/packages/shared/src/rendezvous.ts
@@ -3,19 +3,34 @@
  * them alike for a key, and removing one candidate moves only the keys that it held.
  */
 import { createHash } from 'node:crypto';
+import { pipe } from 'fp-ts/lib/function.js';
+import * as N from 'fp-ts/lib/number.js';
+import * as Ord from 'fp-ts/lib/Ord.js';
+import * as RA from 'fp-ts/lib/ReadonlyArray.js';
 
 const WEIGHT_BYTES = 6;
 
+interface Weighed<T> {
+  readonly candidate: T;
+  readonly weight: number;
+}
+
 /** Ranks candidates for a key, the heaviest first. */
 export function rankByRendezvous<T>(
   key: string,
   candidates: readonly T[],
   nameOf: (candidate: T) => string,
-): T[] {
-  return candidates
-    .map((candidate) => ({ candidate, weight: weigh(key, nameOf(candidate)) }))
-    .sort((a, b) => b.weight - a.weight)
-    .map(({ candidate }) => candidate);
+): readonly T[] {
+  const heaviestFirst = pipe(
+    Ord.reverse(N.Ord),
+    Ord.contramap((one: Weighed<T>) => one.weight),
+  );
+  return pipe(
+    candidates,
+    RA.map((candidate) => ({ candidate, weight: weigh(key, nameOf(candidate)) })),
+    RA.sort(heaviestFirst),
+    RA.map((one) => one.candidate),
+  );
 }
 
 /** The weight of one candidate for a key, an integer below 2^48. */
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -57,6 +57,7 @@
     'platform',
     'configuration',
     'membership',
+    'claims',
     'daemon',
     'standins',
   ],
