--- a/packages/cli/src/jobCommands.ts
+++ b/packages/cli/src/jobCommands.ts
@@ -107,7 +107,7 @@
 
 export async function statusCommand(id: string, entry: string, terminal: Terminal): Promise<void> {
   const response = await callJson(jobUrl(entry, id));
-  if (response.status !== 200) throw toProblem(response);
+  if (response.status !== 200) throw notFound(id);
   const status = response.body as { state: string; endedTasks?: number; tasks?: number };
   const progress =
     status.tasks === undefined
@@ -118,7 +118,7 @@
 
 export async function cancelCommand(id: string, entry: string, terminal: Terminal): Promise<void> {
   const response = await callJson(jobUrl(entry, id), { method: 'DELETE' });
-  if (response.status !== 202) throw toProblem(response);
+  if (response.status !== 202) throw notFound(id);
   terminal.print(response.body, [`Job ${id} is cancelled.`]);
 }
 
@@ -137,13 +137,14 @@
   return `${entry}/v1/jobs/${encodeURIComponent(id)}`;
 }
 
+function notFound(id: string): CliError {
+  return new CliError(ExitCodes.FAILED, `job ${id} is not known, or has ended`);
+}
+
 function toProblem(response: JsonResponse): CliError {
   const problem = problemSchema.safeParse(response.body).data;
   if (problem === undefined) return new CliError(ExitCodes.FAILED, `status ${response.status}`);
-  const code =
-    response.status === 404 || problem.outcome === undefined
-      ? ExitCodes.FAILED
-      : exitCodeOf(problem.outcome);
+  const code = problem.outcome === undefined ? ExitCodes.FAILED : exitCodeOf(problem.outcome);
   const outcome = problem.outcome === undefined ? '' : ` (${problem.outcome})`;
   return new CliError(code, `${problem.title}: ${problem.detail}${outcome}`);
 }
--- a/packages/scenarios/src/experiment/main.ts
+++ b/packages/scenarios/src/experiment/main.ts
@@ -16,6 +16,7 @@
 cli.option('--duration-ms <MS>', 'Length of the run');
 cli.option('--endpoints <N>', 'Endpoints of each data centre');
 cli.option('--instances <N>', 'Instances of each data centre');
+cli.option('--tasks <N>', 'Mean number of tasks of a job');
 cli.help();
 const { args, options } = cli.parse(process.argv, { run: false });
 
@@ -31,6 +32,8 @@
 
 function readChanges(given: Record<string, unknown>): Partial<Experiment> {
   const changes: Record<string, unknown> = {};
+  if (given['tasks'] !== undefined)
+    changes['tasksPerJob'] = { mean: Number(given['tasks']), most: 140 };
   if (given['load'] !== undefined) changes['load'] = Number(given['load']);
   if (given['seed'] !== undefined) changes['seed'] = Number(given['seed']);
   if (given['durationMs'] !== undefined) changes['durationMs'] = Number(given['durationMs']);
--- a/packages/scenarios/src/experiment/report.ts
+++ b/packages/scenarios/src/experiment/report.ts
@@ -31,6 +31,7 @@
       `${(perInstance.cpuShare * 100).toFixed(1)}%`,
       perInstance.residentMegabytes.toFixed(0),
       (perInstance.controlBytesPerSecond / 1_000).toFixed(1),
+      perInstance.platformCallsPerSecond.toFixed(2),
       perInstance.startsPerSecond.toFixed(0),
       JSON.stringify(one.outcomes),
     ].join(' | ')} |`;
@@ -38,8 +39,8 @@
   return [
     `${experiment.name}, seed ${experiment.seed}`,
     '',
-    '| policy | jobs | over ideal p50 / p90 / p99 | wasted a task | peer messages a task | CPU | MB | control KB/s | starts/s | outcomes |',
-    '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
+    '| policy | jobs | over ideal p50 / p90 / p99 | wasted a task | peer messages a task | CPU | MB | control KB/s | platform calls/s | starts/s | outcomes |',
+    '| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |',
     ...lines,
   ];
 }
--- a/packages/scenarios/src/experiment/summary.ts
+++ b/packages/scenarios/src/experiment/summary.ts
@@ -12,6 +12,7 @@
 export interface UsageSample {
   readonly instance: string;
   readonly counters: Record<string, number>;
+  readonly platform: { readonly calls: Record<string, number> };
   readonly traffic: { readonly sent: Record<string, TrafficSample> };
   readonly process: {
     readonly cpuMs: number;
@@ -48,6 +49,7 @@
     readonly residentMegabytes: number;
     readonly controlBytesPerSecond: number;
     readonly controlBytesPerTask: number;
+    readonly platformCallsPerSecond: number;
   };
   readonly controlBytesByType: Record<string, number>;
 }
@@ -106,6 +108,9 @@
       (sample) => (sample.counters['tasks.done'] ?? 0) + (sample.counters['tasks.failed'] ?? 0),
     ),
   );
+  const calls = difference(before, after, (sample) =>
+    sumOf(Object.values(sample.platform.calls), (count) => count),
+  );
   const cpuMs = difference(before, after, (sample) => sample.process.cpuMs);
   return {
     wastedPerTask: wasted / started,
@@ -118,6 +123,7 @@
         sumOf(after, (sample) => sample.process.residentBytes) / instances / BYTES_IN_A_MEGABYTE,
       controlBytesPerSecond: bytes / seconds / instances,
       controlBytesPerTask: bytes / started,
+      platformCallsPerSecond: calls / seconds / instances,
     },
     controlBytesByType: bytesByType(before, after),
   };
