fix(membership): leave a stopping member in the roster until its process ends

Cause: the others took a member that had ceded out of the roster at once, and stewards refuse batches of owners that are not listed, so the waiting tasks of a job at a stopping owner were placed again every 20 ms until it had left. Ruled out: the handover, which was complete. A ceded member now takes itself out when its jobs have ended, and the others do so only once it is silent. A released claim is forgotten by its former runner.

--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -166,12 +166,14 @@
     return active.has(id) ? submit(submission) : start(submission, claim.runnerIncarnation);
   }
 
+  /** A released claim is forgotten, so that it is never used again. */
   function join({ id, digest }: Ask<'join'>): Promise<Reply<'join'>> {
     const known = active.get(id);
     if (known !== undefined) return joinActive(id, digest, known);
     const record = store.find(id);
     const isGivenUp =
       record?.claim.runnerIncarnation === self.incarnation && record.hasEnded !== true;
+    if (isGivenUp) store.remove(id);
     if (record === undefined || isGivenUp) return Promise.resolve({ released: true });
     const answer = record.answer ?? problems.toAnswer(id, problems.answerForgotten());
     return Promise.resolve({ answer, released: false });
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -83,11 +83,8 @@
     if (view === undefined || !hasMember(view.roster, self.incarnation)) return join();
     if (!hasAnnouncedDataCentre) hasAnnouncedDataCentre = await announceDataCentre();
     if (activeMembers(view).length <= 1) await soleLock.acquire(endedHolders(view.roster));
-    for (const member of view.roster.members) {
-      if (view.ceded.has(member.incarnation) && member.incarnation !== self.incarnation) {
-        return removeCeded(member);
-      }
-    }
+    const left = view.roster.members.find((member) => hasLeft(member, view.ceded));
+    if (left !== undefined) return removeCeded(left);
     const failed = view.roster.members.find((member) => isDue(member, view.roster));
     if (failed !== undefined) return evict(failed);
     if (!isSettled(view.roster)) return settle(view.roster);
@@ -167,6 +164,12 @@
     return joinRoster(next, self, write);
   }
 
+  /** A member that has ceded takes itself out when its jobs have ended, unless it cannot. */
+  function hasLeft(member: Member, ceded: ReadonlySet<string>): boolean {
+    if (member.incarnation === self.incarnation || !ceded.has(member.incarnation)) return false;
+    return heartbeat.isSuspected(member.incarnation);
+  }
+
   /** Whether it is this member's turn to take out a failed one. */
   function isDue(member: Member, roster: Roster): boolean {
     if (member.incarnation === self.incarnation) return false;
--- /dev/null
+++ b/packages/scenarios/src/publishServiceFile.ts
@@ -0,0 +1,38 @@
+/** Publishes the service of scenarios and measurements. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { createUuidV7 } from '@celerybarrow/shared';
+import { createHttpPlatform } from '@celerybarrow/platform';
+import { publish, readServiceFile } from '@celerybarrow/configuration';
+
+const UNLIMITED_RATE = 100_000;
+
+/** Returns the version that is in force afterwards; undefined when the publication was refused. */
+export async function publishServiceFile(
+  platformUrl: string,
+  ratePerSecond = UNLIMITED_RATE,
+): Promise<number | undefined> {
+  const text = serviceFile(ratePerSecond);
+  const file = readServiceFile({ path: 'celerybarrow.yaml', text });
+  if (file.isErr) throw new Error(file.error.map((fault) => fault.message).join('; '));
+  const platform = createHttpPlatform(platformUrl);
+  const published = await publish({
+    platform,
+    services: [file.value],
+    removals: [],
+    publication: createUuidV7(Date.now()),
+    pause: (ms) => delay(ms),
+  });
+  await platform.close();
+  return published.isOk ? published.value.configuration.version : undefined;
+}
+
+function serviceFile(ratePerSecond: number): string {
+  return `
+service: notesmith
+team: editors
+kinds:
+  stamp: { expectedMs: 50, idempotent: false }
+  render: { expectedMs: 300, idempotent: true }
+limits: { ratePerSecond: ${ratePerSecond}, concurrency: 100000, queue: 20000 }
+`;
+}
--- a/packages/scenarios/src/runScenario.ts
+++ b/packages/scenarios/src/runScenario.ts
@@ -3,9 +3,6 @@
  * started twice, that every "not run" was true and that every complete answer was whole.
  */
 import { setTimeout as delay } from 'node:timers/promises';
-import { createUuidV7 } from '@celerybarrow/shared';
-import { createHttpPlatform } from '@celerybarrow/platform';
-import { publish, readServiceFile } from '@celerybarrow/configuration';
 import {
   countStarts,
   createCallers,
@@ -16,11 +13,11 @@
 } from './callers.js';
 import { isReady, readStatus, waitUntil } from './conditions.js';
 import { startFleet, type Fleet, type FleetInstance } from './fleet.js';
+import { publishServiceFile } from './publishServiceFile.js';
 import type { ExpectStep, Scenario, Step, SubmitStep, WaitStep } from './scenarioSchema.js';
 
 const START_PATIENCE_MS = 20_000;
 const STOP_PATIENCE_MS = 30_000;
-const DEFAULT_RATE = 100_000;
 const QUIET_MS = 1_500;
 
 export interface ScenarioReport {
@@ -75,7 +72,7 @@
   let version = 0;
 
   async function prepare(): Promise<void> {
-    await publishRate(DEFAULT_RATE);
+    await publishRate();
     await waitUntil(
       'every instance is a member and has the configuration',
       START_PATIENCE_MS,
@@ -101,20 +98,10 @@
     return [...fleet.instances.values()].filter((instance) => instance.isRunning());
   }
 
-  async function publishRate(ratePerSecond: number): Promise<boolean> {
-    const file = readServiceFile({ path: 'celerybarrow.yaml', text: serviceFile(ratePerSecond) });
-    if (file.isErr) throw new Error(file.error.map((fault) => fault.message).join('; '));
-    const platform = createHttpPlatform(fleet.platform.url);
-    const published = await publish({
-      platform,
-      services: [file.value],
-      removals: [],
-      publication: createUuidV7(Date.now()),
-      pause: (ms) => delay(ms),
-    });
-    await platform.close();
-    if (published.isOk) version = Math.max(version, published.value.configuration.version);
-    return published.isOk;
+  async function publishRate(ratePerSecond?: number): Promise<boolean> {
+    const published = await publishServiceFile(fleet.platform.url, ratePerSecond);
+    if (published !== undefined) version = Math.max(version, published);
+    return published !== undefined;
   }
 
   async function take(step: Step): Promise<void> {
@@ -362,14 +349,3 @@
   const entries = Object.entries(value).filter(([, one]) => one !== undefined);
   return Object.fromEntries(entries) as { [K in keyof T]: Exclude<T[K], undefined> };
 }
-
-function serviceFile(ratePerSecond: number): string {
-  return `
-service: notesmith
-team: editors
-kinds:
-  stamp: { expectedMs: 50, idempotent: false }
-  render: { expectedMs: 300, idempotent: true }
-limits: { ratePerSecond: ${ratePerSecond}, concurrency: 100000, queue: 20000 }
-`;
-}
