perf(platform): ask for the list of instances only if it has changed

Cause, from a measurement of the list at the target's size: 1,800 entries are 280 KB and 4.7 ms to parse and check, each second for each instance, against a control budget of 11 KB/s. Weighed: one reader for each data centre that passes changes on (10 members would still read 28 KB/s each, or see a leaving endpoint too late); longer intervals (likewise). Taken: entity tags, since the list changes every five minutes at the target; a platform without them is read whole as before.

Contract tests: the list is transferred again only when it changed, also after an outage.

--- a/packages/platform/__tests__/httpPlatform.spec.ts
+++ b/packages/platform/__tests__/httpPlatform.spec.ts
@@ -104,6 +104,46 @@
   });
 });
 
+describe('the list of instances', () => {
+  const instance = {
+    id: 'w1',
+    role: 'endpoint',
+    dataCentre: 'dub1',
+    rack: 'r1',
+    address: '127.0.0.1:1',
+    state: 'live',
+  };
+
+  it('is transferred again only when it changed, also after the platform was away', async () => {
+    let tag = '"1"';
+    let bodies = 0;
+    let isAway = false;
+    const [platform] = await startPlatform((request, response) => {
+      if (isAway) request.socket.destroy();
+      else if (request.headers['if-none-match'] === tag)
+        response.writeHead(304, { etag: tag }).end();
+      else {
+        bodies += 1;
+        response.writeHead(200, { etag: tag }).end(JSON.stringify([{ ...instance, id: tag }]));
+      }
+    });
+    const ids = async () =>
+      (await platform.instances()).map((list) => list.map((one) => one.id)).unwrapOr([]);
+    expect([await ids(), await ids()]).toEqual([['"1"'], ['"1"']]);
+    isAway = true;
+    expect(await ids()).toEqual([]);
+    isAway = false;
+    tag = '"2"';
+    expect([await ids(), await ids(), bodies]).toEqual([['"2"'], ['"2"'], 2]);
+  });
+
+  it('is read whole from a platform without entity tags', async () => {
+    const [platform] = await startPlatform(say(200, [instance]));
+    await platform.instances();
+    expect((await platform.instances()).map((list) => list.length).unwrapOr(0)).toEqual(1);
+  });
+});
+
 /** A store whose answer to the first write is lost, after or before the write takes effect. */
 function createLossyStore(takesEffect: boolean, changedTo?: string): Answer {
   let entry: { key: string; value: string; revision: number } | undefined;
--- a/packages/platform/src/httpPlatform.ts
+++ b/packages/platform/src/httpPlatform.ts
@@ -14,6 +14,7 @@
 const CALL_TIMEOUT_MS = 2_000;
 const WATCH_WAIT_MS = 30_000;
 const WATCH_GRACE_MS = 5_000;
+const NOT_MODIFIED = 304;
 
 export interface HttpPlatform extends Platform {
   /** Calls made so far, by kind. */
@@ -28,17 +29,26 @@
   readonly body?: unknown;
   readonly timeoutMs?: number;
   readonly signal?: AbortSignal;
+  /** Entity tag of the answer that is already here; status 304 says that it still holds. */
+  readonly knownTag?: string;
 }
 
 interface Reply {
   readonly status: number;
   readonly body: unknown;
+  readonly tag?: string;
+}
+
+interface TaggedList {
+  readonly tag: string;
+  readonly list: readonly Instance[];
 }
 
 /** Creates a client for the platform at a URL such as `http://127.0.0.1:9000`. */
 export function createHttpPlatform(url: string): HttpPlatform {
   const pool = new Pool(url, { connections: CONNECTIONS, connect: { timeout: CALL_TIMEOUT_MS } });
   const calls = new Map<string, number>();
+  let knownList: TaggedList | undefined;
 
   async function send(call: Call): Promise<Result<Reply, PlatformError>> {
     calls.set(call.kind, (calls.get(call.kind) ?? 0) + 1);
@@ -50,12 +60,12 @@
         path: call.path,
         signal: call.signal ? AbortSignal.any([call.signal, timeout]) : timeout,
         headersTimeout: timeoutMs,
-        ...(call.body === undefined
-          ? {}
-          : { body: JSON.stringify(call.body), headers: { 'content-type': 'application/json' } }),
+        ...encodeContent(call),
       });
       const text = await response.body.text();
-      return Result.ok({ status: response.statusCode, body: parseJson(text) });
+      const { etag } = response.headers;
+      const tag = typeof etag === 'string' ? { tag: etag } : {};
+      return Result.ok({ status: response.statusCode, body: parseJson(text), ...tag });
     } catch (error) {
       return Result.err(toPlatformError(error, call.method === 'GET'));
     }
@@ -69,6 +79,20 @@
     return reply.andThen((answer) => decode(answer, schema));
   }
 
+  /** The list changes seldom and is long, so it is asked for only if it has changed. */
+  async function readList(): Promise<Result<readonly Instance[], PlatformError>> {
+    const known = knownList;
+    const call = { kind: 'list', method: 'GET', path: '/v1/instances' } as const;
+    const reply = await send(known === undefined ? call : { ...call, knownTag: known.tag });
+    if (reply.isOk && reply.value.status === NOT_MODIFIED && known !== undefined) {
+      return Result.ok(known.list);
+    }
+    const list = reply.andThen((answer) => decode<readonly Instance[]>(answer, instancesSchema));
+    const tag = reply.isOk ? reply.value.tag : undefined;
+    if (list.isOk) knownList = tag === undefined ? undefined : { tag, list: list.value };
+    return list;
+  }
+
   return {
     async get(key) {
       const path = `/v1/keys/${encodeURIComponent(key)}`;
@@ -100,17 +124,18 @@
       const path = `/v1/leases/${encodeURIComponent(lease.id)}`;
       return read<Lease>({ kind: 'lease', method: 'PUT', path, body: {} }, leaseSchema);
     },
-    instances() {
-      return read<readonly Instance[]>(
-        { kind: 'list', method: 'GET', path: '/v1/instances' },
-        instancesSchema,
-      );
-    },
+    instances: readList,
     calls: () => Object.fromEntries(calls),
     close: () => pool.destroy(),
   };
 }
 
+function encodeContent({ body, knownTag }: Call) {
+  const tag = knownTag === undefined ? {} : { 'if-none-match': knownTag };
+  if (body === undefined) return { headers: tag };
+  return { body: JSON.stringify(body), headers: { ...tag, 'content-type': 'application/json' } };
+}
+
 function decode<T>(
   reply: Reply,
   schema: ZodType<T, ZodTypeDef, unknown>,
--- a/packages/standins/src/httpServer.ts
+++ b/packages/standins/src/httpServer.ts
@@ -1,5 +1,10 @@
 /** A small JSON server for stand-ins. */
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type ServerResponse,
+} from 'node:http';
 import { once } from 'node:events';
 import { formatAddress, type Address } from '@celerybarrow/shared';
 
@@ -8,6 +13,7 @@
   readonly path: string;
   readonly query: URLSearchParams;
   readonly body: unknown;
+  readonly headers: IncomingHttpHeaders;
   readonly response: ServerResponse;
 }
 
@@ -64,6 +70,7 @@
     method: request.method ?? 'GET',
     path: decodeURIComponent(url.pathname),
     query: url.searchParams,
+    headers: request.headers,
     body: text === '' ? undefined : (JSON.parse(text) as unknown),
     response,
   });
@@ -71,7 +78,7 @@
     response.destroy();
     return;
   }
-  const body = JSON.stringify(reply.body ?? {});
+  const body = reply.status === 304 ? '' : JSON.stringify(reply.body ?? {});
   response.writeHead(reply.status, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
--- a/packages/standins/src/platformStandin.ts
+++ b/packages/standins/src/platformStandin.ts
@@ -2,6 +2,7 @@
  * A stand-in for the platform over HTTP, with faults on demand: down, slow, answers lost after the
  * write took effect, a lagging list and lapsed leases.
  */
+import { createHash } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
 import { z } from 'zod';
 import type { Address } from '@celerybarrow/shared';
@@ -74,10 +75,17 @@
     if (kind === 'keys') return request.method === 'PUT' ? swap(name, request.body) : get(name);
     if (kind === 'watch') return watch(request);
     if (kind === 'leases') return request.method === 'POST' ? grant(request.body) : renew(name);
-    if (kind === 'instances') return { status: 200, body: store.instances(faults.listLagMs) };
+    if (kind === 'instances') return list(request);
     return { status: 404 };
   }
 
+  function list({ headers }: JsonRequest): JsonReply {
+    const body = store.instances(faults.listLagMs);
+    const etag = `"${createHash('sha1').update(JSON.stringify(body)).digest('hex')}"`;
+    if (headers['if-none-match'] === etag) return { status: 304, headers: { etag } };
+    return { status: 200, body, headers: { etag } };
+  }
+
   function get(key: string): JsonReply {
     const entry = store.get(key);
     return entry === undefined ? { status: 404 } : { status: 200, body: entry };
