--- a/packages/membership/src/heartbeat.ts
+++ b/packages/membership/src/heartbeat.ts
@@ -7,7 +7,7 @@
 import type { Peers } from './peers.js';
 import type { RosterKeeper } from './rosterKeeper.js';
 
-export const HEARTBEAT_INTERVAL_MS = 500;
+export const HEARTBEAT_INTERVAL_MS = 1_000;
 /** Silence after which a member is held to have failed. */
 export const SILENCE_LIMIT_MS = 2_500;
 const TICK_INTERVAL_MS = 250;
