fix(admission): keep slack for the queue, so that overload costs no goodput

Cause: a job was admitted as long as its earliest end met the deadline, so in overload the queue grew as long as the deadline and most jobs started and then missed it. Ruled out: placement (starts a second were the same at 100% and 150%). A job is now refused when waiting would take more than 60% of what its deadline leaves after its run.

--- a/packages/admission/__tests__/admission.spec.ts
+++ b/packages/admission/__tests__/admission.spec.ts
@@ -21,7 +21,8 @@
   service,
   tasks: 10,
   waitingTasks: 0,
-  expectedMs: 50,
+  waitMs: 0,
+  runMs: 50,
   remainingMs: 1_000,
   hasEndpoints: true,
 };
@@ -47,7 +48,8 @@
   const cases: [string, Partial<AdmissionRequest>, RefusalReason][] = [
     ['no endpoint', { hasEndpoints: false }, RefusalReasons.NO_ENDPOINT],
     ['a full queue', { waitingTasks: 500 }, RefusalReasons.QUEUE_FULL],
-    ['a deadline that cannot be met', { expectedMs: 2_000 }, RefusalReasons.DEADLINE],
+    ['a deadline that cannot be met', { runMs: 2_000 }, RefusalReasons.DEADLINE],
+    ['a wait that leaves too little slack', { waitMs: 700 }, RefusalReasons.DEADLINE],
   ];
   for (const [fault, changes, expected] of cases) {
     it(`refuses ${fault}`, () => {
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -10,6 +10,11 @@
 
 const BURST_MS = 2_000;
 const QUEUE_RETRY_MS = 1_000;
+/**
+ * Share of a job's slack that waiting may take. In overload a queue as long as the deadline would let
+ * most jobs start and then miss it, and the work done for them would be lost.
+ */
+const LARGEST_WAIT_SHARE = 0.6;
 
 export const RefusalReasons = {
   TEAM_RATE: 'team-rate',
@@ -37,8 +42,9 @@
   readonly tasks: number;
   /** Tasks of the service that already wait at this instance. */
   readonly waitingTasks: number;
-  /** Expected time until the last task ends, milliseconds. */
-  readonly expectedMs: number;
+  /** How long the job has at least to wait for slots, and then to run, milliseconds. */
+  readonly waitMs: number;
+  readonly runMs: number;
   readonly remainingMs: number;
   readonly hasEndpoints: boolean;
 }
@@ -82,8 +88,9 @@
     if (request.waitingTasks >= request.service.limits.queue) {
       return refuse(RefusalReasons.QUEUE_FULL, QUEUE_RETRY_MS);
     }
-    if (request.expectedMs > request.remainingMs) {
-      return refuse(RefusalReasons.DEADLINE, request.expectedMs - request.remainingMs);
+    const slackMs = request.remainingMs - request.runMs;
+    if (slackMs < 0 || request.waitMs > slackMs * LARGEST_WAIT_SHARE) {
+      return refuse(RefusalReasons.DEADLINE, request.waitMs);
     }
     return findRateRefusal(request);
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -21,6 +21,7 @@
   createRosterKeeper,
   createSoleLock,
   DIRECTORY_KEY,
+  readDirectory,
   ROSTER_PREFIX,
 } from '@celerybarrow/membership';
 import { createClaimRegistry, createClaimStore, createHandover } from '@celerybarrow/claims';
@@ -172,6 +173,7 @@
     peers,
     timer,
     random,
+    readDirectory: () => readDirectory(platform),
     findTrace: (id) => traces.find(id),
   });
   const gateway = createGateway({ router, logger: createLogger('gateway'), metrics });
--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -431,7 +431,7 @@
     end: () => undefined,
     times: { expectMs: () => TASK_MS },
     waiting: () => 0,
-    estimateMs: () => 0,
+    estimate: () => ({ waitMs: 0, runMs: 0 }),
     isServing: () => true,
   } as unknown as Placement;
 }
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -316,7 +316,7 @@
       service,
       tasks: tasks.length,
       waitingTasks: placement.waiting(submission.service),
-      expectedMs: placement.estimateMs(submission.service, tasks),
+      ...placement.estimate(submission.service, tasks),
       remainingMs,
       hasEndpoints: placement.isServing(submission.service),
     });
--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -13,7 +13,13 @@
   RequestType,
   Submission,
 } from '@celerybarrow/protocol';
-import { findHome, rankMembers, type Peers, type RosterKeeper } from '@celerybarrow/membership';
+import {
+  findHome,
+  rankMembers,
+  type Directory,
+  type Peers,
+  type RosterKeeper,
+} from '@celerybarrow/membership';
 import { LONGEST_JOB_MS, type JobService } from './jobService.js';
 import * as problems from './problems.js';
 
@@ -25,6 +31,9 @@
 const MEMBER_CHECK_MS = 250;
 const LOOKUP_TIMEOUT_MS = 2_000;
 const MAX_HOPS = 2;
+/** Members of a data centre that hold an id unless the members changed: owner and witness. */
+const LIKELY_HOLDERS = 2;
+const NOBODY: ReadonlySet<string> = new Set();
 const ANSWER_GRACE_MS = 5_000;
 
 export interface Router {
@@ -45,6 +54,8 @@
   readonly peers: Peers;
   readonly timer: TimerService;
   readonly random: Random;
+  /** Reads the directory of data centres from the platform; undefined when it does not answer. */
+  readonly readDirectory: () => Promise<Directory | undefined>;
   readonly findTrace: (id: string) => readonly string[];
 }
 
@@ -52,6 +63,8 @@
   const { self, jobs, rosters, peers, timer, random } = options;
 
   async function submit(submission: Submission): Promise<Answer> {
+    const { home, id } = submission;
+    if (await isUnknownHome(home)) return problems.toAnswer(id, problems.unknownHome(home));
     const limitMs = submission.deadlineMs ?? LONGEST_JOB_MS;
     const endMs = timer.nowMs() + limitMs + ANSWER_GRACE_MS;
     let giveUpMs = timer.nowMs() + Math.min(ROUTE_PATIENCE_MS, limitMs);
@@ -67,7 +80,8 @@
       if (hadTaken) giveUpMs = Math.min(endMs, timer.nowMs() + ROUTE_PATIENCE_MS);
       await timer.sleep(spreadDelay(RETRY_PAUSE_MS, random));
     }
-    return giveUp(submission);
+    const cause = problems.homeUnreachable(submission.home, Outcomes.MAY_HAVE_RUN);
+    return problems.toAnswer(submission.id, cause);
   }
 
   /** The owner first; then, while it cannot be reached, others that may reach it. */
@@ -107,17 +121,11 @@
     );
   }
 
-  function giveUp(submission: Submission): Answer {
-    const { home, id } = submission;
-    const isKnown = rosters.view(home) !== undefined;
-    if (!isKnown && rosters.directory().dataCentres.length > 0 && !isListed(home)) {
-      return problems.toAnswer(id, problems.unknownHome(home));
-    }
-    return problems.toAnswer(id, problems.homeUnreachable(home, Outcomes.MAY_HAVE_RUN));
-  }
-
-  function isListed(home: string): boolean {
-    return rosters.directory().dataCentres.some((one) => one.name === home);
+  /** Whether the platform itself says that there is no such data centre. */
+  async function isUnknownHome(home: string): Promise<boolean> {
+    if (rosters.view(home) !== undefined) return false;
+    const directory = await options.readDirectory();
+    return directory?.dataCentres.every((one) => one.name !== home) ?? false;
   }
 
   async function receive({ submission, hops }: Ask<'submit'>): Promise<Reply<'submit'>> {
@@ -130,20 +138,32 @@
     return { answer: await tryTarget(owner, submission, hops + 1, endMs) };
   }
 
-  /** Asks this instance, and then every other one, as an id alone does not tell its named home. */
-  async function askAll<T extends RequestType>(type: T, ask: Ask<T>): Promise<Reply<T>[]> {
-    const others = rosters
+  /**
+   * Asks the likely holders of an id in every data centre, and then all other members, because an id
+   * alone tells neither its named home nor a runner that has lost its range since.
+   */
+  async function askUntil<T extends RequestType>(
+    type: T,
+    ask: Ask<T> & { readonly id: string },
+    isFound: (reply: Reply<T>) => boolean,
+  ): Promise<Reply<T> | undefined> {
+    const ranked = rosters
       .rosters()
-      .flatMap((roster) => [...roster.members])
-      .filter((member) => member.incarnation !== self.incarnation);
-    const replies = await Promise.all(
-      others.map((member) =>
-        peers.request(member, type, ask, {
-          timeoutMs: LOOKUP_TIMEOUT_MS,
-          connectWaitMs: MEMBER_CHECK_MS,
-        }),
-      ),
-    );
+      .map((roster) => rankMembers({ roster, ceded: NOBODY }, ask.id));
+    const likely = ranked.flatMap((members) => members.slice(0, LIKELY_HOLDERS));
+    const others = ranked.flatMap((members) => members.slice(LIKELY_HOLDERS));
+    const found = (await askAll(likely, type, ask)).find(isFound);
+    return found ?? (await askAll(others, type, ask)).find(isFound);
+  }
+
+  async function askAll<T extends RequestType>(
+    members: readonly Member[],
+    type: T,
+    ask: Ask<T>,
+  ): Promise<Reply<T>[]> {
+    const others = members.filter((member) => member.incarnation !== self.incarnation);
+    const wait = { timeoutMs: LOOKUP_TIMEOUT_MS, connectWaitMs: MEMBER_CHECK_MS };
+    const replies = await Promise.all(others.map((one) => peers.request(one, type, ask, wait)));
     return replies.flatMap((reply) => (reply.isOk ? [reply.value] : []));
   }
 
@@ -154,16 +174,15 @@
     async lookup(id) {
       const here = jobs.lookup(id);
       if (here.state !== 'unknown') return here;
-      const elsewhere = await askAll('lookup', { id });
-      return elsewhere.find((reply) => reply.state !== 'unknown') ?? here;
+      return (await askUntil('lookup', { id }, (reply) => reply.state !== 'unknown')) ?? here;
     },
     async cancel(id) {
       if (jobs.cancel(id)) return true;
-      const elsewhere = await askAll('cancel', { id });
-      return elsewhere.some((reply) => reply.found);
+      return (await askUntil('cancel', { id }, (reply) => reply.found)) !== undefined;
     },
     async trace(id) {
-      const elsewhere = await askAll('trace', { id });
+      const members = rosters.rosters().flatMap((roster) => roster.members);
+      const elsewhere = await askAll(members, 'trace', { id });
       return [...options.findTrace(id), ...elsewhere.flatMap((reply) => reply.events)].sort();
     },
   };
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -3,6 +3,7 @@
  * ids created after it was added, so that the home of an id never changes.
  */
 import { z } from 'zod';
+import type { Platform } from '@celerybarrow/platform';
 import { rankByRendezvous } from '@celerybarrow/shared';
 
 export const DIRECTORY_KEY = 'celerybarrow/directory';
@@ -39,3 +40,10 @@
   const candidates = directory.dataCentres.filter((one) => one.since <= createdAt);
   return rankByRendezvous(id, candidates, (one) => one.name)[0]?.name;
 }
+
+/** Reads the directory from the platform; undefined when it did not answer. */
+export async function readDirectory(platform: Platform): Promise<Directory | undefined> {
+  const found = await platform.get(DIRECTORY_KEY);
+  if (found.isErr) return undefined;
+  return (found.value && parseDirectory(found.value.value)) ?? emptyDirectory;
+}
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,4 +1,4 @@
-export { DIRECTORY_KEY, findHome, type Directory } from './directory.js';
+export { DIRECTORY_KEY, findHome, readDirectory, type Directory } from './directory.js';
 export { createHeartbeat, HEARTBEAT_INTERVAL_MS, type Heartbeat } from './heartbeat.js';
 export { createMembership, type Membership } from './membership.js';
 export { MembershipError } from './membershipError.js';
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -79,9 +79,11 @@
   }
 
   async function tendOnce(): Promise<boolean> {
+    // Announced before the first claim, so that a home that is not listed has run nothing.
+    if (!hasAnnouncedDataCentre) hasAnnouncedDataCentre = await announceDataCentre();
+    if (!hasAnnouncedDataCentre) return false;
     const view = rosters.own();
     if (view === undefined || !hasMember(view.roster, self.incarnation)) return join();
-    if (!hasAnnouncedDataCentre) hasAnnouncedDataCentre = await announceDataCentre();
     if (activeMembers(view).length <= 1) await soleLock.acquire(endedHolders(view.roster));
     const left = view.roster.members.find((member) => hasLeft(member, view.ceded));
     if (left !== undefined) return removeCeded(left);
@@ -95,11 +97,7 @@
     const found = await writer.change((roster) => roster);
     if (found.isErr) return false;
     const roster = found.value;
-    if (roster === undefined)
-      return changeRoster(
-        (now, write) => now ?? createFirstRoster(rosters.dataCentre, self, write),
-        'Created the roster.',
-      );
+    if (roster === undefined) return createRoster();
     const absent = await findAbsent(roster);
     if (absent === undefined) return false;
     const isTakenOver = absent.length === roster.members.length;
@@ -113,6 +111,13 @@
     );
   }
 
+  function createRoster(): Promise<boolean> {
+    return changeRoster(
+      (now, write) => now ?? createFirstRoster(rosters.dataCentre, self, write),
+      'Created the roster.',
+    );
+  }
+
   /**
    * The members to take out when joining: none while at least half of them answer, and all of them
    * when all their processes have ended. Undefined when it is too early to tell.
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -10,6 +10,7 @@
   type EndpointHealth,
   type HealthState,
 } from './endpointHealth.js';
+export { type Estimate } from './estimateEnd.js';
 export { type EndpointState } from './endpointState.js';
 export { createDispatcher, type Dispatcher } from './dispatcher.js';
 export { createPlacement, type PlacedJob, type Placement } from './placement.js';
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -30,7 +30,7 @@
 import { createLoadReporter } from './loadReporter.js';
 import { createPeerLoads } from './peerLoads.js';
 import { PlacementError } from './placementError.js';
-import { estimateEnd } from './estimateEnd.js';
+import { estimateEnd, type Estimate } from './estimateEnd.js';
 import { planPlacement, type Assignment, type Candidate } from './planPlacement.js';
 import { createServiceTimes, type ServiceTimes } from './serviceTimes.js';
 import type { SlotPolicy } from './slotPolicy.js';
@@ -71,8 +71,8 @@
   load(): Load;
   states(): readonly EndpointState[];
   waiting(service: string): number;
-  /** The earliest that tasks of these expected times could all end, milliseconds from now. */
-  estimateMs(service: string, tasks: readonly BatchTask[]): number;
+  /** How long tasks of these expected times have at least to wait and to run. */
+  estimate(service: string, tasks: readonly BatchTask[]): Estimate;
   isServing(service: string): boolean;
   receiveBatch(ask: Ask<'batch'>, peer: Greeting): Reply<'batch'>;
   receiveResults(ask: Ask<'results'>, peer: Greeting): Reply<'results'>;
@@ -291,7 +291,7 @@
     load: () => dispatcher.load(),
     states: () => dispatcher.states(),
     waiting: (service) => dispatcher.waiting(service),
-    estimateMs: (service, tasks) => estimateEnd(service, tasks, findCandidates()),
+    estimate: (service, tasks) => estimateEnd(service, tasks, findCandidates()),
     isServing: (service) =>
       !directory.hasBeenRead() ||
       directory.live().some((one) => one.service === undefined || one.service === service),
--- a/packages/scenarios/__tests__/interfaces.spec.ts
+++ b/packages/scenarios/__tests__/interfaces.spec.ts
@@ -121,6 +121,7 @@
       413,
       'not-run',
     ],
+    ['an unknown home', () => JSON.stringify(jobOf({ home: 'cork' })), 422, 'not-run'],
     [
       'an id from the future',
       () => JSON.stringify(jobOf({ id: createUuidV7(Date.now() + 60_000) })),
--- a/packages/scenarios/src/experiment/experimentSchema.ts
+++ b/packages/scenarios/src/experiment/experimentSchema.ts
@@ -23,8 +23,6 @@
     warmupMs: z.number().nonnegative().default(2_000),
     dataCentres: z.number().int().positive(),
     instancesEach: z.number().int().positive(),
-    /** Delay between data centres one way, milliseconds. */
-    betweenMs: z.number().nonnegative().default(0),
     endpointsEach: z.number().int().positive(),
     slots: z.number().int().positive().default(8),
     /** Speeds, dealt to the endpoints in turn. */
--- a/packages/scenarios/src/experiment/runExperiment.ts
+++ b/packages/scenarios/src/experiment/runExperiment.ts
@@ -99,7 +99,6 @@
         status.roster?.settled === true,
     );
   });
-  for (const instance of fleet.instances.values()) instance.peerLink()?.setDelay(0);
 }
 
 /** Every team has a service of its own; all services run on every endpoint. */
