fix(placement): hold the verdict on a batch for its delayed copies

Reading the batch protocol as an attacker: a copy of a batch that waits on an older connection could be taken after its owner was told, on a newer one, that it was refused, and had placed its tasks elsewhere: a second start. The receiver now keeps its verdict for every copy. A job that was dropped while a batch was under way is dropped again once the peer has it.

--- a/packages/placement/src/batchReceiver.ts
+++ b/packages/placement/src/batchReceiver.ts
@@ -36,6 +36,11 @@
   readonly findMember: (instance: string, incarnation: string) => Member | undefined;
 }
 
+interface SeenBatch {
+  readonly seenMs: number;
+  readonly isTaken: boolean;
+}
+
 interface TakenBatch {
   readonly key: string;
   readonly number: number;
@@ -49,22 +54,24 @@
 export function createBatchReceiver(options: BatchReceiverOptions): BatchReceiver {
   const { dispatcher, peers, timer } = options;
   const taken = new Map<string, TakenBatch>();
-  const seen = new Map<string, number>();
+  const seen = new Map<string, SeenBatch>();
   let isDraining = false;
 
   function receive(ask: Ask<'batch'>, peer: Greeting): Reply<'batch'> {
     const owner = options.findMember(peer.instance, peer.incarnation);
     const key = keyOf(ask, peer);
-    const isNew = !seen.has(key);
-    if (isNew && (isDraining || owner === undefined)) {
-      return { accepted: false, load: dispatcher.load() };
+    // A verdict holds for every copy of a batch: one that was delayed on an older connection must not
+    // be taken after its owner was told that it was not.
+    const known = seen.get(key);
+    const accepted = known?.isTaken ?? (!isDraining && owner !== undefined);
+    if (known === undefined) {
+      seen.set(key, { seenMs: timer.nowMs(), isTaken: accepted });
+      if (accepted && owner !== undefined) take(ask, owner, key);
     }
-    if (isNew && owner !== undefined) take(ask, owner, key);
-    return { accepted: true, load: dispatcher.load() };
+    return { accepted, load: dispatcher.load() };
   }
 
   function take(ask: Ask<'batch'>, owner: Member, key: string): void {
-    seen.set(key, timer.nowMs());
     const batch: TakenBatch = {
       key,
       number: ask.batch,
@@ -135,7 +142,7 @@
       if (batch.unreported > 0 && peers.linkTo(batch.owner).isGone()) dispatcher.drop(batch.job);
     }
     const oldestMs = timer.nowMs() - SEEN_BATCH_MS;
-    for (const [id, seenMs] of seen) {
+    for (const [id, { seenMs }] of seen) {
       if (seenMs > oldestMs) break;
       seen.delete(id);
     }
--- a/packages/placement/src/batchSender.ts
+++ b/packages/placement/src/batchSender.ts
@@ -32,6 +32,8 @@
 
 export interface BatchSink {
   onResult(result: TaskResult): void;
+  /** Whether the job's unstarted tasks are no longer wanted. */
+  isDropped(): boolean;
   /** The peer ended, and some of these tasks may have been started. */
   onLost(indexes: readonly number[]): void;
 }
@@ -60,6 +62,10 @@
   async function follow(member: Member, ask: TaskBatch, open: OpenBatch): Promise<void> {
     const isAccepted = await deliver(member, ask, open);
     loads.onAnswered(member.incarnation, open.work);
+    if (isAccepted && open.sink.isDropped()) {
+      // The job may have been dropped while the batch was still on its way.
+      void peers.request(member, 'drop', { job: ask.job }, { timeoutMs: ACCEPT_TIMEOUT_MS });
+    }
     if (isAccepted) await awaitResults(member, open);
     batches.delete(ask.batch);
     if (open.outstanding.size > 0) open.sink.onLost([...open.outstanding]);
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,3 +1,6 @@
+export { createBatchReceiver, type BatchReceiver } from './batchReceiver.js';
+export { createBatchSender, type BatchSender } from './batchSender.js';
+export { createPeerLoads, type PeerLoads } from './peerLoads.js';
 export { createEndpointClient, type EndpointClient, type TaskRequest } from './endpointClient.js';
 export {
   createEndpointDirectory,
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -232,6 +232,7 @@
           const task = byIndex.get(result.index);
           if (task !== undefined) onResult(open, task, result);
         },
+        isDropped: () => open.isDropped,
         onLost(indexes) {
           if (openJobs.get(job.id) !== open) return;
           for (const index of indexes) job.onLost(index);
