--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { once } from 'node:events';
-import { describeError, Outcomes, type Address } from '@celerybarrow/shared';
+import { bindListener, describeError, Outcomes, type Address } from '@celerybarrow/shared';
 import type { Problem, Reply } from '@celerybarrow/protocol';
 import type { Router } from '@celerybarrow/jobs';
 import type { Logger, Metrics } from '@celerybarrow/telemetry';
@@ -105,13 +105,7 @@
   }
 
   return {
-    async listen(address) {
-      server.listen(address.port, address.host);
-      await once(server, 'listening');
-      const bound = server.address();
-      const port = typeof bound === 'object' && bound !== null ? bound.port : address.port;
-      return { host: address.host, port };
-    },
+    listen: (address) => bindListener(server, address),
     startDraining() {
       isDraining = true;
     },
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -7,22 +7,15 @@
 import type {
   Answer,
   Ask,
-  BatchTask,
   Claim,
   Member,
   Problem,
   Reply,
   Submission,
 } from '@celerybarrow/protocol';
-import type { ConfigurationKeeper, ServiceFile } from '@celerybarrow/configuration';
+import type { ConfigurationKeeper } from '@celerybarrow/configuration';
+import { findOwner, type Peers, type RosterKeeper } from '@celerybarrow/membership';
 import {
-  findOwner,
-  MAX_CLOCK_LEAD_MS,
-  type Peers,
-  type RosterKeeper,
-} from '@celerybarrow/membership';
-import {
-  RETENTION_MS,
   type ClaimRecord,
   type ClaimRegistry,
   type ClaimStore,
@@ -34,11 +27,10 @@
 import { ErrorCodes } from '@celerybarrow/shared';
 import { createAnswerCache } from './answerCache.js';
 import { createJobRun, type JobRun } from './jobRun.js';
+import { createSubmissionChecks, LONGEST_JOB_MS, type AdmittedJob } from './submissionChecks.js';
 import * as problems from './problems.js';
 import type { Traces } from './traces.js';
 
-/** Longest time a job may take when its submission names no deadline. */
-export const LONGEST_JOB_MS = 600_000;
 const INTAKE_PATIENCE_MS = 3_000;
 const INTAKE_PAUSE_MS = 10;
 const SHORTEST_DEADLINE_CLAIM_MS = 50;
@@ -78,17 +70,12 @@
   readonly tasks: number;
 }
 
-interface AdmittedJob {
-  readonly service: ServiceFile;
-  readonly tasks: readonly BatchTask[];
-  readonly startBefore: number;
-}
-
 export function createJobService(options: JobServiceOptions): JobService {
   const { self, store, registry, handover, rosters, configuration, placement, timer, metrics } =
     options;
   const active = new Map<string, ActiveJob>();
   const cache = createAnswerCache(options.answerBytes);
+  const checks = createSubmissionChecks(options);
 
   async function submit(submission: Submission): Promise<Answer | undefined> {
     const { id, digest } = submission;
@@ -189,10 +176,9 @@
 
   /** From here to the registered claim the job is in `active`, so that nobody starts it again. */
   function start(submission: Submission, supersedes?: string): Promise<Answer | undefined> {
-    const cause = findTimeProblem(submission);
-    if (cause !== undefined) return refuse(submission.id, cause);
-    const admitted = admit(submission);
-    if ('status' in admitted) return refuse(submission.id, admitted);
+    const checked = checks.check(submission);
+    if (checked.isErr) return refuse(submission.id, checked.error);
+    const admitted = checked.value;
     const job: ActiveJob = {
       digest: submission.digest,
       isCancelled: false,
@@ -290,40 +276,6 @@
     };
   }
 
-  function findTimeProblem({ createdAt }: Submission): Problem | undefined {
-    const ageMs = timer.wallMs() - createdAt;
-    if (ageMs > RETENTION_MS) return problems.tooOld(ageMs);
-    if (ageMs < -MAX_CLOCK_LEAD_MS) return problems.clockAhead(-ageMs);
-    const lostBefore = rosters.own()?.roster.memoryLostBefore ?? 0;
-    return createdAt < lostBefore ? problems.memoryLost() : undefined;
-  }
-
-  function admit(submission: Submission): AdmittedJob | Problem {
-    const service = configuration.findService(submission.service);
-    if (service === undefined) return problems.unknownService(submission.service);
-    const unknown = submission.tasks.find(
-      (task) => configuration.findKind(submission.service, task.kind) === undefined,
-    );
-    if (unknown !== undefined) return problems.unknownKind(submission.service, unknown.kind);
-    const tasks = submission.tasks.map((task, index): BatchTask => {
-      const declaredMs = configuration.findKind(submission.service, task.kind)?.expectedMs ?? 1;
-      const learnedMs = placement.times.expectMs(submission.service, task.kind, declaredMs);
-      const expectedMs = Math.max(1, Math.round(learnedMs));
-      return { ...task, index, expectedMs };
-    });
-    const remainingMs = Math.min(submission.deadlineMs ?? LONGEST_JOB_MS, LONGEST_JOB_MS);
-    const admitted = options.admission.admit({
-      service,
-      tasks: tasks.length,
-      waitingTasks: placement.waiting(submission.service),
-      ...placement.estimate(submission.service, tasks),
-      remainingMs,
-      hasEndpoints: placement.isServing(submission.service),
-    });
-    if (admitted.isErr) return problems.refused(admitted.error);
-    return { service, tasks, startBefore: timer.wallMs() + remainingMs };
-  }
-
   /** An owner that was replaced without knowing cannot say that nothing ran. */
   async function refuse(id: string, cause: Problem): Promise<Answer> {
     const isCertain = cause.outcome !== Outcomes.NOT_RUN || (await registry.confirm(id));
--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -20,8 +20,9 @@
   type Peers,
   type RosterKeeper,
 } from '@celerybarrow/membership';
-import { LONGEST_JOB_MS, type JobService } from './jobService.js';
+import type { JobService } from './jobService.js';
 import * as problems from './problems.js';
+import { LONGEST_JOB_MS } from './submissionChecks.js';
 
 /** How long a submission looks for an instance that takes it. */
 const ROUTE_PATIENCE_MS = 8_000;
--- a/packages/operate/src/operateServer.ts
+++ b/packages/operate/src/operateServer.ts
@@ -1,7 +1,7 @@
 /** The operators' interface over HTTP: health, readiness, status, traces and configuration. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { once } from 'node:events';
-import { describeError, type Address } from '@celerybarrow/shared';
+import { bindListener, describeError, type Address } from '@celerybarrow/shared';
 import type { ConfigurationKeeper } from '@celerybarrow/configuration';
 import type { Router } from '@celerybarrow/jobs';
 import type { Logger } from '@celerybarrow/telemetry';
@@ -82,13 +82,7 @@
   }
 
   return {
-    async listen(address) {
-      server.listen(address.port, address.host);
-      await once(server, 'listening');
-      const bound = server.address();
-      const port = typeof bound === 'object' && bound !== null ? bound.port : address.port;
-      return { host: address.host, port };
-    },
+    listen: (address) => bindListener(server, address),
     async close() {
       const closed = once(server, 'close');
       server.close();
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type Socket } from 'node:net';
 import { once } from 'node:events';
-import { describeError, ErrorCodes, type Address } from '@celerybarrow/shared';
+import { bindListener, describeError, ErrorCodes, type Address } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
 import { checkGreeting } from './greeting.js';
 import { decodeFrames, encodeFrame } from './frames.js';
@@ -112,13 +112,7 @@
         return handler(ask.data as Ask<typeof type>, peer);
       });
     },
-    async listen(address) {
-      server.listen(address.port, address.host);
-      await once(server, 'listening');
-      const bound = server.address();
-      const port = typeof bound === 'object' && bound !== null ? bound.port : address.port;
-      return { host: address.host, port };
-    },
+    listen: (address) => bindListener(server, address),
     async close() {
       const closed = once(server, 'close');
       server.close();
--- a/packages/standins/src/httpServer.ts
+++ b/packages/standins/src/httpServer.ts
@@ -6,7 +6,7 @@
   type ServerResponse,
 } from 'node:http';
 import { once } from 'node:events';
-import { formatAddress, type Address } from '@celerybarrow/shared';
+import { bindListener, formatAddress, type Address } from '@celerybarrow/shared';
 
 export interface JsonRequest {
   readonly method: string;
@@ -40,11 +40,7 @@
   });
   // Clients keep connections for a while; a stand-in must not close one under a request.
   server.keepAliveTimeout = 60_000;
-  server.listen(listen.port, listen.host);
-  await once(server, 'listening');
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound !== null ? bound.port : listen.port;
-  const address = { host: listen.host, port };
+  const address = await bindListener(server, listen);
   return {
     address,
     url: `http://${formatAddress(address)}`,
--- a/packages/standins/src/linkStandin.ts
+++ b/packages/standins/src/linkStandin.ts
@@ -4,7 +4,7 @@
  */
 import { connect, createServer, type Socket } from 'node:net';
 import { once } from 'node:events';
-import type { Address } from '@celerybarrow/shared';
+import { bindListener, type Address } from '@celerybarrow/shared';
 
 export interface LinkStandin {
   readonly address: Address;
@@ -68,13 +68,10 @@
   }
 
   const server = createServer({ noDelay: true }, accept);
-  server.listen(listen.port, listen.host);
-  await once(server, 'listening');
-  const bound = server.address();
-  const port = typeof bound === 'object' && bound !== null ? bound.port : listen.port;
+  const address = await bindListener(server, listen);
 
   return {
-    address: { host: listen.host, port },
+    address,
     setCut(source, isNowCut) {
       if (isNowCut) cut.add(source);
       else cut.delete(source);
