--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -120,7 +120,15 @@
     incarnation: self.incarnation,
   });
   const store = createClaimStore();
-  const registry = createClaimRegistry({ self, store, rosters, peers, heartbeat, soleLock, timer });
+  const claimRegistry = createClaimRegistry({
+    self,
+    store,
+    rosters,
+    peers,
+    heartbeat,
+    soleLock,
+    timer,
+  });
   const handover = createHandover({
     self,
     store,
@@ -129,7 +137,7 @@
     timer,
     logger: createLogger('claims'),
     stopClaiming: () => {
-      registry.cede();
+      claimRegistry.cede();
     },
   });
   const membership = createMembership({
@@ -154,7 +162,7 @@
   const jobs = createJobService({
     self,
     store,
-    registry,
+    claimRegistry,
     handover,
     rosters,
     peers,
@@ -248,7 +256,7 @@
     server: peerServer,
     rosters,
     configuration,
-    registry,
+    claimRegistry,
     handover,
     placement,
     jobs,
--- a/packages/daemon/src/peerHandlers.ts
+++ b/packages/daemon/src/peerHandlers.ts
@@ -10,7 +10,7 @@
   readonly server: PeerServer;
   readonly rosters: RosterKeeper;
   readonly configuration: ConfigurationKeeper;
-  readonly registry: ClaimRegistry;
+  readonly claimRegistry: ClaimRegistry;
   readonly handover: Handover;
   readonly placement: Placement;
   readonly jobs: JobService;
@@ -20,7 +20,8 @@
 }
 
 export function addPeerHandlers(options: PeerHandlerOptions): void {
-  const { server, rosters, configuration, registry, handover, placement, jobs, router } = options;
+  const { server, rosters, configuration, claimRegistry, handover, placement, jobs, router } =
+    options;
 
   server.onRequest('ping', (ask, peer) => {
     if (peer.dataCentre === rosters.dataCentre) placement.onPeerLoad(peer.incarnation, ask.load);
@@ -32,7 +33,7 @@
     const current = configuration.current();
     return current.version > newerThan ? { document: JSON.stringify(current) } : {};
   });
-  server.onRequest('claim', (ask, peer) => registry.witness(ask, peer));
+  server.onRequest('claim', (ask, peer) => claimRegistry.witness(ask, peer));
   server.onRequest('transfer', (ask, peer) => handover.receive(ask, peer));
   server.onRequest('cede', (ask) => handover.onCession(ask));
   server.onRequest('settled', ({ epoch }) => ({ settled: handover.hasSettled(epoch) }));
--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -359,7 +359,15 @@
       node.isUp && options.holdsSoleLock(self.incarnation) ? timer.wallMs() + 1 : 0,
   };
   const store = createClaimStore();
-  const registry = createClaimRegistry({ self, store, rosters, peers, heartbeat, soleLock, timer });
+  const claimRegistry = createClaimRegistry({
+    self,
+    store,
+    rosters,
+    peers,
+    heartbeat,
+    soleLock,
+    timer,
+  });
   const handover = createHandover({
     self,
     store,
@@ -368,7 +376,7 @@
     timer,
     logger,
     stopClaiming: () => {
-      registry.cede();
+      claimRegistry.cede();
     },
   });
   const service = { team: 'editors', limits: {} } as unknown as ServiceFile;
@@ -380,7 +388,7 @@
   const jobs = createJobService({
     self,
     store,
-    registry,
+    claimRegistry,
     handover,
     rosters,
     peers,
@@ -403,7 +411,7 @@
     handle: (type, ask, peer) => {
       switch (type) {
         case 'claim':
-          return Promise.resolve(registry.witness(ask as Ask<'claim'>, peer));
+          return Promise.resolve(claimRegistry.witness(ask as Ask<'claim'>, peer));
         case 'transfer':
           return Promise.resolve(handover.receive(ask as Ask<'transfer'>, peer));
         case 'cede':
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -48,7 +48,7 @@
 export interface JobServiceOptions {
   readonly self: Member;
   readonly store: ClaimStore;
-  readonly registry: ClaimRegistry;
+  readonly claimRegistry: ClaimRegistry;
   readonly handover: Handover;
   readonly rosters: RosterKeeper;
   readonly peers: Peers;
@@ -71,8 +71,17 @@
 }
 
 export function createJobService(options: JobServiceOptions): JobService {
-  const { self, store, registry, handover, rosters, configuration, placement, timer, metrics } =
-    options;
+  const {
+    self,
+    store,
+    claimRegistry,
+    handover,
+    rosters,
+    configuration,
+    placement,
+    timer,
+    metrics,
+  } = options;
   const active = new Map<string, ActiveJob>();
   const cache = createAnswerCache(options.answerBytes);
   const checks = createSubmissionChecks(options);
@@ -92,7 +101,7 @@
 
   function isOwner(id: string): boolean {
     const view = rosters.own();
-    if (view === undefined || registry.hasCeded()) return false;
+    if (view === undefined || claimRegistry.hasCeded()) return false;
     return findOwner(view, id)?.incarnation === self.incarnation;
   }
 
@@ -202,7 +211,7 @@
       return reject(id, problems.claimContested());
     }
     const leftMs = admitted.startBefore - timer.wallMs();
-    const registered = await registry.register(
+    const registered = await claimRegistry.register(
       claim,
       Math.max(SHORTEST_DEADLINE_CLAIM_MS, Math.min(leftMs, INTAKE_PATIENCE_MS)),
     );
@@ -278,7 +287,7 @@
 
   /** An owner that was replaced without knowing cannot say that nothing ran. */
   async function refuse(id: string, cause: Problem): Promise<Answer> {
-    const isCertain = cause.outcome !== Outcomes.NOT_RUN || (await registry.confirm(id));
+    const isCertain = cause.outcome !== Outcomes.NOT_RUN || (await claimRegistry.confirm(id));
     return reject(id, isCertain ? cause : { ...cause, outcome: Outcomes.MAY_HAVE_RUN });
   }
 
