--- a/packages/scenarios/__tests__/interfaces.spec.ts
+++ b/packages/scenarios/__tests__/interfaces.spec.ts
@@ -157,7 +157,7 @@
     const job = jobOf({}, 60);
     const slow = {
       ...job,
-      tasks: job.tasks.map((task) => ({ ...task, payload: { workMs: 400 } })),
+      tasks: job.tasks.map((task) => ({ ...task, payload: { workMs: 3_000 } })),
     };
     const answer = post(JSON.stringify(slow));
     await waitUntil('the job runs', 5_000, async () =>
