--- a/packages/cli/src/listCommands.ts
+++ b/packages/cli/src/listCommands.ts
@@ -1,6 +1,6 @@
 /** `celerybarrow services`, `instances` and `endpoints`. */
 import { z } from 'zod';
-import { createHttpPlatform, InstanceRoles } from '@celerybarrow/platform';
+import { createHttpStore, InstanceRoles } from '@celerybarrow/store';
 import { readPublished } from '@celerybarrow/configuration';
 import { CliError } from './cliError.js';
 import { ExitCodes } from './exitCodes.js';
@@ -10,7 +10,7 @@
 import { formatTable, type Terminal } from './terminal.js';
 
 export async function servicesCommand(platformUrl: string, terminal: Terminal): Promise<void> {
-  const platform = createHttpPlatform(platformUrl);
+  const platform = createHttpStore(platformUrl);
   const found = await readPublished(platform);
   await platform.close();
   if (found.isErr) throw toCliError(found.error);
@@ -26,7 +26,7 @@
 }
 
 export async function instancesCommand(platformUrl: string, terminal: Terminal): Promise<void> {
-  const platform = createHttpPlatform(platformUrl);
+  const platform = createHttpStore(platformUrl);
   const members = await listMembers(platform);
   const listed = await platform.instances();
   await platform.close();
--- a/packages/cli/src/publishCommand.ts
+++ b/packages/cli/src/publishCommand.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from 'node:crypto';
 import { setTimeout as delay } from 'node:timers/promises';
 import { ErrorCodes } from '@celerybarrow/shared';
-import { createHttpPlatform, type Platform } from '@celerybarrow/platform';
+import { createHttpStore, type Store } from '@celerybarrow/store';
 import {
   compareConfigurations,
   createNextConfiguration,
@@ -49,7 +49,7 @@
       'name files or folders to publish, or --remove a service',
     );
   }
-  const platform = createHttpPlatform(flags.platform);
+  const platform = createHttpStore(flags.platform);
   try {
     await publishServices(platform, services, flags, terminal);
   } finally {
@@ -58,7 +58,7 @@
 }
 
 async function publishServices(
-  platform: Platform,
+  platform: Store,
   services: readonly NamedService[],
   flags: PublishFlags,
   terminal: Terminal,
@@ -139,10 +139,7 @@
   readonly inForce: boolean;
 }
 
-async function findTargets(
-  platform: Platform,
-  named: readonly string[],
-): Promise<readonly Target[]> {
+async function findTargets(platform: Store, named: readonly string[]): Promise<readonly Target[]> {
   const members = await listMembers(platform);
   const listed = members.flatMap((member) =>
     member.operate === undefined
--- a/packages/cli/src/rosters.ts
+++ b/packages/cli/src/rosters.ts
@@ -1,6 +1,6 @@
 /** Reads the rosters of all data centres from the platform. */
 import { z } from 'zod';
-import type { Platform } from '@celerybarrow/platform';
+import type { Store } from '@celerybarrow/store';
 
 const ROSTER_PREFIX = 'celerybarrow/roster/';
 
@@ -21,7 +21,7 @@
 }
 
 /** The members of all rosters; none when the platform does not answer. */
-export async function listMembers(platform: Platform): Promise<readonly ListedMember[]> {
+export async function listMembers(platform: Store): Promise<readonly ListedMember[]> {
   const change = await platform.watch(ROSTER_PREFIX, 0, AbortSignal.timeout(2_000));
   if (change.isErr) return [];
   return change.value.entries.flatMap((entry) => {
--- a/packages/configuration/src/publish.ts
+++ b/packages/configuration/src/publish.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from 'true-myth';
 import { ErrorCodes } from '@celerybarrow/shared';
-import type { Platform, PlatformError } from '@celerybarrow/platform';
+import type { Store, StoreError } from '@celerybarrow/store';
 import { ConfigurationError } from './configurationError.js';
 import { readPublished, CONFIGURATION_KEY } from './published.js';
 import {
@@ -19,7 +19,7 @@
 const ATTEMPTS = 8;
 
 export interface PublishOptions {
-  readonly platform: Platform;
+  readonly platform: Store;
   readonly services: readonly ServiceFile[];
   readonly removals: readonly string[];
   /** Unique id of this publication. */
@@ -113,7 +113,7 @@
   return new ConfigurationError(ErrorCodes.CONFIGURATION_CONFLICT, detail);
 }
 
-function isFinal(error: PlatformError): boolean {
+function isFinal(error: StoreError): boolean {
   return (
     error.code === ErrorCodes.PLATFORM_UNREACHABLE || error.code === ErrorCodes.PLATFORM_BAD_ANSWER
   );
--- a/packages/configuration/src/published.ts
+++ b/packages/configuration/src/published.ts
@@ -1,7 +1,7 @@
 /** Reads the published document from the platform. */
 import { Result } from 'true-myth';
 import { ErrorCodes } from '@celerybarrow/shared';
-import type { Platform } from '@celerybarrow/platform';
+import type { Store } from '@celerybarrow/store';
 import { ConfigurationError } from './configurationError.js';
 import { documentSchema, emptyConfiguration, type Configuration } from './schema.js';
 
@@ -9,12 +9,12 @@
 
 export interface PublishedConfiguration {
   readonly configuration: Configuration;
-  /** Platform revision for compare-and-swap; 0 before the first publication. */
+  /** Store revision for compare-and-swap; 0 before the first publication. */
   readonly revision: number;
 }
 
 export async function readPublished(
-  platform: Platform,
+  platform: Store,
 ): Promise<Result<PublishedConfiguration, ConfigurationError>> {
   const found = await platform.get(CONFIGURATION_KEY);
   if (found.isErr) {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,7 +12,7 @@
   type Greeting,
   type Member,
 } from '@celerybarrow/protocol';
-import { createHttpPlatform, watchPrefix, type Entry } from '@celerybarrow/platform';
+import { createHttpStore, followPrefix, type Entry } from '@celerybarrow/store';
 import { CONFIGURATION_KEY, createConfigurationKeeper } from '@celerybarrow/configuration';
 import {
   createHeartbeat,
@@ -76,7 +76,7 @@
   };
   const metrics = createMetrics(settings.statsd === undefined ? {} : { statsd: settings.statsd });
   const traffic = createTraffic();
-  const platform = createHttpPlatform(settings.platform);
+  const platform = createHttpStore(settings.platform);
   const configuration = createConfigurationKeeper(createLogger('configuration'));
   const rosters = createRosterKeeper(settings.dataCentre, createLogger('roster'));
   const links = { self: greeting, localHost: settings.peer.host, timer, random, traffic };
@@ -297,8 +297,8 @@
       await peerServer.listen(settings.peer);
       await operate.listen(settings.operate);
       await gateway.listen(settings.listen);
-      void watchPrefix({
-        platform,
+      void followPrefix({
+        store: platform,
         timer,
         random,
         prefix: WATCHED_PREFIX,
--- a/packages/daemon/src/status.ts
+++ b/packages/daemon/src/status.ts
@@ -1,7 +1,7 @@
 /** The status document that operators read. */
 import type { TimerService } from '@celerybarrow/timer';
 import type { Member, Traffic } from '@celerybarrow/protocol';
-import type { HttpPlatform } from '@celerybarrow/platform';
+import type { HttpStore } from '@celerybarrow/store';
 import type { ConfigurationKeeper } from '@celerybarrow/configuration';
 import type { Membership, RosterKeeper } from '@celerybarrow/membership';
 import type { ClaimStore } from '@celerybarrow/claims';
@@ -27,7 +27,7 @@
   readonly self: Member;
   readonly metrics: Metrics;
   readonly traffic: Traffic;
-  readonly platform: HttpPlatform;
+  readonly platform: HttpStore;
   readonly configuration: ConfigurationKeeper;
   readonly rosters: RosterKeeper;
   readonly membership: Membership;
--- /dev/null
+++ b/packages/dispatch/src/choosePlace.ts
@@ -0,0 +1,76 @@
+/**
+ * Where a task starts: among the endpoints with room, which one.
+ *
+ * Load pattern: endpoints differ in speed by almost three times, and long tasks leave no slack for
+ * a slow one while short tasks do. A task takes the slowest endpoint on which it still ends well
+ * within its objective, so that the fast ones stay free for tasks that need them; if there is none,
+ * the one where it ends first.
+ */
+import type { EndpointEntry } from '@celerybarrow/endpoints';
+import type { Resources, Step } from '@celerybarrow/protocol';
+
+/** Part of the time to the objective that the expected run may take on an endpoint of choice. */
+const SAFE_SHARE = 0.72;
+/** How much longer a task runs away from the rack of its data. */
+const OTHER_RACK_FACTOR = 1.5;
+
+export interface Place {
+  readonly entry: EndpointEntry;
+  readonly room: Resources;
+  readonly slowness: number;
+}
+
+export interface Placing {
+  readonly step: Step;
+  readonly baseMs: number;
+  readonly objectiveInMs: number;
+  readonly avoided: ReadonlySet<string>;
+  /** Tasks of the same step on an endpoint, for the limit per endpoint. */
+  readonly tasksOn: (endpoint: string) => number;
+}
+
+export function hasRoomFor(room: Resources, demand: Resources): boolean {
+  return (
+    room.cores >= demand.cores &&
+    room.memoryMb >= demand.memoryMb &&
+    room.accelerators >= demand.accelerators
+  );
+}
+
+/** Whether the step's constraints allow an endpoint at all, full or not. */
+export function isAllowed(entry: EndpointEntry, step: Step): boolean {
+  if (step.label !== undefined && !entry.labels.includes(step.label)) return false;
+  return hasRoomFor(entry.capacity, step.demand);
+}
+
+export function choosePlace<T extends Place>(places: readonly T[], placing: Placing): T | undefined {
+  const safeMs = placing.objectiveInMs * SAFE_SHARE;
+  let slowestSafe: T | undefined;
+  let slowestSafeMs = -Infinity;
+  let first: T | undefined;
+  let firstMs = Infinity;
+  for (const place of places) {
+    if (!fits(place, placing)) continue;
+    const expectedMs = expectedRunMs(place, placing);
+    if (expectedMs <= safeMs && expectedMs > slowestSafeMs) {
+      slowestSafe = place;
+      slowestSafeMs = expectedMs;
+    }
+    if (expectedMs < firstMs) {
+      first = place;
+      firstMs = expectedMs;
+    }
+  }
+  return slowestSafe ?? first;
+}
+
+export function expectedRunMs(place: Place, { step, baseMs }: Placing): number {
+  const isAway = step.rack !== undefined && !place.entry.labels.includes(step.rack);
+  return baseMs * place.slowness * (isAway ? OTHER_RACK_FACTOR : 1);
+}
+
+function fits(place: Place, { step, avoided, tasksOn }: Placing): boolean {
+  if (!hasRoomFor(place.room, step.demand) || !isAllowed(place.entry, step)) return false;
+  if (avoided.has(place.entry.id)) return false;
+  return step.perEndpoint === undefined || tasksOn(place.entry.id) < step.perEndpoint;
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatcher.ts
@@ -0,0 +1,485 @@
+/**
+ * The dispatcher: takes jobs from all gateways, starts their tasks on the endpoints through the
+ * stewards, and answers when a job has ended. It keeps a job until each of its runs has certainly
+ * ended, so that the same id, submitted again, joins it or waits and never runs twice at a time.
+ *
+ * The right of a job to run is carried by its gateway's signs of life. A gateway that falls silent
+ * loses its jobs before any other instance may start them; every span is measured by a clock that
+ * also counts the time during which this machine was suspended.
+ */
+import type { Random } from '@celerybarrow/shared';
+import {
+  OrderAnswers,
+  RunEnds,
+  RunStates,
+  type EndpointEntry,
+  type EndpointNetwork,
+  type OrderAnswer,
+  type Run,
+  type RunEnd,
+  type Steward,
+} from '@celerybarrow/endpoints';
+import { JobStates, type JobOutcome, type LeasedJob } from '@celerybarrow/protocol';
+import type { Logger, Metrics } from '@celerybarrow/telemetry';
+import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
+import { createEndpointPool } from './endpointPool.js';
+import { createEndpointVerdict } from './endpointVerdict.js';
+import { createGatewayLeases } from './gatewayLeases.js';
+import { createJobRecord, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { isOverdue } from './overdueRun.js';
+import { createPlacer } from './placer.js';
+import { isRefused, retryAfterMs } from './refusal.js';
+import { createRunTimes } from './runTimes.js';
+
+/** Interval at which waiting jobs, deadlines and progress are looked at without any event. */
+const REVIEW_INTERVAL_MS = 20;
+/** How long a resubmitted job waits for the survey of all endpoints before it is given up. */
+const SURVEY_LIMIT_MS = 300;
+/** After this time without renewal no run of an earlier dispatcher can be left anywhere. */
+const EARLIER_RUNS_GONE_MS = 1_700;
+/** How long the outcome of a completed job is kept for a caller that missed the answer. */
+const OUTCOME_KEPT_MS = 6_000;
+const MAX_OUTCOMES = 20_000;
+/** Runs of one gateway's submission are numbered from a multiple of this. */
+const RUNS_PER_SUBMISSION = 100;
+
+export interface Submission {
+  readonly job: LeasedJob;
+  readonly gateway: string;
+  /** How often the gateway has handed the job to a dispatcher before. */
+  readonly resubmissions: number;
+}
+
+export interface Dispatcher {
+  /** Resolves when the job has ended. */
+  submit(submission: Submission): Promise<JobOutcome>;
+  /** Ends a job, if it is still the gateway's; whoever submitted it, when none is named. */
+  withdraw(job: string, gateway?: string): boolean;
+  /** A sign of life of a gateway, which renews the right of its jobs to run. */
+  noteGateway(gateway: string): void;
+  /** Makes the dispatcher use a new list of endpoints. */
+  follow(entries: readonly EndpointEntry[]): void;
+  /** Jobs of which no task has started, by team. */
+  waiting(): Record<string, number>;
+  /** Gives all jobs back without stopping what runs, for the next dispatcher to claim. */
+  close(): void;
+}
+
+export interface DispatcherOptions {
+  readonly network: EndpointNetwork;
+  readonly timer: TimerService;
+  readonly clock: ElapsedClock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly fence: () => number;
+  /** An endpoint obeys a dispatcher with a higher fence. */
+  readonly onFenced: () => void;
+}
+
+export function createDispatcher(options: DispatcherOptions): Dispatcher {
+  const { timer, clock, logger, metrics } = options;
+  const jobs = new Map<string, JobRecord>();
+  const byTask = new Map<string, { record: JobRecord; task: TaskRecord }>();
+  const outcomes = new Map<string, { outcome: JobOutcome; atMs: number }>();
+  const times = createRunTimes();
+  const leases = createGatewayLeases(clock);
+  const pool = createEndpointPool({
+    network: options.network,
+    timer,
+    clock,
+    fence: options.fence,
+    eventsOf: () => ({
+      onEnd: takeEnd,
+      onFenced: options.onFenced,
+      onChange: schedulePass,
+      onReport: () => {
+        takeBackOverdue();
+      },
+      onNote: (sentence, details) => {
+        logger.warn(sentence, details);
+      },
+    }),
+    onGone: (endpoint) => {
+      times.forget(endpoint);
+      verdict.forget(endpoint);
+    },
+  });
+  const verdict = createEndpointVerdict(() => pool.size());
+  const placer = createPlacer({ pool, times, verdict, clock });
+  const createdMs = clock.nowMs();
+  let isPassDue = false;
+  let isClosed = false;
+  const stopReviews = timer.onEvery(REVIEW_INTERVAL_MS, review);
+
+  function submit(submission: Submission): Promise<JobOutcome> {
+    if (isClosed) return Promise.resolve({ state: JobStates.MOVED, reason: 'no longer dispatching' });
+    leases.renew(submission.gateway);
+    const { id } = submission.job;
+    const kept = outcomes.get(id);
+    if (kept !== undefined && clock.nowMs() - kept.atMs < OUTCOME_KEPT_MS) {
+      return Promise.resolve(kept.outcome);
+    }
+    const known = jobs.get(id);
+    if (known === undefined) return admit(submission);
+    if (known.outcome === undefined) return join(known, submission);
+    return readmit(known, submission);
+  }
+
+  /** The same job again while it runs: the newer caller gets the answer as well. */
+  function join(record: JobRecord, { gateway }: Submission): Promise<JobOutcome> {
+    record.gateway = gateway;
+    record.heldSinceMs = clock.nowMs();
+    const earlier = record.answer;
+    return new Promise((resolve) => {
+      record.answer = (outcome) => {
+        earlier(outcome);
+        resolve(outcome);
+      };
+    });
+  }
+
+  /** The same job again while runs of it are still being stopped: it waits for their ends. */
+  async function readmit(record: JobRecord, submission: Submission): Promise<JobOutcome> {
+    const sinceMs = clock.nowMs();
+    while (jobs.get(record.job.id) === record) {
+      await timer.sleep(REVIEW_INTERVAL_MS);
+      const waitedMs = clock.nowMs() - sinceMs;
+      if (waitedMs > submission.job.remainingMs) {
+        return { state: JobStates.EXPIRED, reason: 'earlier runs did not end in time' };
+      }
+    }
+    const waitedMs = clock.nowMs() - sinceMs;
+    const { job } = submission;
+    return submit({
+      ...submission,
+      resubmissions: submission.resubmissions + 1,
+      job: { ...job, ageMs: job.ageMs + waitedMs, remainingMs: job.remainingMs - waitedMs },
+    });
+  }
+
+  function admit({ job, gateway, resubmissions }: Submission): Promise<JobOutcome> {
+    return new Promise((resolve) => {
+      const arrivedMs = clock.nowMs();
+      const longestMs = placer.longestChainMs(job);
+      const firstRun = resubmissions * RUNS_PER_SUBMISSION + 1;
+      const record = createJobRecord(job, gateway, { arrivedMs, longestMs, firstRun }, resolve);
+      jobs.set(job.id, record);
+      for (const task of record.tasks) byTask.set(task.key, { record, task });
+      claimEarlierRuns(record, resubmissions > 0);
+      if (record.outcome !== undefined) return;
+      if (!placer.isRunnable(record)) {
+        finish(record, { state: JobStates.REFUSED, reason: 'no endpoint can run it' });
+        return;
+      }
+      if (pool.size() > 0) pass();
+      else schedulePass();
+    });
+  }
+
+  /** Takes over what an earlier dispatcher started for the job, or may have started. */
+  function claimEarlierRuns(record: JobRecord, isResubmitted: boolean): void {
+    const ageMs = clock.nowMs() - createdMs;
+    if (!isResubmitted && ageMs > EARLIER_RUNS_GONE_MS) return;
+    for (const task of record.tasks) claimTask(record, task);
+    if (!isResubmitted || ageMs > EARLIER_RUNS_GONE_MS || isAllSurveyed()) return;
+    record.claimUntilMs = createdMs + SURVEY_LIMIT_MS;
+  }
+
+  function claimTask(record: JobRecord, task: TaskRecord): void {
+    if (task.isDone || task.run !== undefined) return;
+    const demand = record.job.steps[task.ref.step]?.demand;
+    if (demand === undefined) return;
+    for (const steward of pool.stewards()) {
+      const claimed = steward.claim(task.ref, demand);
+      if (claimed === undefined) continue;
+      record.hasStarted = true;
+      record.waiting -= 1;
+      if (claimed === RunEnds.DONE) {
+        task.isDone = true;
+        completeIfDone(record);
+      } else {
+        task.run = claimed;
+        task.endpoint = steward.id;
+        task.nextRun = Math.max(task.nextRun, claimed.number + 1);
+      }
+      return;
+    }
+  }
+
+  function isAllSurveyed(): boolean {
+    return pool.size() > 0 && [...pool.stewards()].every((steward) => steward.isSurveyed());
+  }
+
+  /** Goes on with jobs that waited for the survey; gives them up when it takes too long. */
+  function settleClaims(nowMs: number): void {
+    for (const record of jobs.values()) {
+      if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
+      for (const task of record.tasks) claimTask(record, task);
+      if (record.waiting === 0 || isAllSurveyed()) record.claimUntilMs = undefined;
+      else if (nowMs > record.claimUntilMs) {
+        finish(record, { state: JobStates.LOST, reason: 'earlier runs are out of sight' });
+      }
+    }
+  }
+
+  function schedulePass(): void {
+    if (isPassDue || isClosed) return;
+    isPassDue = true;
+    setImmediate(() => {
+      isPassDue = false;
+      if (!isClosed) pass();
+    });
+  }
+
+  /** Starts what can start, in order, and refuses what can no longer be served. */
+  function pass(): void {
+    const nowMs = clock.nowMs();
+    const waiting = [...jobs.values()].filter(isWaiting);
+    for (const one of placer.plan(waiting, nowMs)) {
+      for (const start of one.starts) startTask(one.record, start.task, start.steward);
+      if (one.record.hasStarted || one.record.outcome !== undefined) continue;
+      const isLate = isRefused({
+        nowMs,
+        deadlineMs: one.record.deadlineMs,
+        arrivedMs: one.record.arrivedMs,
+        waitMs: one.waitMs,
+        runMs: one.runMs,
+        hasRoom: one.hasRoom,
+      });
+      if (isLate) refuse(one.record, one.waitMs);
+    }
+  }
+
+  function isWaiting(record: JobRecord): boolean {
+    return (
+      record.outcome === undefined &&
+      record.waiting > 0 &&
+      record.claimUntilMs === undefined &&
+      clock.nowMs() < record.deadlineMs &&
+      leases.isHeld(record.gateway, record.heldSinceMs)
+    );
+  }
+
+  function refuse(record: JobRecord, waitMs: number): void {
+    metrics.increment(`refused/${record.job.team}`);
+    finish(record, {
+      state: JobStates.REFUSED,
+      reason: `would wait ${Math.round(waitMs)} ms`,
+      retryAfterMs: retryAfterMs(waitMs, options.random),
+    });
+  }
+
+  function startTask(record: JobRecord, task: TaskRecord, steward: Steward): void {
+    const demand = record.job.steps[task.ref.step]?.demand;
+    if (demand === undefined) return;
+    const number = task.nextRun;
+    task.nextRun += 1;
+    record.waiting -= 1;
+    record.hasStarted = true;
+    task.endpoint = steward.id;
+    task.run = steward.start({ task: task.ref, number, demand, payload: record.job.payload });
+    metrics.increment('starts');
+  }
+
+  function takeEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void {
+    const found = byTask.get(run.key);
+    if (found?.task.run !== run) return;
+    const { record, task } = found;
+    task.run = undefined;
+    if (end === RunEnds.DONE) takeDone(record, task, run);
+    else takeOtherEnd(record, task, end, answer);
+    forgetIfOver(record);
+    schedulePass();
+  }
+
+  function takeDone(record: JobRecord, task: TaskRecord, run: Run): void {
+    const endpoint = task.endpoint ?? '';
+    verdict.noteDone(endpoint);
+    const { estimateMs } = record.job.steps[task.ref.step] ?? { estimateMs: 1 };
+    const nowMs = clock.nowMs();
+    times.learn(
+      { team: record.job.team, estimateMs, endpoint, ranMs: nowMs - run.sentMs },
+      nowMs,
+    );
+    task.isDone = true;
+    completeIfDone(record);
+  }
+
+  function takeOtherEnd(
+    record: JobRecord,
+    task: TaskRecord,
+    end: RunEnd,
+    answer: OrderAnswer | undefined,
+  ): void {
+    record.waiting += 1;
+    if (end === RunEnds.FAILED) noteFailure(record, task);
+    if (answer === OrderAnswers.OUTDATED) task.nextRun += RUNS_PER_SUBMISSION;
+    if (answer === OrderAnswers.UNHEALTHY) noteStrike(task, 1);
+    if (record.outcome !== undefined) return;
+    if (task.failures >= record.job.maxAttempts) {
+      finish(record, { state: JobStates.FAILED, reason: `a task failed ${task.failures} times` });
+    }
+  }
+
+  function noteFailure(record: JobRecord, task: TaskRecord): void {
+    const others = record.tasks.some((one) => one.failures > 0 && one.endpoint !== task.endpoint);
+    noteStrike(task, others || task.failures > 0 ? 0.3 : 1);
+    task.failures += 1;
+    if (task.endpoint !== undefined) task.avoided.add(task.endpoint);
+  }
+
+  function noteStrike(task: TaskRecord, weight: number): void {
+    if (task.endpoint === undefined) return;
+    if (!verdict.noteFailure(task.endpoint, weight, clock.nowMs())) return;
+    logger.warn('Endpoint gets no new tasks.', { endpoint: task.endpoint, task: task.key });
+  }
+
+  function completeIfDone(record: JobRecord): void {
+    if (record.outcome === undefined && record.tasks.every((task) => task.isDone)) {
+      finish(record, { state: JobStates.COMPLETED, reason: 'all tasks are done' });
+    }
+  }
+
+  /** Decides the job, answers its caller and stops what still runs. */
+  function finish(record: JobRecord, outcome: JobOutcome): void {
+    if (record.outcome !== undefined) return;
+    record.outcome = outcome;
+    record.answer(outcome);
+    const nowMs = clock.nowMs();
+    const { id, team } = record.job;
+    logger.info('Job has ended.', {
+      job: id,
+      team,
+      state: outcome.state,
+      reason: outcome.reason,
+      tookMs: Math.round(nowMs - record.arrivedMs),
+      slackMs: Math.round(record.objectiveMs - nowMs),
+      tasks: record.tasks.length,
+      gateway: record.gateway,
+    });
+    metrics.increment(`outcome/${outcome.state}`);
+    metrics.time('job', team, nowMs - record.arrivedMs);
+    if (outcome.state === JobStates.COMPLETED || outcome.state === JobStates.FAILED) keep(id, outcome);
+    for (const task of record.tasks) stopTask(task);
+    forgetIfOver(record);
+  }
+
+  function keep(id: string, outcome: JobOutcome): void {
+    const nowMs = clock.nowMs();
+    outcomes.set(id, { outcome, atMs: nowMs });
+    for (const [other, { atMs }] of outcomes) {
+      if (nowMs - atMs < OUTCOME_KEPT_MS && outcomes.size <= MAX_OUTCOMES) return;
+      outcomes.delete(other);
+    }
+  }
+
+  function stopTask(task: TaskRecord): void {
+    if (task.run === undefined || task.endpoint === undefined) return;
+    pool.find(task.endpoint)?.stop(task.run);
+  }
+
+  function forgetIfOver(record: JobRecord): void {
+    if (record.outcome === undefined || record.tasks.some((task) => task.run !== undefined)) return;
+    jobs.delete(record.job.id);
+    for (const task of record.tasks) byTask.delete(task.key);
+  }
+
+  function takeBackOverdue(): void {
+    const nowMs = clock.nowMs();
+    for (const record of jobs.values()) {
+      if (record.outcome !== undefined) continue;
+      for (const task of record.tasks) {
+        if (task.run?.state === RunStates.RUNNING) takeBackTask(record, task, task.run, nowMs);
+      }
+    }
+  }
+
+  function takeBackTask(record: JobRecord, task: TaskRecord, run: Run, nowMs: number): void {
+    const expectedMs = placer.expectedMs(record, task);
+    if (nowMs - run.sentMs < expectedMs / 2) return;
+    const freshMs = placer.freshMs(record, task);
+    if (freshMs === undefined) return;
+    const progress = {
+      nowMs,
+      startedMs: run.sentMs,
+      percent: run.percent,
+      percentAtMs: run.percentAtMs,
+      expectedMs,
+      freshMs,
+      deadlineMs: record.deadlineMs,
+      moves: task.moves,
+    };
+    if (!isOverdue(progress)) return;
+    task.moves += 1;
+    if (task.endpoint !== undefined) task.avoided.add(task.endpoint);
+    logger.warn('Overdue run is taken back.', {
+      task: task.key,
+      endpoint: task.endpoint,
+      percent: run.percent,
+      ranMs: Math.round(nowMs - run.sentMs),
+      expectedMs: Math.round(expectedMs),
+      freshMs: Math.round(freshMs),
+    });
+    noteStrike(task, 1);
+    stopTask(task);
+  }
+
+  /** Looks at what no event announces: deadlines, silent gateways, claims, waiting jobs. */
+  function review(): void {
+    const nowMs = clock.nowMs();
+    settleClaims(nowMs);
+    for (const record of [...jobs.values()]) {
+      if (record.outcome !== undefined) continue;
+      if (nowMs >= record.deadlineMs) {
+        const state = record.hasStarted ? JobStates.EXPIRED : JobStates.REFUSED;
+        finish(record, { state, reason: "the caller's time is over" });
+      } else if (!leases.isHeld(record.gateway, record.heldSinceMs)) {
+        finish(record, { state: JobStates.LOST, reason: 'its gateway is silent' });
+      }
+    }
+    if ([...jobs.values()].some(isWaiting)) pass();
+  }
+
+  function withdraw(id: string, gateway?: string): boolean {
+    const record = jobs.get(id);
+    if (record === undefined || record.outcome !== undefined) return false;
+    if (gateway !== undefined && record.gateway !== gateway) return false;
+    finish(record, { state: JobStates.EXPIRED, reason: 'withdrawn by its caller' });
+    return true;
+  }
+
+  function waiting(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { job, hasStarted, outcome } of jobs.values()) {
+      if (!hasStarted && outcome === undefined) counts[job.team] = (counts[job.team] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  function close(): void {
+    isClosed = true;
+    stopReviews();
+    pool.close();
+    for (const record of jobs.values()) {
+      if (record.outcome !== undefined) continue;
+      record.outcome = { state: JobStates.MOVED, reason: 'another instance dispatches' };
+      record.answer(record.outcome);
+    }
+    jobs.clear();
+  }
+
+  return {
+    submit,
+    withdraw,
+    noteGateway: (gateway) => {
+      leases.renew(gateway);
+    },
+    follow(entries) {
+      pool.follow(entries);
+      schedulePass();
+    },
+    waiting,
+    close,
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/endpointPool.ts
@@ -0,0 +1,83 @@
+/**
+ * The endpoints of one dispatcher, each with its steward, kept equal to the directory. An endpoint
+ * that is no longer listed gets no new tasks; its steward stays until nothing runs there, because an
+ * entry can be missing while the endpoint lives.
+ */
+import {
+  createSteward,
+  type EndpointEntry,
+  type EndpointNetwork,
+  type Steward,
+  type StewardEvents,
+} from '@celerybarrow/endpoints';
+import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
+
+export interface EndpointPool {
+  /** Makes the pool follow a new list of endpoints. */
+  follow(entries: readonly EndpointEntry[]): void;
+  stewards(): Iterable<Steward>;
+  find(endpoint: string): Steward | undefined;
+  size(): number;
+  close(): void;
+}
+
+export interface EndpointPoolOptions {
+  readonly network: EndpointNetwork;
+  readonly timer: TimerService;
+  readonly clock: ElapsedClock;
+  readonly fence: () => number;
+  readonly eventsOf: (endpoint: string) => StewardEvents;
+  readonly onGone: (endpoint: string) => void;
+}
+
+export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
+  const stewards = new Map<string, Steward>();
+  const addresses = new Map<string, string>();
+
+  function open(entry: EndpointEntry): void {
+    const { timer, clock, fence } = options;
+    const endpoint = options.network.open(entry);
+    const events = options.eventsOf(entry.id);
+    stewards.set(entry.id, createSteward({ entry, endpoint, fence, timer, clock, events }));
+    addresses.set(entry.id, entry.address);
+  }
+
+  function remove(id: string): void {
+    stewards.get(id)?.close();
+    stewards.delete(id);
+    addresses.delete(id);
+    options.onGone(id);
+  }
+
+  function follow(entries: readonly EndpointEntry[]): void {
+    const listed = new Set(entries.map((entry) => entry.id));
+    for (const steward of [...stewards.values()]) {
+      if (listed.has(steward.id)) continue;
+      steward.update({ ...steward.entry(), isLeaving: true });
+      if (isEmpty(steward)) remove(steward.id);
+    }
+    for (const entry of entries) {
+      const known = stewards.get(entry.id);
+      if (known === undefined) open(entry);
+      else if (addresses.get(entry.id) === entry.address) known.update(entry);
+      else if (isEmpty(known)) {
+        remove(entry.id);
+        open(entry);
+      }
+    }
+  }
+
+  return {
+    follow,
+    stewards: () => stewards.values(),
+    find: (endpoint) => stewards.get(endpoint),
+    size: () => stewards.size,
+    close() {
+      for (const id of [...stewards.keys()]) remove(id);
+    },
+  };
+}
+
+function isEmpty(steward: Steward): boolean {
+  return [...steward.runs()].length === 0;
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,7 @@
+export {
+  createDispatcher,
+  type Dispatcher,
+  type DispatcherOptions,
+  type Submission,
+} from './dispatcher.js';
+export { createEndpointDirectory, type EndpointDirectory } from './directory.js';
--- /dev/null
+++ b/packages/dispatch/src/jobRecord.ts
@@ -0,0 +1,90 @@
+/** What the dispatcher knows of one job until all its runs have certainly ended. */
+import type { Run, TaskRef } from '@celerybarrow/endpoints';
+import type { JobOutcome, LeasedJob, Step } from '@celerybarrow/protocol';
+
+export interface TaskRecord {
+  readonly ref: TaskRef;
+  readonly key: string;
+  run?: Run | undefined;
+  endpoint?: string | undefined;
+  isDone: boolean;
+  nextRun: number;
+  failures: number;
+  moves: number;
+  /** Endpoints on which it failed or stood still. */
+  readonly avoided: Set<string>;
+}
+
+export interface JobRecord {
+  readonly job: LeasedJob;
+  /** Instance whose caller waits; its signs of life carry the right to run. */
+  gateway: string;
+  /** Since when the gateway's right has to be held without a gap. */
+  heldSinceMs: number;
+  readonly arrivedMs: number;
+  readonly deadlineMs: number;
+  readonly objectiveMs: number;
+  readonly tasks: readonly TaskRecord[];
+  /** Tasks that are neither done nor running. */
+  waiting: number;
+  hasStarted: boolean;
+  /** Set once the job is decided; its runs are being stopped then. */
+  outcome?: JobOutcome;
+  /** Until when tasks of an earlier dispatcher's runs may be found; no new runs before. */
+  claimUntilMs?: number | undefined;
+  answer: (outcome: JobOutcome) => void;
+}
+
+export interface JobTimes {
+  readonly arrivedMs: number;
+  readonly longestMs: number;
+  readonly firstRun: number;
+}
+
+export function createJobRecord(
+  job: LeasedJob,
+  gateway: string,
+  times: JobTimes,
+  answer: (outcome: JobOutcome) => void,
+): JobRecord {
+  const createdMs = times.arrivedMs - job.ageMs;
+  const tasks = job.steps.flatMap((step, number) => tasksOf(job.id, step, number, times.firstRun));
+  return {
+    job,
+    gateway,
+    heldSinceMs: times.arrivedMs,
+    arrivedMs: times.arrivedMs,
+    deadlineMs: times.arrivedMs + job.remainingMs,
+    objectiveMs: createdMs + job.objectiveStretch * times.longestMs + job.objectiveAllowanceMs,
+    tasks,
+    waiting: tasks.length,
+    hasStarted: false,
+    answer,
+  };
+}
+
+function tasksOf(job: string, step: Step, number: number, firstRun: number): TaskRecord[] {
+  return Array.from({ length: step.tasks }, (_, index) => ({
+    ref: { job, step: number, index },
+    key: `${job}/${number}/${index}`,
+    isDone: false,
+    nextRun: firstRun,
+    failures: 0,
+    moves: 0,
+    avoided: new Set<string>(),
+  }));
+}
+
+/** Whether all tasks of the steps that this one waits for are done. */
+export function isStepOpen(record: JobRecord, number: number): boolean {
+  const after = record.job.steps[number]?.after ?? [];
+  return after.every((earlier) =>
+    record.tasks.every((task) => task.ref.step !== earlier || task.isDone),
+  );
+}
+
+export function stepOf(record: JobRecord, task: TaskRecord): Step {
+  const step = record.job.steps[task.ref.step];
+  if (step === undefined) throw new RangeError(`job ${record.job.id} has no step ${task.ref.step}`);
+  return step;
+}
--- /dev/null
+++ b/packages/dispatch/src/placer.ts
@@ -0,0 +1,201 @@
+/**
+ * Plans which waiting tasks start where, in the order of the jobs, and what each job that stays
+ * behind has to expect. It changes nothing itself: the plan is carried out by the dispatcher.
+ */
+import type { Steward } from '@celerybarrow/endpoints';
+import type { LeasedJob, Resources } from '@celerybarrow/protocol';
+import type { ElapsedClock } from '@celerybarrow/timer';
+import { choosePlace, hasRoomFor, isAllowed, type Place } from './choosePlace.js';
+import type { EndpointPool } from './endpointPool.js';
+import type { EndpointVerdict } from './endpointVerdict.js';
+import { compareJobs } from './jobOrder.js';
+import { isStepOpen, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import type { RunTimes } from './runTimes.js';
+
+export interface PlannedJob {
+  readonly record: JobRecord;
+  readonly starts: readonly { readonly task: TaskRecord; readonly steward: Steward }[];
+  /** Expected wait until the last of its tasks gets room. */
+  readonly waitMs: number;
+  readonly runMs: number;
+  readonly hasRoom: boolean;
+}
+
+export interface Placer {
+  plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[];
+  /** Whether any endpoint could ever run all its tasks. */
+  isRunnable(record: JobRecord): boolean;
+  /** Expected time of the longest chain of steps on a usual endpoint. */
+  longestChainMs(job: LeasedJob): number;
+  /** Expected run time of a task where it runs. */
+  expectedMs(record: JobRecord, task: TaskRecord): number;
+  /** Expected run time on the best endpoint with room; undefined if none has. */
+  freshMs(record: JobRecord, task: TaskRecord): number | undefined;
+}
+
+export interface PlacerOptions {
+  readonly pool: EndpointPool;
+  readonly times: RunTimes;
+  readonly verdict: EndpointVerdict;
+  readonly clock: ElapsedClock;
+}
+
+interface OpenPlace extends Place {
+  room: Resources;
+  allowance: number;
+  readonly steward: Steward;
+}
+
+export function createPlacer({ pool, times, verdict, clock }: PlacerOptions): Placer {
+  function openPlaces(service: string | undefined, nowMs: number): OpenPlace[] {
+    const places: OpenPlace[] = [];
+    for (const steward of pool.stewards()) {
+      if (!steward.isUsable()) continue;
+      const entry = steward.entry();
+      if (service !== undefined && entry.service !== service) continue;
+      const allowance = verdict.allowance(entry.id, nowMs) - (hasRuns(steward, verdict) ? 1 : 0);
+      if (allowance <= 0) continue;
+      const slowness = times.slowness(entry.id, nowMs);
+      places.push({ entry, room: steward.room(), slowness, allowance, steward });
+    }
+    return places;
+  }
+
+  function baseMs(job: LeasedJob, step: number): number {
+    return times.baseMs(job.team, job.steps[step]?.estimateMs ?? 1);
+  }
+
+  function longestChainMs(job: LeasedJob): number {
+    const ends: number[] = [];
+    job.steps.forEach((step, number) => {
+      const startMs = Math.max(0, ...step.after.map((earlier) => ends[earlier] ?? 0));
+      ends[number] = startMs + baseMs(job, number);
+    });
+    return Math.max(...ends);
+  }
+
+  function plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[] {
+    const places = openPlaces(undefined, nowMs);
+    const capacity = capacityOf(pool, times, nowMs);
+    const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
+    let workAhead = 0;
+    return ordered.map(({ record, runMs, workLeft }) => {
+      const starts = placeTasks(record, places, nowMs);
+      const hasRoom = starts.length > 0;
+      workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
+      const waitMs = starts.length >= record.waiting ? 0 : workAhead / Math.max(1, capacity);
+      return { record, starts, waitMs, runMs, hasRoom };
+    });
+  }
+
+  function describe(record: JobRecord, nowMs: number) {
+    const runMs = longestChainMs(record.job);
+    const workLeft = record.tasks.reduce((sum, task) => sum + workOf(record, task), 0);
+    const { priority } = record.job;
+    const { arrivedMs, hasStarted, objectiveMs } = record;
+    const isInTime = nowMs + runMs <= objectiveMs;
+    return { record, priority, isInTime, hasStarted, workLeft, arrivedMs, runMs };
+  }
+
+  function workOf(record: JobRecord, task: TaskRecord): number {
+    if (task.isDone || task.run !== undefined) return 0;
+    return stepOf(record, task).demand.cores * baseMs(record.job, task.ref.step);
+  }
+
+  function placeTasks(record: JobRecord, places: OpenPlace[], nowMs: number) {
+    const starts: { task: TaskRecord; steward: Steward }[] = [];
+    for (const task of record.tasks) {
+      if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
+      const step = stepOf(record, task);
+      const mine = places.filter((place) => place.entry.service === record.job.service);
+      const placing = {
+        step,
+        baseMs: baseMs(record.job, task.ref.step),
+        objectiveInMs: record.objectiveMs - nowMs,
+        tasksOn: (endpoint: string) => countOn(record, task, endpoint, starts),
+      };
+      const place =
+        choosePlace(mine, { ...placing, avoided: task.avoided }) ??
+        (hasAvoidedAll(task, mine) ? choosePlace(mine, { ...placing, avoided: new Set() }) : undefined);
+      if (place === undefined) break;
+      starts.push({ task, steward: place.steward });
+      occupy(places, place, step.demand);
+    }
+    return starts;
+  }
+
+  function placeOf(endpoint: string | undefined): Steward | undefined {
+    return endpoint === undefined ? undefined : pool.find(endpoint);
+  }
+
+  return {
+    plan,
+    longestChainMs,
+    isRunnable(record) {
+      if (pool.size() === 0) return true;
+      const entries = [...pool.stewards()]
+        .map((steward) => steward.entry())
+        .filter((entry) => entry.service === record.job.service);
+      if (entries.length === 0) return true;
+      return record.job.steps.every((step) => entries.some((entry) => isAllowed(entry, step)));
+    },
+    expectedMs(record, task) {
+      const steward = placeOf(task.endpoint);
+      const slowness = steward === undefined ? 1 : times.slowness(steward.id, clock.nowMs());
+      return baseMs(record.job, task.ref.step) * Math.min(slowness, 2);
+    },
+    freshMs(record, task) {
+      const { demand } = stepOf(record, task);
+      const free = openPlaces(record.job.service, clock.nowMs()).filter(
+        (place) => place.entry.id !== task.endpoint && hasRoomFor(place.room, demand),
+      );
+      if (free.length === 0) return undefined;
+      const best = Math.min(...free.map((place) => place.slowness));
+      return baseMs(record.job, task.ref.step) * best;
+    },
+  };
+}
+
+/** Whether an ejected endpoint is busy with its probe. */
+function hasRuns(steward: Steward, verdict: EndpointVerdict): boolean {
+  return verdict.isEjected(steward.id) && [...steward.runs()].length > 0;
+}
+
+/** Thousandths of cores of usual speed that the usable endpoints have together. */
+function capacityOf(pool: EndpointPool, times: RunTimes, nowMs: number): number {
+  let capacity = 0;
+  for (const steward of pool.stewards()) {
+    if (!steward.isUsable()) continue;
+    capacity += steward.entry().capacity.cores / times.slowness(steward.id, nowMs);
+  }
+  return capacity;
+}
+
+function countOn(
+  record: JobRecord,
+  task: TaskRecord,
+  endpoint: string,
+  starts: readonly { readonly task: TaskRecord; readonly steward: Steward }[],
+): number {
+  const isSameStep = (one: TaskRecord) => one.ref.step === task.ref.step;
+  const running = record.tasks.filter(
+    (one) => isSameStep(one) && one.run !== undefined && one.endpoint === endpoint,
+  ).length;
+  return (
+    running + starts.filter((one) => isSameStep(one.task) && one.steward.id === endpoint).length
+  );
+}
+
+function hasAvoidedAll(task: TaskRecord, places: readonly OpenPlace[]): boolean {
+  return task.avoided.size > 0 && places.every((place) => task.avoided.has(place.entry.id));
+}
+
+function occupy(places: OpenPlace[], place: OpenPlace, demand: Resources): void {
+  place.room = {
+    cores: place.room.cores - demand.cores,
+    memoryMb: place.room.memoryMb - demand.memoryMb,
+    accelerators: place.room.accelerators - demand.accelerators,
+  };
+  place.allowance -= 1;
+  if (place.allowance <= 0) places.splice(places.indexOf(place), 1);
+}
--- /dev/null
+++ b/packages/dispatch/src/refusal.ts
@@ -0,0 +1,38 @@
+/**
+ * Whether a job is refused, decided when it arrives and again while it waits without a start.
+ *
+ * Load pattern: more work arrives than the endpoints can do, so that a queue that takes all makes
+ * everybody late. A job whose expected end lies behind its caller's patience is refused at once,
+ * with the time after which the queue ahead of it will have drained. It is never refused while it
+ * could start now.
+ */
+import type { Random } from '@celerybarrow/shared';
+
+/** Part of the caller's patience that an expected end may use; the rest is for wrong estimates. */
+const USABLE_PATIENCE = 0.95;
+const SHORTEST_RETRY_MS = 1_000;
+/** Refused callers come back spread over this part of the drain time, so as not to come at once. */
+const RETRY_SPREAD = 0.5;
+
+export interface WaitingJob {
+  readonly nowMs: number;
+  readonly deadlineMs: number;
+  readonly arrivedMs: number;
+  /** Expected wait until its last task gets room. */
+  readonly waitMs: number;
+  /** Expected run time of its longest chain on a usual endpoint. */
+  readonly runMs: number;
+  /** Whether some room is free for it at this moment. */
+  readonly hasRoom: boolean;
+}
+
+export function isRefused(job: WaitingJob): boolean {
+  if (job.hasRoom) return false;
+  const patienceMs = (job.deadlineMs - job.arrivedMs) * USABLE_PATIENCE;
+  return job.nowMs + job.waitMs + job.runMs > job.arrivedMs + patienceMs;
+}
+
+/** Span after which a refused job would find the queue drained. */
+export function retryAfterMs(drainMs: number, random: Random): number {
+  return Math.max(SHORTEST_RETRY_MS, drainMs) * (1 + RETRY_SPREAD * random.next());
+}
--- /dev/null
+++ b/packages/endpoints/src/index.ts
@@ -0,0 +1,29 @@
+export { createEndpointClock, type EndpointClock } from './endpointClock.js';
+export { EndpointError } from './endpointError.js';
+export {
+  OrderAnswers,
+  RunEnds,
+  taskKey,
+  type EndedTask,
+  type EndpointEntry,
+  type EndpointNetwork,
+  type EndpointReport,
+  type HoldAnswer,
+  type HoldOrder,
+  type LeasedEndpoint,
+  type OrderAnswer,
+  type RunEnd,
+  type RunOrder,
+  type RunningTask,
+  type StartOrder,
+  type TaskRef,
+} from './leasedEndpoint.js';
+export {
+  createSteward,
+  RunStates,
+  type Run,
+  type RunRequest,
+  type RunState,
+  type Steward,
+  type StewardEvents,
+} from './steward.js';
--- /dev/null
+++ b/packages/endpoints/src/steward.ts
@@ -0,0 +1,461 @@
+/**
+ * The steward of one endpoint: the only one that starts and stops tasks there and reads their ends.
+ * One task follows the endpoint with a waiting `hold`; each start and stop is a task of its own.
+ *
+ * Fault patterns that it answers: orders that get no answer and are carried out late (the run stays
+ * in doubt until a stop was answered or the order's lease has passed, and a later report does not
+ * list it), endpoints that go silent (their runs lapse when the endpoint's clock has certainly passed
+ * the last lease), endpoints that start again at the same address, and a change of dispatcher (what
+ * runs is listed first, may be claimed by resubmitted jobs, and is stopped otherwise).
+ */
+import type { Result } from 'true-myth';
+import { createDeferred } from '@celerybarrow/shared';
+import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
+import type { Resources } from '@celerybarrow/protocol';
+import { createEndpointClock } from './endpointClock.js';
+import type { EndpointError } from './endpointError.js';
+import { createForeignRuns } from './foreignRuns.js';
+import {
+  OrderAnswers,
+  RunEnds,
+  taskKey,
+  type EndpointEntry,
+  type EndpointReport,
+  type HoldAnswer,
+  type LeasedEndpoint,
+  type OrderAnswer,
+  type RunEnd,
+  type TaskRef,
+} from './leasedEndpoint.js';
+
+/** Leases reach this far ahead; the platform shortens longer ones to 1 s. */
+const LEASE_MS = 950;
+/** Lease that a start carries by itself; holds prolong it. */
+const START_LEASE_MS = 600;
+/** Longest wait of a hold while tasks run there: a third of the lease, so that two may be lost. */
+const HOLD_WAIT_MS = 280;
+/** Pause between looks at an endpoint on which nothing runs. */
+const IDLE_LOOK_MS = 1_500;
+/** Pause after a hold without an answer. */
+const RETRY_MS = 60;
+const STOP_RETRY_MS = 120;
+/** Time that a stop takes at most, and a margin for the endpoint to notice the end of a lease. */
+const LAPSE_MARGIN_MS = 80;
+/** How long runs of an earlier dispatcher may be claimed before they are stopped. */
+const CLAIM_WINDOW_MS = 200;
+/** Calls without an answer in a row after which an endpoint gets no new tasks. */
+const SILENT_CALLS = 2;
+/** How long an endpoint without room, or not healthy, gets no new tasks if no end is seen. */
+const REFUSAL_PAUSE_MS = 120;
+
+export const RunStates = {
+  /** The start was sent and not answered yet. */
+  STARTING: 'starting',
+  RUNNING: 'running',
+  /** The start got no answer; whether it runs is open. */
+  IN_DOUBT: 'in-doubt',
+  STOPPING: 'stopping',
+} as const;
+export type RunState = (typeof RunStates)[keyof typeof RunStates];
+
+export interface Run {
+  readonly task: TaskRef;
+  readonly key: string;
+  readonly number: number;
+  readonly demand: Resources;
+  readonly sentMs: number;
+  state: RunState;
+  percent: number;
+  /** When the progress was last seen to change. */
+  percentAtMs: number;
+}
+
+export interface RunRequest {
+  readonly task: TaskRef;
+  readonly number: number;
+  readonly demand: Resources;
+  readonly payload: string;
+}
+
+export interface StewardEvents {
+  onEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void;
+  /** The endpoint obeys a dispatcher with a higher fence. */
+  onFenced(): void;
+  /** Room, health or the survey has changed. */
+  onChange(): void;
+  /** A report has come; progress is up to date. */
+  onReport(): void;
+  onNote(sentence: string, details: Readonly<Record<string, string | number>>): void;
+}
+
+export interface StewardOptions {
+  readonly entry: EndpointEntry;
+  readonly endpoint: LeasedEndpoint;
+  readonly fence: () => number;
+  readonly timer: TimerService;
+  readonly clock: ElapsedClock;
+  readonly events: StewardEvents;
+}
+
+export interface Steward {
+  readonly id: string;
+  entry(): EndpointEntry;
+  update(entry: EndpointEntry): void;
+  /** Whether it may get new tasks now, apart from its room. */
+  isUsable(): boolean;
+  isSilent(): boolean;
+  /** Whether all that earlier dispatchers had started there is known. */
+  isSurveyed(): boolean;
+  room(): Resources;
+  runs(): Iterable<Run>;
+  start(request: RunRequest): Run;
+  stop(run: Run): void;
+  /** Takes over a run of an earlier dispatcher; `DONE` if it has ended so. */
+  claim(task: TaskRef, demand: Resources): Run | typeof RunEnds.DONE | undefined;
+  close(): void;
+}
+
+export function createSteward(options: StewardOptions): Steward {
+  const { endpoint, fence, timer, clock, events } = options;
+  const closing = new AbortController();
+  const endpointClock = createEndpointClock();
+  const foreign = createForeignRuns();
+  const runs = new Map<string, Run>();
+  /** End of the lease of each start, on the endpoint's clock. */
+  const orderEnds = new Map<Run, number>();
+  /** When a stop of the run was answered, on the own clock. */
+  const stopAnswered = new Map<Run, number>();
+  /** When the run was first known to have started, on the own clock. */
+  const startAnswered = new Map<Run, number>();
+  let entry = options.entry;
+  let bornMs: number | undefined;
+  let endsSeen = 0;
+  let lastLeaseMs = -Infinity;
+  /** The endpoint's clock in the newest report. */
+  let newestReportMs = -Infinity;
+  let surveyedAtMs: number | undefined;
+  let unanswered = 0;
+  let pausedUntilMs = 0;
+  let isReplaced = false;
+  let wake = createDeferred<undefined>();
+
+  async function follow(): Promise<void> {
+    while (!closing.signal.aborted) {
+      if (isIdle()) await restIdle();
+      if (closing.signal.aborted) return;
+      await look(holdWaitMs());
+      if (unanswered > 1 || isReplaced) await timer.sleep(RETRY_MS, closing.signal);
+    }
+  }
+
+  function isIdle(): boolean {
+    return runs.size === 0 && isServing() && unanswered === 0 && !isReplaced;
+  }
+
+  async function restIdle(): Promise<void> {
+    wake = createDeferred();
+    await Promise.race([wake.promise, timer.sleep(IDLE_LOOK_MS, closing.signal)]);
+  }
+
+  function holdWaitMs(): number {
+    if (surveyedAtMs === undefined || runs.size === 0 || unanswered > 0) return 0;
+    return isServing() ? HOLD_WAIT_MS : RETRY_MS;
+  }
+
+  /** Whether the runs of earlier dispatchers are claimed or gone, so that leases may be renewed. */
+  function isServing(): boolean {
+    return surveyedAtMs !== undefined && foreign.isEmpty();
+  }
+
+  async function look(waitMs: number): Promise<void> {
+    const sentMs = clock.nowMs();
+    const reached = endpointClock.reachedMs(sentMs);
+    // Only a hold that follows an answer renews: otherwise the leases of a silent endpoint, whose
+    // orders may all arrive late, would never certainly end.
+    const mayRenew = isServing() && reached !== undefined && unanswered === 0;
+    const leaseEndMs = mayRenew ? Math.floor(reached + LEASE_MS) : undefined;
+    if (leaseEndMs !== undefined) lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
+    const answer = await endpoint.hold({
+      fence: fence(),
+      waitMs,
+      ...(mayRenew ? { endsSeen } : {}),
+      ...(leaseEndMs === undefined ? {} : { leaseEndMs }),
+    });
+    if (closing.signal.aborted) return;
+    takeHold(answer, sentMs);
+    lapseSilentRuns();
+  }
+
+  function takeHold(answer: Result<HoldAnswer, EndpointError>, sentMs: number): void {
+    if (answer.isErr) {
+      countUnanswered(answer.error.message);
+      return;
+    }
+    if (answer.value.answer === OrderAnswers.FENCED) events.onFenced();
+    if (answer.value.answer === OrderAnswers.REPLACED) loseLife('replaced');
+    if (answer.value.report === undefined) {
+      countUnanswered(answer.value.answer);
+      return;
+    }
+    const wasSilent = unanswered >= SILENT_CALLS;
+    unanswered = 0;
+    isReplaced = false;
+    takeReport(answer.value.report, sentMs);
+    if (wasSilent) {
+      events.onNote('Endpoint answers again.', { endpoint: entry.id });
+      events.onChange();
+    }
+  }
+
+  function countUnanswered(reason: string): void {
+    unanswered += 1;
+    if (unanswered !== SILENT_CALLS) return;
+    events.onNote('Endpoint gives no answer.', { endpoint: entry.id, reason, runs: runs.size });
+    events.onChange();
+  }
+
+  function takeReport(report: EndpointReport, sentMs: number): void {
+    const nowMs = clock.nowMs();
+    if (report.bornMs !== undefined && bornMs !== undefined && report.bornMs !== bornMs) {
+      loseLife('born again');
+    }
+    bornMs = report.bornMs ?? bornMs;
+    endpointClock.read(report.clockMs, nowMs);
+    const isFirst = surveyedAtMs === undefined;
+    surveyedAtMs ??= nowMs;
+    for (const one of report.ended) {
+      if (one.number <= endsSeen) continue;
+      endsSeen = one.number;
+      const run = runs.get(taskKey(one.task));
+      if (run?.number === one.run) end(run, one.end);
+      else foreign.noteEnd(taskKey(one.task), one.run, one.end, nowMs);
+    }
+    // Answers on different connections may overtake each other.
+    if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
+    newestReportMs = Math.max(newestReportMs, report.clockMs);
+    if (isFirst) events.onChange();
+    events.onReport();
+    stopUnclaimed(nowMs);
+  }
+
+  function takeRunning(report: EndpointReport, sentMs: number, nowMs: number): void {
+    const listed = new Set<string>();
+    for (const one of report.running) {
+      const key = taskKey(one.task);
+      const run = runs.get(key);
+      if (run?.number !== one.run) {
+        foreign.noteRunning(one, nowMs);
+        listed.add(`foreign ${key}`);
+        continue;
+      }
+      listed.add(key);
+      if (run.state === RunStates.STARTING) run.state = RunStates.RUNNING;
+      if (!startAnswered.has(run)) startAnswered.set(run, nowMs);
+      if (run.percent !== one.percent) {
+        run.percent = one.percent;
+        run.percentAtMs = nowMs;
+      }
+    }
+    for (const run of [...runs.values()]) {
+      if (!listed.has(run.key)) settleUnlisted(run, report, sentMs);
+    }
+    if (foreign.retain((key) => listed.has(`foreign ${key}`))) events.onChange();
+  }
+
+  /** A report that was asked for after the last doubt, and does not list the run, is proof. */
+  function settleUnlisted(run: Run, report: EndpointReport, sentMs: number): void {
+    const answeredMs = stopAnswered.get(run);
+    if (answeredMs !== undefined && sentMs > answeredMs) {
+      end(run, RunEnds.NOT_STARTED);
+      return;
+    }
+    if (sentMs > (startAnswered.get(run) ?? Infinity)) {
+      end(run, RunEnds.LAPSED);
+      return;
+    }
+    const orderEndMs = orderEnds.get(run) ?? Infinity;
+    if (run.state === RunStates.IN_DOUBT && report.clockMs > orderEndMs) {
+      const wasAskedAfter = (endpointClock.reachedMs(sentMs) ?? 0) > orderEndMs;
+      if (wasAskedAfter) end(run, RunEnds.NOT_STARTED);
+    }
+  }
+
+  function stopUnclaimed(nowMs: number): void {
+    if (surveyedAtMs === undefined || nowMs - surveyedAtMs < CLAIM_WINDOW_MS) return;
+    for (const one of foreign.unstopped(nowMs, STOP_RETRY_MS, CLAIM_WINDOW_MS)) {
+      events.onNote('Unclaimed run is stopped.', { endpoint: entry.id, job: one.task.job });
+      void endpoint.stop({ task: one.task, run: one.run, fence: fence() });
+    }
+  }
+
+  /** A new life of the endpoint runs nothing of before; orders to the old one may still arrive. */
+  function loseLife(reason: string): void {
+    isReplaced = reason === 'replaced';
+    events.onNote('Endpoint began a new life.', { endpoint: entry.id, reason, runs: runs.size });
+    endpointClock.reset();
+    endsSeen = 0;
+    lastLeaseMs = -Infinity;
+    newestReportMs = -Infinity;
+    foreign.clear();
+    for (const run of [...runs.values()]) {
+      const isInDoubt = run.state === RunStates.IN_DOUBT || run.state === RunStates.STARTING;
+      if (isReplaced || !isInDoubt) end(run, RunEnds.LAPSED);
+      else orderEnds.set(run, Infinity);
+    }
+  }
+
+  /** Ends the runs of a silent endpoint once its clock has certainly passed every lease. */
+  function lapseSilentRuns(): void {
+    if (unanswered === 0) return;
+    const reached = endpointClock.reachedMs(clock.nowMs());
+    if (reached === undefined || reached < lastLeaseMs + LAPSE_MARGIN_MS) return;
+    for (const run of [...runs.values()]) end(run, RunEnds.LAPSED);
+  }
+
+  function end(run: Run, how: RunEnd, answer?: OrderAnswer): void {
+    if (runs.get(run.key) !== run) return;
+    runs.delete(run.key);
+    orderEnds.delete(run);
+    stopAnswered.delete(run);
+    startAnswered.delete(run);
+    pausedUntilMs = 0;
+    events.onEnd(run, how, answer);
+  }
+
+  function start(request: RunRequest): Run {
+    const nowMs = clock.nowMs();
+    const run: Run = {
+      task: request.task,
+      key: taskKey(request.task),
+      number: request.number,
+      demand: request.demand,
+      sentMs: nowMs,
+      state: RunStates.STARTING,
+      percent: 0,
+      percentAtMs: nowMs,
+    };
+    const leaseEndMs = Math.floor((endpointClock.reachedMs(nowMs) ?? 0) + START_LEASE_MS);
+    lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
+    runs.set(run.key, run);
+    orderEnds.set(run, leaseEndMs);
+    void sendStart(run, request.payload, leaseEndMs);
+    wake.resolve(undefined);
+    return run;
+  }
+
+  async function sendStart(run: Run, payload: string, leaseEndMs: number): Promise<void> {
+    const order = { task: run.task, run: run.number, fence: fence(), payload, leaseEndMs };
+    const answer = await endpoint.start(order);
+    if (closing.signal.aborted || runs.get(run.key) !== run) return;
+    if (answer.isErr) {
+      if (run.state !== RunStates.STARTING) return;
+      events.onNote('Start got no answer.', {
+        endpoint: entry.id,
+        job: run.task.job,
+        reason: answer.error.message,
+      });
+      run.state = RunStates.IN_DOUBT;
+      void settleDoubt(run);
+      return;
+    }
+    takeStartAnswer(run, answer.value);
+  }
+
+  function takeStartAnswer(run: Run, answer: OrderAnswer): void {
+    if (answer === OrderAnswers.ACCEPTED) {
+      startAnswered.set(run, clock.nowMs());
+      if (run.state === RunStates.STARTING) run.state = RunStates.RUNNING;
+      return;
+    }
+    if (answer === OrderAnswers.FENCED) events.onFenced();
+    const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
+    end(run, RunEnds.NOT_STARTED, answer);
+    if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
+    if (answer === OrderAnswers.REPLACED) loseLife('replaced');
+  }
+
+  /** Stops a run until an answer proves that the order arrived, then looks whether it is gone. */
+  async function settleDoubt(run: Run): Promise<void> {
+    while (!closing.signal.aborted && runs.get(run.key) === run) {
+      const answer = await endpoint.stop({ task: run.task, run: run.number, fence: fence() });
+      if (closing.signal.aborted || runs.get(run.key) !== run) return;
+      if (answer.isOk && answer.value === OrderAnswers.FENCED) events.onFenced();
+      const isCarriedOut =
+        answer.isOk &&
+        (answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED);
+      if (isCarriedOut) {
+        stopAnswered.set(run, clock.nowMs());
+        await look(0);
+      }
+      if (runs.get(run.key) === run) await timer.sleep(STOP_RETRY_MS, closing.signal);
+    }
+  }
+
+  function stop(run: Run): void {
+    if (runs.get(run.key) !== run || run.state === RunStates.STOPPING) return;
+    const isBeingSettled = run.state === RunStates.IN_DOUBT;
+    run.state = RunStates.STOPPING;
+    if (!isBeingSettled) void settleDoubt(run);
+  }
+
+  function claim(task: TaskRef, demand: Resources): Run | typeof RunEnds.DONE | undefined {
+    const key = taskKey(task);
+    if (foreign.hasEndedDone(key)) return RunEnds.DONE;
+    const found = foreign.take(key);
+    if (found === undefined) return undefined;
+    const nowMs = clock.nowMs();
+    const run: Run = {
+      task,
+      key,
+      number: found.run,
+      demand,
+      sentMs: nowMs,
+      state: RunStates.RUNNING,
+      percent: found.percent,
+      percentAtMs: nowMs,
+    };
+    runs.set(key, run);
+    startAnswered.set(run, nowMs);
+    wake.resolve(undefined);
+    if (foreign.isEmpty()) events.onChange();
+    return run;
+  }
+
+  function room(): Resources {
+    let { cores, memoryMb, accelerators } = entry.capacity;
+    for (const { demand } of runs.values()) {
+      cores -= demand.cores;
+      memoryMb -= demand.memoryMb;
+      accelerators -= demand.accelerators;
+    }
+    return { cores, memoryMb, accelerators };
+  }
+
+  void follow();
+
+  return {
+    id: entry.id,
+    entry: () => entry,
+    update(next) {
+      entry = next;
+    },
+    isUsable: () =>
+      isServing() &&
+      !entry.isLeaving &&
+      unanswered < SILENT_CALLS &&
+      !isReplaced &&
+      clock.nowMs() >= pausedUntilMs,
+    isSilent: () => unanswered >= SILENT_CALLS,
+    isSurveyed: () => surveyedAtMs !== undefined,
+    room,
+    runs: () => runs.values(),
+    start,
+    stop,
+    claim,
+    close() {
+      closing.abort();
+      wake.resolve(undefined);
+      endpoint.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/instance/src/index.ts
@@ -0,0 +1,6 @@
+export {
+  createInstance,
+  type Instance,
+  type InstanceOptions,
+  type StoredSource,
+} from './instance.js';
--- /dev/null
+++ b/packages/leadership/src/takeover.ts
@@ -0,0 +1,94 @@
+/**
+ * What an instance does about a dispatcher that it no longer hears.
+ *
+ * Fault patterns: the dispatcher was killed, lost power, froze or was cut off, alone or with its
+ * data centre; or it is this instance that is cut off. Others are asked for their opinion, so that
+ * one instance with a bad connection deposes nobody. With the store, one compare-and-swap decides.
+ * Without the store, the instances of a data centre that still reach each other go on with the
+ * endpoints that they reach; the fences of endpoints make two dispatchers harmless.
+ */
+import { weigh } from '@celerybarrow/shared';
+import type { FleetMember, Opinion } from '@celerybarrow/protocol';
+
+/** How much later each further candidate acts than the one before it. */
+const PATIENCE_PER_RANK_MS = 250;
+
+export const Takeovers = {
+  WAIT: 'wait',
+  /** Become dispatcher by compare-and-swap. */
+  TAKE: 'take',
+  /** Become dispatcher of what is in reach, without the store. */
+  TAKE_APART: 'take-apart',
+} as const;
+export type Takeover = (typeof Takeovers)[keyof typeof Takeovers];
+
+export interface Answered {
+  readonly member: FleetMember;
+  readonly opinion: Opinion;
+}
+
+export interface Suspicion {
+  readonly self: FleetMember;
+  /** All other instances that may be running, without the suspected dispatcher. */
+  readonly others: readonly FleetMember[];
+  /** Those of them that answered. */
+  readonly answered: readonly Answered[];
+  /** Whether an answer within this time counts as hearing the dispatcher. */
+  readonly silenceMs: number;
+  readonly isStoreReachable: boolean;
+  /** Whether the store still lists the suspected dispatcher's process; undefined if not known. */
+  readonly isDispatcherListed: boolean | undefined;
+  /** Whether the dispatcher's process has certainly ended. */
+  readonly isDispatcherGone: boolean;
+  readonly epoch: number;
+  readonly suspectedForMs: number;
+}
+
+export function decideTakeover(suspicion: Suspicion): Takeover {
+  const { answered, self } = suspicion;
+  const hearing = answered.filter(({ opinion }) => hears(opinion, suspicion.silenceMs));
+  const silent = answered.filter((one) => !hearing.includes(one) && !one.opinion.isStopping);
+  if (hearing.length > silent.length + 1) return Takeovers.WAIT;
+  if (!suspicion.isStoreReachable) return decideApart(suspicion, silent);
+  if (answered.length === 0 && !isCertain(suspicion)) return Takeovers.WAIT;
+  const candidates = silent
+    .filter(({ opinion }) => opinion.isStoreReachable)
+    .map(({ member }) => member);
+  return isTurnOf(self, candidates, suspicion) ? Takeovers.TAKE : Takeovers.WAIT;
+}
+
+function hears(opinion: Opinion, silenceMs: number): boolean {
+  return opinion.heardAgoMs !== undefined && opinion.heardAgoMs < silenceMs;
+}
+
+/** An instance that reaches nobody may itself be cut off, and needs more than its own silence. */
+function isCertain({ others, isDispatcherListed, isDispatcherGone }: Suspicion): boolean {
+  if (isDispatcherListed === false) return true;
+  return others.length === 0 && isDispatcherGone;
+}
+
+function decideApart(suspicion: Suspicion, silent: readonly Answered[]): Takeover {
+  const { self, others } = suspicion;
+  if (suspicion.answered.some(({ opinion }) => opinion.isStoreReachable)) return Takeovers.WAIT;
+  const isNear = (member: FleetMember) => member.dataCentre === self.dataCentre;
+  const near = others.filter(isNear).length;
+  const nearAnswered = silent.filter(({ member }) => isNear(member)).length;
+  if (nearAnswered * 2 < near) return Takeovers.WAIT;
+  const candidates = silent.map(({ member }) => member);
+  return isTurnOf(self, candidates, suspicion) ? Takeovers.TAKE_APART : Takeovers.WAIT;
+}
+
+function isTurnOf(
+  self: FleetMember,
+  candidates: readonly FleetMember[],
+  { epoch, suspectedForMs }: Suspicion,
+): boolean {
+  const rank = rankMembers([self, ...candidates], epoch).indexOf(self);
+  return suspectedForMs >= rank * PATIENCE_PER_RANK_MS;
+}
+
+/** Members in the order in which they should dispatch: the largest first, then by hash. */
+export function rankMembers(members: readonly FleetMember[], epoch: number): FleetMember[] {
+  const hash = (member: FleetMember) => weigh(String(epoch), member.incarnation);
+  return [...members].sort((a, b) => b.weight - a.weight || hash(b) - hash(a));
+}
--- /dev/null
+++ b/packages/leadership/src/views.ts
@@ -0,0 +1,21 @@
+/**
+ * Views of who dispatches, and the fence that goes with each. Fences rise with the epoch and, while
+ * the store is out of reach, with the round; two instances that begin the same round apart from each
+ * other get different fences, so that an endpoint obeys one of them only.
+ */
+import { weigh } from '@celerybarrow/shared';
+import type { View } from '@celerybarrow/protocol';
+
+const ROUNDS_PER_EPOCH = 1_024;
+const FENCES_PER_ROUND = 1_024;
+
+/** The fence of all orders under a view; unique for each view. */
+export function fenceOf(view: View): number {
+  const base = (view.epoch * ROUNDS_PER_EPOCH + view.round) * FENCES_PER_ROUND;
+  if (view.round === 0) return base;
+  return base + 1 + (weigh(String(view.round), view.dispatcher.incarnation) % (FENCES_PER_ROUND - 1));
+}
+
+export function isNewer(view: View, than: View | undefined): boolean {
+  return than === undefined || fenceOf(view) > fenceOf(than);
+}
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -3,7 +3,7 @@
  * ids created after it was added, so that the home of an id never changes.
  */
 import { z } from 'zod';
-import type { Platform } from '@celerybarrow/platform';
+import type { Store } from '@celerybarrow/store';
 import { rankByRendezvous } from '@celerybarrow/shared';
 
 export const DIRECTORY_KEY = 'celerybarrow/directory';
@@ -42,7 +42,7 @@
 }
 
 /** Reads the directory from the platform; undefined when it did not answer. */
-export async function readDirectory(platform: Platform): Promise<Directory | undefined> {
+export async function readDirectory(platform: Store): Promise<Directory | undefined> {
   const found = await platform.get(DIRECTORY_KEY);
   if (found.isErr) return undefined;
   return (found.value && parseDirectory(found.value.value)) ?? emptyDirectory;
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -5,7 +5,7 @@
  */
 import { describeError } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
-import type { Platform } from '@celerybarrow/platform';
+import type { Store } from '@celerybarrow/store';
 import type { Member, Roster } from '@celerybarrow/protocol';
 import type { Logger } from '@celerybarrow/telemetry';
 import { addDataCentre, DIRECTORY_KEY, emptyDirectory, parseDirectory } from './directory.js';
@@ -46,7 +46,7 @@
 
 export interface MembershipOptions {
   readonly self: Member;
-  readonly platform: Platform;
+  readonly platform: Store;
   readonly timer: TimerService;
   readonly rosters: RosterKeeper;
   readonly peers: Peers;
--- a/packages/membership/src/rosterWriter.ts
+++ b/packages/membership/src/rosterWriter.ts
@@ -3,7 +3,7 @@
 import { Result } from 'true-myth';
 import { ErrorCodes } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
-import { settleSwap, type Platform } from '@celerybarrow/platform';
+import { settleSwap, type Store } from '@celerybarrow/store';
 import type { Roster } from '@celerybarrow/protocol';
 import { MembershipError } from './membershipError.js';
 import { parseRoster, rosterKey, type RosterKeeper } from './rosterKeeper.js';
@@ -21,7 +21,7 @@
 }
 
 export interface RosterWriterOptions {
-  readonly platform: Platform;
+  readonly platform: Store;
   readonly timer: TimerService;
   readonly rosters: RosterKeeper;
 }
--- a/packages/membership/src/soleLock.ts
+++ b/packages/membership/src/soleLock.ts
@@ -4,7 +4,7 @@
  */
 import { ErrorCodes } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
-import type { Lease, Platform } from '@celerybarrow/platform';
+import type { Lease, Store } from '@celerybarrow/store';
 import { MAX_INSTANCE_SKEW_MS } from './rosterChanges.js';
 
 export const SOLE_LEASE_MS = 10_000;
@@ -21,7 +21,7 @@
 }
 
 export interface SoleLockOptions {
-  readonly platform: Platform;
+  readonly platform: Store;
   readonly timer: TimerService;
   readonly dataCentre: string;
   readonly incarnation: string;
--- a/packages/placement/src/endpointDirectory.ts
+++ b/packages/placement/src/endpointDirectory.ts
@@ -5,12 +5,7 @@
 import type { Random } from '@celerybarrow/shared';
 import { spreadDelay } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
-import {
-  InstanceRoles,
-  InstanceStates,
-  type Instance,
-  type Platform,
-} from '@celerybarrow/platform';
+import { InstanceRoles, InstanceStates, type Instance, type InstanceList } from '@celerybarrow/store';
 import type { Logger } from '@celerybarrow/telemetry';
 
 const REFRESH_INTERVAL_MS = 1_000;
@@ -36,7 +31,7 @@
 
 export interface EndpointDirectoryOptions {
   readonly dataCentre: string;
-  readonly platform: Platform;
+  readonly platform: InstanceList;
   readonly timer: TimerService;
   readonly random: Random;
   readonly logger: Logger;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -44,3 +44,17 @@
 } from './peerServer.js';
 export { ProtocolError } from './protocolError.js';
 export { createTraffic, type Traffic, type TrafficCount } from './traffic.js';
+export {
+  fleetMemberSchema,
+  JobStates,
+  viewSchema,
+  type FleetMember,
+  type JobOutcome,
+  type JobState,
+  type LeasedJob,
+  type Opinion,
+  type Resources,
+  type SharedDocument,
+  type Step,
+  type View,
+} from './dispatchMessages.js';
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -4,6 +4,7 @@
  * is wall-clock time since the epoch.
  */
 import { z } from 'zod';
+import { dispatchRequests } from './dispatchMessages.js';
 
 export const PROTOCOL_VERSION = 1;
 
@@ -239,6 +240,7 @@
     ask: z.object({ newerThan: count }),
     reply: z.object({ document: z.string().optional() }),
   },
+  ...dispatchRequests,
 } as const;
 
 export type RequestType = keyof typeof requestSchemas;
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -33,9 +33,10 @@
 const CONNECT_TIMEOUT_MS = 1_000;
 const FIRST_RECONNECT_MS = 50;
 const LARGEST_RECONNECT_MS = 2_000;
-const ALIVE_INTERVAL_MS = 1_000;
 /** Silence, while requests are open, after which a connection is taken to be dead. */
 const SILENCE_LIMIT_MS = 3_000;
+/** A connection with open requests is asked for a sign of life after this part of the limit. */
+const ALIVE_ASKS_PER_LIMIT = 3;
 const REFUSALS_OF_AN_ENDED_PROCESS = 3;
 const MAX_OUTSTANDING_REQUESTS = 8_192;
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -51,6 +52,11 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly traffic: Traffic;
+  /** Silence, while requests are open, after which the connection is closed; 3 s by default. */
+  readonly silenceLimitMs?: number;
+  /** Longest pause between attempts to connect, and how long one may take; 2 s and 1 s by default. */
+  readonly largestReconnectMs?: number;
+  readonly connectTimeoutMs?: number;
 }
 
 export interface PeerLink {
@@ -69,7 +75,6 @@
     ask: Ask<T>,
     options: RequestOptions,
   ): Promise<Result<Reply<T>, ProtocolError>>;
-  onState(subscriber: (isConnected: boolean) => void): void;
   close(): void;
 }
 
@@ -88,9 +93,11 @@
 /** Creates a link and starts its task. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
   const { timer, random, traffic } = options;
+  const silenceLimitMs = options.silenceLimitMs ?? SILENCE_LIMIT_MS;
+  const aliveIntervalMs = silenceLimitMs / ALIVE_ASKS_PER_LIMIT;
+  const largestReconnectMs = options.largestReconnectMs ?? LARGEST_RECONNECT_MS;
   const closing = new AbortController();
   const waiting = new Map<number, Waiting>();
-  const subscribers = new Set<(isConnected: boolean) => void>();
   let socket: Socket | undefined;
   let connected = createDeferred<undefined>();
   let nextRequest = 1;
@@ -110,7 +117,7 @@
 
   async function open() {
     const candidate = dial(options);
-    const abandon = timer.onAfter(CONNECT_TIMEOUT_MS, () => candidate.destroy());
+    const abandon = timer.onAfter(options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, () => candidate.destroy());
     const onClosing = () => candidate.destroy();
     closing.signal.addEventListener('abort', onClosing, { once: true });
     try {
@@ -138,8 +145,7 @@
     refusals = 0;
     heardMs = timer.nowMs();
     connected.resolve(undefined);
-    notify(true);
-    const stopWatching = timer.onEvery(ALIVE_INTERVAL_MS, () => {
+    const stopWatching = timer.onEvery(aliveIntervalMs, () => {
       watchSilence(opened);
     });
     try {
@@ -151,7 +157,6 @@
       socket = undefined;
       connected = createDeferred();
       failAll(ErrorCodes.PEER_SILENT);
-      notify(false);
     }
   }
 
@@ -159,9 +164,9 @@
   function watchSilence(opened: Socket): void {
     const silentMs = timer.nowMs() - heardMs;
     if (waiting.size === 0) heardMs = timer.nowMs();
-    else if (silentMs > SILENCE_LIMIT_MS) opened.destroy();
-    else if (silentMs > ALIVE_INTERVAL_MS)
-      void request('alive', {}, { timeoutMs: SILENCE_LIMIT_MS });
+    else if (silentMs > silenceLimitMs) opened.destroy();
+    else if (silentMs > aliveIntervalMs)
+      void request('alive', {}, { timeoutMs: silenceLimitMs });
   }
 
   function settle(frame: unknown): void {
@@ -192,13 +197,9 @@
     waiting.clear();
   }
 
-  function notify(isConnected: boolean): void {
-    for (const subscriber of subscribers) subscriber(isConnected);
-  }
-
   function reconnectDelay(): number {
     const delay = FIRST_RECONNECT_MS * 2 ** Math.min(failures, 10);
-    return spreadDelay(Math.min(LARGEST_RECONNECT_MS, delay), random);
+    return spreadDelay(Math.min(largestReconnectMs, delay), random);
   }
 
   async function request<T extends RequestType>(
@@ -255,9 +256,6 @@
     isGone: () =>
       refusals >= REFUSALS_OF_AN_ENDED_PROCESS || lastFault === ErrorCodes.PEER_REPLACED,
     request,
-    onState(subscriber) {
-      subscribers.add(subscriber);
-    },
     close() {
       closing.abort();
       socket?.destroy();
--- a/packages/protocol/src/traffic.ts
+++ b/packages/protocol/src/traffic.ts
@@ -60,6 +60,8 @@
       return sumLengths(
         (ask as Ask<'batch'>).tasks.flatMap((task) => [task.name, task.kind, task.payload]),
       );
+    case 'dispatch':
+      return Buffer.byteLength((ask as Ask<'dispatch'>).job.payload);
     case 'results':
       return sumLengths((ask as Ask<'results'>).results.map((result) => result.body ?? ''));
     default:
--- a/packages/scenarios/src/demo.ts
+++ b/packages/scenarios/src/demo.ts
@@ -2,7 +2,7 @@
 import { request } from 'undici';
 import { createUuidV7, formatAddress, parseAddress, type Address } from '@celerybarrow/shared';
 import { createTimerService } from '@celerybarrow/timer';
-import { createHttpPlatform } from '@celerybarrow/platform';
+import { createHttpStore } from '@celerybarrow/store';
 import { publish, readServiceFile } from '@celerybarrow/configuration';
 import { createDaemon, type Daemon, type Settings } from '@celerybarrow/daemon';
 import {
@@ -96,7 +96,7 @@
 }
 
 async function publishService(platformUrl: string): Promise<void> {
-  const platform = createHttpPlatform(platformUrl);
+  const platform = createHttpStore(platformUrl);
   const file = readServiceFile({ path: 'celerybarrow.yaml', text: SERVICE_FILE }).unwrapOrElse(
     () => {
       throw new Error('the service file of the demonstration is not valid');
--- a/packages/scenarios/src/experiment/runExperiment.ts
+++ b/packages/scenarios/src/experiment/runExperiment.ts
@@ -2,7 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { Agent, request } from 'undici';
 import { createUuidV7 } from '@celerybarrow/shared';
-import { createHttpPlatform } from '@celerybarrow/platform';
+import { createHttpStore } from '@celerybarrow/store';
 import { publish, readServiceFile } from '@celerybarrow/configuration';
 import { readStatus, waitUntil } from '../conditions.js';
 import { startFleet, type Fleet } from '../fleet.js';
@@ -70,7 +70,7 @@
 }
 
 async function prepare(fleet: Fleet, experiment: Experiment): Promise<void> {
-  const platform = createHttpPlatform(fleet.platform.url);
+  const platform = createHttpStore(fleet.platform.url);
   const services = Array.from({ length: experiment.teams }, (_, index) => {
     const file = readServiceFile({ path: 'experiment', text: serviceFile(experiment, index + 1) });
     if (file.isErr) throw new Error(file.error.map((fault) => fault.message).join('; '));
--- a/packages/scenarios/src/publishServiceFile.ts
+++ b/packages/scenarios/src/publishServiceFile.ts
@@ -1,7 +1,7 @@
 /** Publishes the service of scenarios and measurements. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { createUuidV7 } from '@celerybarrow/shared';
-import { createHttpPlatform } from '@celerybarrow/platform';
+import { createHttpStore } from '@celerybarrow/store';
 import { publish, readServiceFile } from '@celerybarrow/configuration';
 
 const UNLIMITED_RATE = 100_000;
@@ -14,7 +14,7 @@
   const text = serviceFile(ratePerSecond);
   const file = readServiceFile({ path: 'celerybarrow.yaml', text });
   if (file.isErr) throw new Error(file.error.map((fault) => fault.message).join('; '));
-  const platform = createHttpPlatform(platformUrl);
+  const platform = createHttpStore(platformUrl);
   const published = await publish({
     platform,
     services: [file.value],
--- a/packages/shared/src/errorCodes.ts
+++ b/packages/shared/src/errorCodes.ts
@@ -16,6 +16,7 @@
   PLATFORM_CONFLICT: 202,
   PLATFORM_UNKNOWN_OUTCOME: 203,
   PLATFORM_BAD_ANSWER: 204,
+  PLATFORM_HISTORY_LOST: 205,
   CONFIGURATION_INVALID: 301,
   CONFIGURATION_CONFLICT: 302,
   CONFIGURATION_UNAVAILABLE: 303,
@@ -28,6 +29,8 @@
   ENDPOINT_REFUSED: 601,
   ENDPOINT_FAILED: 602,
   ENDPOINT_UNREACHABLE: 603,
+  ENDPOINT_SILENT: 604,
+  ENDPOINT_BAD_ANSWER: 605,
   SUBMISSION_INVALID: 701,
   SETTINGS_INVALID: 801,
 } as const;
@@ -47,6 +50,7 @@
   [ErrorCodes.PLATFORM_CONFLICT]: 'platform holds another revision',
   [ErrorCodes.PLATFORM_UNKNOWN_OUTCOME]: 'platform did not answer; the write may have taken effect',
   [ErrorCodes.PLATFORM_BAD_ANSWER]: 'platform answered with something unexpected',
+  [ErrorCodes.PLATFORM_HISTORY_LOST]: 'platform no longer knows the changes since that revision',
   [ErrorCodes.CONFIGURATION_INVALID]: 'configuration is not valid',
   [ErrorCodes.CONFIGURATION_CONFLICT]: 'another operator changed the configuration first',
   [ErrorCodes.CONFIGURATION_UNAVAILABLE]: 'configuration could not be read or written',
@@ -59,6 +63,8 @@
   [ErrorCodes.ENDPOINT_REFUSED]: 'endpoint refused the task before starting it',
   [ErrorCodes.ENDPOINT_FAILED]: 'endpoint failed the task',
   [ErrorCodes.ENDPOINT_UNREACHABLE]: 'endpoint cannot be reached; the task was not started',
+  [ErrorCodes.ENDPOINT_SILENT]: 'endpoint did not answer; the order may be carried out later',
+  [ErrorCodes.ENDPOINT_BAD_ANSWER]: 'endpoint answered with something unexpected',
   [ErrorCodes.SUBMISSION_INVALID]: 'submission is not valid',
   [ErrorCodes.SETTINGS_INVALID]: 'settings are not valid',
 };
--- a/packages/platform/__tests__/httpPlatform.spec.ts
+++ b/packages/store/__tests__/httpStore.spec.ts
@@ -4,7 +4,7 @@
 import { expect } from 'earl';
 import { ErrorCodes, type ErrorCode } from '@celerybarrow/shared';
 import { createTimerService } from '@celerybarrow/timer';
-import { createHttpPlatform, settleSwap, type HttpPlatform } from '../src/index.js';
+import { createHttpStore, settleSwap, type HttpStore } from '../src/index.js';
 
 type Answer = (request: IncomingMessage, response: ServerResponse) => void;
 
@@ -14,13 +14,13 @@
   for (const close of opened.splice(0).reverse()) await close();
 });
 
-async function startPlatform(answer: Answer): Promise<[HttpPlatform, Server]> {
+async function startPlatform(answer: Answer): Promise<[HttpStore, Server]> {
   const server = createServer(answer);
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
   const address = server.address();
   const port = typeof address === 'object' && address !== null ? address.port : 0;
-  const platform = createHttpPlatform(`http://127.0.0.1:${port}`);
+  const platform = createHttpStore(`http://127.0.0.1:${port}`);
   opened.push(async () => {
     await platform.close();
     server.closeAllConnections();
@@ -90,7 +90,7 @@
   }
 
   it('knows that nothing was written when it cannot connect', async () => {
-    const platform = createHttpPlatform('http://127.0.0.1:1');
+    const platform = createHttpStore('http://127.0.0.1:1');
     opened.push(() => platform.close());
     const written = await platform.compareAndSwap('a', 0, 'x');
     expect(written.isErr && written.error.code).toEqual(PLATFORM_UNREACHABLE);
--- a/packages/platform/src/httpPlatform.ts
+++ b/packages/store/src/httpStore.ts
@@ -6,8 +6,8 @@
 import { errors, Pool, type Dispatcher } from 'undici';
 import type { ZodType, ZodTypeDef } from 'zod';
 import { describeError, ErrorCodes } from '@celerybarrow/shared';
-import type { Change, Entry, Instance, Lease, Platform } from './platform.js';
-import { PlatformError } from './platformError.js';
+import type { Change, Entry, Instance, InstanceList, Lease, Store } from './store.js';
+import { StoreError } from './storeError.js';
 import { changeSchema, entrySchema, instancesSchema, leaseSchema } from './schemas.js';
 
 const CONNECTIONS = 8;
@@ -16,7 +16,7 @@
 const WATCH_GRACE_MS = 5_000;
 const NOT_MODIFIED = 304;
 
-export interface HttpPlatform extends Platform {
+export interface HttpStore extends Store, InstanceList {
   /** Calls made so far, by kind. */
   calls(): Record<string, number>;
   close(): Promise<void>;
@@ -45,12 +45,12 @@
 }
 
 /** Creates a client for the platform at a URL such as `http://127.0.0.1:9000`. */
-export function createHttpPlatform(url: string): HttpPlatform {
+export function createHttpStore(url: string): HttpStore {
   const pool = new Pool(url, { connections: CONNECTIONS, connect: { timeout: CALL_TIMEOUT_MS } });
   const calls = new Map<string, number>();
   let knownList: TaggedList | undefined;
 
-  async function send(call: Call): Promise<Result<Reply, PlatformError>> {
+  async function send(call: Call): Promise<Result<Reply, StoreError>> {
     calls.set(call.kind, (calls.get(call.kind) ?? 0) + 1);
     const timeoutMs = call.timeoutMs ?? CALL_TIMEOUT_MS;
     try {
@@ -74,13 +74,13 @@
   async function read<T>(
     call: Call,
     schema: ZodType<T, ZodTypeDef, unknown>,
-  ): Promise<Result<T, PlatformError>> {
+  ): Promise<Result<T, StoreError>> {
     const reply = await send(call);
     return reply.andThen((answer) => decode(answer, schema));
   }
 
   /** The list changes seldom and is long, so it is asked for only if it has changed. */
-  async function readList(): Promise<Result<readonly Instance[], PlatformError>> {
+  async function readList(): Promise<Result<readonly Instance[], StoreError>> {
     const known = knownList;
     const call = { kind: 'list', method: 'GET', path: '/v1/instances' } as const;
     const reply = await send(known === undefined ? call : { ...call, knownTag: known.tag });
@@ -97,7 +97,7 @@
     async get(key) {
       const path = `/v1/keys/${encodeURIComponent(key)}`;
       const reply = await send({ kind: 'get', method: 'GET', path });
-      return reply.andThen((answer): Result<Entry | undefined, PlatformError> =>
+      return reply.andThen((answer): Result<Entry | undefined, StoreError> =>
         answer.status === 404 ? Result.ok(undefined) : decode(answer, entrySchema),
       );
     },
@@ -106,6 +106,10 @@
       const body = { expectedRevision, value, lease: lease?.id };
       return read<Entry>({ kind: 'compare-and-swap', method: 'PUT', path, body }, entrySchema);
     },
+    list(prefix) {
+      const path = `/v1/watch?prefix=${encodeURIComponent(prefix)}&after=0&waitMs=0`;
+      return read<Change>({ kind: 'list-keys', method: 'GET', path }, changeSchema);
+    },
     watch(prefix, afterRevision, signal) {
       const query = `prefix=${encodeURIComponent(prefix)}&after=${afterRevision}&waitMs=${WATCH_WAIT_MS}`;
       const timeoutMs = WATCH_WAIT_MS + WATCH_GRACE_MS;
@@ -136,27 +140,24 @@
   return { body: JSON.stringify(body), headers: { ...tag, 'content-type': 'application/json' } };
 }
 
-function decode<T>(
-  reply: Reply,
-  schema: ZodType<T, ZodTypeDef, unknown>,
-): Result<T, PlatformError> {
-  if (reply.status === 409) return Result.err(new PlatformError(ErrorCodes.PLATFORM_CONFLICT));
+function decode<T>(reply: Reply, schema: ZodType<T, ZodTypeDef, unknown>): Result<T, StoreError> {
+  if (reply.status === 409) return Result.err(new StoreError(ErrorCodes.PLATFORM_CONFLICT));
   if (reply.status >= 500) {
     return Result.err(
-      new PlatformError(ErrorCodes.PLATFORM_UNKNOWN_OUTCOME, `status ${reply.status}`),
+      new StoreError(ErrorCodes.PLATFORM_UNKNOWN_OUTCOME, `status ${reply.status}`),
     );
   }
   const parsed = schema.safeParse(reply.body);
   if (reply.status >= 400 || !parsed.success) {
-    return Result.err(new PlatformError(ErrorCodes.PLATFORM_BAD_ANSWER, `status ${reply.status}`));
+    return Result.err(new StoreError(ErrorCodes.PLATFORM_BAD_ANSWER, `status ${reply.status}`));
   }
   return Result.ok(parsed.data);
 }
 
-function toPlatformError(error: unknown, isRead: boolean): PlatformError {
+function toPlatformError(error: unknown, isRead: boolean): StoreError {
   const unsent = isRead || isConnectFailure(error);
   const code = unsent ? ErrorCodes.PLATFORM_UNREACHABLE : ErrorCodes.PLATFORM_UNKNOWN_OUTCOME;
-  return new PlatformError(code, describeError(error), error);
+  return new StoreError(code, describeError(error), error);
 }
 
 function isConnectFailure(error: unknown): boolean {
--- a/packages/platform/src/schemas.ts
+++ b/packages/store/src/schemas.ts
@@ -10,6 +10,7 @@
 export const changeSchema = z.object({
   revision: z.number().int().nonnegative(),
   entries: z.array(entrySchema),
+  removed: z.array(z.string()).default([]),
 });
 
 export const leaseSchema = z.object({ id: z.string(), ttlMs: z.number().positive() });
--- a/packages/platform/src/settleSwap.ts
+++ b/packages/store/src/settleSwap.ts
@@ -5,8 +5,8 @@
 import { Result } from 'true-myth';
 import { ErrorCodes } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
-import type { Entry, Platform } from './platform.js';
-import { PlatformError } from './platformError.js';
+import type { Entry, Store } from './store.js';
+import { StoreError } from './storeError.js';
 
 const READ_BACK_ATTEMPTS = 5;
 const READ_BACK_PAUSE_MS = 200;
@@ -17,12 +17,12 @@
  * with PLATFORM_UNKNOWN_OUTCOME when the platform stayed away during every read.
  */
 export async function settleSwap(
-  platform: Platform,
+  platform: Store,
   timer: TimerService,
   key: string,
   expectedRevision: number,
   value: string,
-): Promise<Result<Entry, PlatformError>> {
+): Promise<Result<Entry, StoreError>> {
   const written = await platform.compareAndSwap(key, expectedRevision, value);
   if (written.isOk) return written;
   if (written.error.code !== ErrorCodes.PLATFORM_UNKNOWN_OUTCOME) return written;
@@ -30,12 +30,12 @@
 }
 
 async function readBack(
-  platform: Platform,
+  platform: Store,
   timer: TimerService,
   key: string,
   expectedRevision: number,
   value: string,
-): Promise<Result<Entry, PlatformError>> {
+): Promise<Result<Entry, StoreError>> {
   for (let attempt = 0; attempt < READ_BACK_ATTEMPTS; attempt += 1) {
     const found = await platform.get(key);
     if (found.isErr) {
@@ -46,10 +46,10 @@
     if (entry?.value === value) return Result.ok(entry);
     const revision = entry?.revision ?? 0;
     if (revision !== expectedRevision)
-      return Result.err(new PlatformError(ErrorCodes.PLATFORM_CONFLICT));
+      return Result.err(new StoreError(ErrorCodes.PLATFORM_CONFLICT));
     // The first request may still be under way, so it is raced with the same expected revision.
     const again = await platform.compareAndSwap(key, expectedRevision, value);
     if (again.isOk) return again;
   }
-  return Result.err(new PlatformError(ErrorCodes.PLATFORM_UNKNOWN_OUTCOME, key));
+  return Result.err(new StoreError(ErrorCodes.PLATFORM_UNKNOWN_OUTCOME, key));
 }
--- a/packages/platform/src/platform.ts
+++ b/packages/store/src/store.ts
@@ -3,7 +3,7 @@
  * Every call is counted by the platform, a waiting watch as one.
  */
 import type { Result } from 'true-myth';
-import type { PlatformError } from './platformError.js';
+import type { StoreError } from './storeError.js';
 
 export interface Entry {
   readonly key: string;
@@ -16,6 +16,13 @@
   /** Revision up to which the watcher is now informed. */
   readonly revision: number;
   readonly entries: readonly Entry[];
+  /** Keys that no longer exist. */
+  readonly removed: readonly string[];
+}
+
+export interface Read {
+  /** Whether an answer that may be seconds old will do; such reads cost the platform less. */
+  readonly isStaleAllowed: boolean;
 }
 
 export const InstanceRoles = { ENTRY: 'entry', ENDPOINT: 'endpoint' } as const;
@@ -41,9 +48,9 @@
   readonly ttlMs: number;
 }
 
-export interface Platform {
+export interface Store {
   /** The entry under a key; undefined when there is none. */
-  get(key: string): Promise<Result<Entry | undefined, PlatformError>>;
+  get(key: string): Promise<Result<Entry | undefined, StoreError>>;
   /**
    * Writes a value if the key's revision is still the expected one, 0 meaning that there is none.
    * Fails with PLATFORM_CONFLICT when it is not, and with PLATFORM_UNKNOWN_OUTCOME when no answer
@@ -54,14 +61,22 @@
     expectedRevision: number,
     value: string,
     lease?: Lease,
-  ): Promise<Result<Entry, PlatformError>>;
-  /** Waits for changes under a prefix past a revision; no entries when the wait ends without one. */
+  ): Promise<Result<Entry, StoreError>>;
+  /** All entries under a prefix, and the revision as of which they were read. */
+  list(prefix: string, read: Read): Promise<Result<Change, StoreError>>;
+  /**
+   * Waits for changes under a prefix past a revision; none when the wait ends without one. Fails
+   * with PLATFORM_HISTORY_LOST when changes since that revision are no longer known.
+   */
   watch(
     prefix: string,
     afterRevision: number,
     signal: AbortSignal,
-  ): Promise<Result<Change, PlatformError>>;
-  grantLease(ttlMs: number): Promise<Result<Lease, PlatformError>>;
-  renewLease(lease: Lease): Promise<Result<Lease, PlatformError>>;
-  instances(): Promise<Result<readonly Instance[], PlatformError>>;
+  ): Promise<Result<Change, StoreError>>;
+  grantLease(ttlMs: number): Promise<Result<Lease, StoreError>>;
+  renewLease(lease: Lease): Promise<Result<Lease, StoreError>>;
+}
+
+export interface InstanceList {
+  instances(): Promise<Result<readonly Instance[], StoreError>>;
 }
--- a/packages/timer/src/index.ts
+++ b/packages/timer/src/index.ts
@@ -1,2 +1,3 @@
 export { createManualTimer, type ManualTimer } from './manualTimer.js';
 export { createTimerService, type TimerService, type Unsubscribe } from './timerService.js';
+export { createElapsedClock, type ElapsedClock } from './elapsedClock.js';
