fix(dispatch): judge standstill from reports, start only where it can be in time

Cause: a run counted as standing still before any report had listed it, so 737 sound runs were taken back in 12 s; renders started on endpoints too slow for their callers. Moves are made only where they change the caller's outcome, and a task waits for an endpoint that can be in time.

--- a/packages/dispatch/src/choosePlace.ts
+++ b/packages/dispatch/src/choosePlace.ts
@@ -3,14 +3,15 @@
  *
  * Load pattern: endpoints differ in speed by almost three times, and long tasks leave no slack for
  * a slow one while short tasks do. A task takes the slowest endpoint on which it still ends well
- * within its objective, so that the fast ones stay free for tasks that need them; if there is none,
- * the one where it ends first.
+ * within its limit, so that the fast ones stay free for tasks that need them; if there is none, the
+ * one where it ends first. It is not started where it would miss its limit as long as an endpoint
+ * that is busy now could still meet it: a start that cannot be in time serves nobody.
  */
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import type { Resources, Step } from '@celerybarrow/protocol';
 
-/** Part of the time to the objective that the expected run may take on an endpoint of choice. */
-const SAFE_SHARE = 0.72;
+/** Part of the caller's time that the expected run may take on an endpoint of choice. */
+const SAFE_SHARE = 0.6;
 /** How much longer a task runs away from the rack of its data. */
 const OTHER_RACK_FACTOR = 1.5;
 
@@ -23,7 +24,11 @@
 export interface Placing {
   readonly step: Step;
   readonly baseMs: number;
+  /** Time until the objective, and until the caller leaves. */
   readonly objectiveInMs: number;
+  readonly patienceMs: number;
+  /** Slowness of the fastest endpoint that could run the task, busy or not. */
+  readonly leastSlowness: number;
   readonly avoided: ReadonlySet<string>;
   /** Tasks of the same step on an endpoint, for the limit per endpoint. */
   readonly tasksOn: (endpoint: string) => number;
@@ -44,7 +49,8 @@
 }
 
 export function choosePlace<T extends Place>(places: readonly T[], placing: Placing): T | undefined {
-  const safeMs = placing.objectiveInMs * SAFE_SHARE;
+  const limitMs = limitOf(placing);
+  const safeMs = Math.min(placing.objectiveInMs, placing.patienceMs) * SAFE_SHARE;
   let slowestSafe: T | undefined;
   let slowestSafeMs = -Infinity;
   let first: T | undefined;
@@ -52,6 +58,7 @@
   for (const place of places) {
     if (!fits(place, placing)) continue;
     const expectedMs = expectedRunMs(place, placing);
+    if (expectedMs > limitMs) continue;
     if (expectedMs <= safeMs && expectedMs > slowestSafeMs) {
       slowestSafe = place;
       slowestSafeMs = expectedMs;
@@ -64,6 +71,13 @@
   return slowestSafe ?? first;
 }
 
+/** The latest end that is still worth a start: the objective, else the caller's time, else any. */
+function limitOf({ baseMs, leastSlowness, objectiveInMs, patienceMs }: Placing): number {
+  const soonestMs = baseMs * leastSlowness;
+  const limits = [Math.min(objectiveInMs, patienceMs), patienceMs];
+  return limits.find((limitMs) => soonestMs <= limitMs) ?? Infinity;
+}
+
 export function expectedRunMs(place: Place, { step, baseMs }: Placing): number {
   const isAway = step.rack !== undefined && !place.entry.labels.includes(step.rack);
   return baseMs * place.slowness * (isAway ? OTHER_RACK_FACTOR : 1);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -89,12 +89,12 @@
     timer,
     clock,
     fence: options.fence,
-    eventsOf: () => ({
+    eventsOf: (endpoint) => ({
       onEnd: takeEnd,
       onFenced: options.onFenced,
       onChange: schedulePass,
       onReport: () => {
-        takeBackOverdue();
+        takeBackOverdue(endpoint);
       },
       onNote: (sentence, details) => {
         logger.warn(sentence, details);
@@ -385,13 +385,12 @@
     for (const task of record.tasks) byTask.delete(task.key);
   }
 
-  function takeBackOverdue(): void {
+  function takeBackOverdue(endpoint: string): void {
     const nowMs = clock.nowMs();
-    for (const record of jobs.values()) {
-      if (record.outcome !== undefined) continue;
-      for (const task of record.tasks) {
-        if (task.run?.state === RunStates.RUNNING) takeBackTask(record, task, task.run, nowMs);
-      }
+    for (const run of [...(pool.find(endpoint)?.runs() ?? [])]) {
+      const found = byTask.get(run.key);
+      if (run.state !== RunStates.RUNNING || found?.task.run !== run) continue;
+      if (found.record.outcome === undefined) takeBackTask(found.record, found.task, run, nowMs);
     }
   }
 
@@ -405,8 +404,10 @@
       startedMs: run.sentMs,
       percent: run.percent,
       percentAtMs: run.percentAtMs,
+      seenMs: run.seenMs,
       expectedMs,
       freshMs,
+      objectiveMs: record.objectiveMs,
       deadlineMs: record.deadlineMs,
       moves: task.moves,
     };
@@ -421,7 +422,7 @@
       expectedMs: Math.round(expectedMs),
       freshMs: Math.round(freshMs),
     });
-    noteStrike(task, 1);
+    if (run.seenMs - run.percentAtMs > expectedMs) noteStrike(task, 1);
     stopTask(task);
   }
 
--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -2,14 +2,15 @@
  * Whether a run is taken back to be started elsewhere.
  *
  * Fault pattern: an endpoint on which tasks stand still or run many times slower, while it answers
- * and looks healthy. Progress tells: a run whose progress would need far longer than a fresh run on
- * a sound endpoint is stopped, provided that the fresh one can still end in the caller's time.
+ * and looks healthy. Progress tells: a run that would miss its caller's objective or time, while a
+ * fresh run on a sound endpoint would not, is stopped and started there. A move that changes nothing
+ * for the caller is work thrown away, and is not made.
  */
 
-/** A run is overdue when it needs this many times the time of a fresh run. */
-const WORTH_MOVING = 1.6;
 /** Time for the proof that the old run has stopped. */
 const MOVE_COST_MS = 60;
+/** Room left for a fresh run to take longer than expected. */
+const FRESH_MARGIN = 1.15;
 /** Silence of the progress, in expected run times, after which a run stands still. */
 const STILL_RUNS = 0.6;
 const SHORTEST_STILL_MS = 150;
@@ -17,35 +18,48 @@
 const TELLING_PERCENT = 4;
 const TELLING_MS = 100;
 const MAX_MOVES = 2;
+/** Up to this factor on the expected time a job is taken to be long; above, the endpoint slow. */
+const LARGEST_ESTIMATE_ERROR = 2.5;
 
 export interface RunProgress {
   readonly nowMs: number;
   readonly startedMs: number;
   readonly percent: number;
+  /** When the progress was last seen to change, and when it was last seen at all. */
   readonly percentAtMs: number;
+  readonly seenMs: number;
   /** Expected run time where it runs, and on the best endpoint that is free now. */
   readonly expectedMs: number;
   readonly freshMs: number;
+  readonly objectiveMs: number;
   readonly deadlineMs: number;
   readonly moves: number;
 }
 
 export function isOverdue(run: RunProgress): boolean {
   if (run.moves >= MAX_MOVES) return false;
-  const freshEndMs = run.freshMs + MOVE_COST_MS;
-  if (run.nowMs + freshEndMs > run.deadlineMs) return false;
-  return remainingMs(run) > WORTH_MOVING * freshEndMs;
+  const endMs = run.nowMs + remainingMs(run);
+  const freshEndMs = run.nowMs + freshRunMs(run) * FRESH_MARGIN + MOVE_COST_MS;
+  const wouldSave = (limitMs: number) => endMs > limitMs && freshEndMs <= limitMs;
+  return wouldSave(run.objectiveMs) || wouldSave(run.deadlineMs);
+}
+
+/** Expected time of a fresh run, corrected by what the progress says of the job's length. */
+function freshRunMs(run: RunProgress): number {
+  const totalMs = run.nowMs - run.startedMs + remainingMs(run);
+  const factor = totalMs / Math.max(1, run.expectedMs);
+  return run.freshMs * (factor <= LARGEST_ESTIMATE_ERROR ? Math.max(1, factor) : 1);
 }
 
 /** Expected time until the run ends. */
 export function remainingMs(run: RunProgress): number {
   const elapsedMs = run.nowMs - run.startedMs;
-  const stillMs = run.nowMs - run.percentAtMs;
+  const stillMs = run.seenMs - run.percentAtMs;
   const standsStill = stillMs > Math.max(SHORTEST_STILL_MS, STILL_RUNS * run.expectedMs);
   if (standsStill && elapsedMs > run.expectedMs) return Infinity;
   const untilPercentMs = run.percentAtMs - run.startedMs;
   if (run.percent >= TELLING_PERCENT && untilPercentMs >= TELLING_MS) {
     return Math.max(0, (untilPercentMs * 100) / run.percent - elapsedMs);
   }
-  return Math.max(run.expectedMs - elapsedMs, elapsedMs - run.expectedMs);
+  return Math.max(0, run.expectedMs - elapsedMs);
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -76,11 +76,11 @@
 
   function plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[] {
     const places = openPlaces(undefined, nowMs);
-    const capacity = capacityOf(pool, times, nowMs);
+    const { capacity, leastSlowness } = surveyPool(pool, times, nowMs);
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft }) => {
-      const starts = placeTasks(record, places, nowMs);
+      const starts = placeTasks(record, places, leastSlowness, nowMs);
       const hasRoom = starts.length > 0;
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
       const waitMs = starts.length >= record.waiting ? 0 : workAhead / Math.max(1, capacity);
@@ -102,7 +102,7 @@
     return stepOf(record, task).demand.cores * baseMs(record.job, task.ref.step);
   }
 
-  function placeTasks(record: JobRecord, places: OpenPlace[], nowMs: number) {
+  function placeTasks(record: JobRecord, places: OpenPlace[], leastSlowness: number, nowMs: number) {
     const starts: { task: TaskRecord; steward: Steward }[] = [];
     for (const task of record.tasks) {
       if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
@@ -112,6 +112,8 @@
         step,
         baseMs: baseMs(record.job, task.ref.step),
         objectiveInMs: record.objectiveMs - nowMs,
+        patienceMs: record.deadlineMs - nowMs,
+        leastSlowness,
         tasksOn: (endpoint: string) => countOn(record, task, endpoint, starts),
       };
       const place =
@@ -161,14 +163,23 @@
   return verdict.isEjected(steward.id) && [...steward.runs()].length > 0;
 }
 
-/** Thousandths of cores of usual speed that the usable endpoints have together. */
-function capacityOf(pool: EndpointPool, times: RunTimes, nowMs: number): number {
+interface PoolSurvey {
+  /** Thousandths of cores of usual speed that the usable endpoints have together. */
+  readonly capacity: number;
+  /** Slowness of the fastest usable endpoint. */
+  readonly leastSlowness: number;
+}
+
+function surveyPool(pool: EndpointPool, times: RunTimes, nowMs: number): PoolSurvey {
   let capacity = 0;
+  let leastSlowness = Infinity;
   for (const steward of pool.stewards()) {
     if (!steward.isUsable()) continue;
-    capacity += steward.entry().capacity.cores / times.slowness(steward.id, nowMs);
+    const slowness = times.slowness(steward.id, nowMs);
+    capacity += steward.entry().capacity.cores / slowness;
+    leastSlowness = Math.min(leastSlowness, slowness);
   }
-  return capacity;
+  return { capacity, leastSlowness };
 }
 
 function countOn(
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -66,8 +66,9 @@
   readonly sentMs: number;
   state: RunState;
   percent: number;
-  /** When the progress was last seen to change. */
+  /** When the progress was last seen to change, and when it was last seen at all. */
   percentAtMs: number;
+  seenMs: number;
 }
 
 export interface RunRequest {
@@ -251,6 +252,7 @@
       listed.add(key);
       if (run.state === RunStates.STARTING) run.state = RunStates.RUNNING;
       if (!startAnswered.has(run)) startAnswered.set(run, nowMs);
+      run.seenMs = nowMs;
       if (run.percent !== one.percent) {
         run.percent = one.percent;
         run.percentAtMs = nowMs;
@@ -333,6 +335,7 @@
       state: RunStates.STARTING,
       percent: 0,
       percentAtMs: nowMs,
+      seenMs: nowMs,
     };
     const leaseEndMs = Math.floor((endpointClock.reachedMs(nowMs) ?? 0) + START_LEASE_MS);
     lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
@@ -413,6 +416,7 @@
       state: RunStates.RUNNING,
       percent: found.percent,
       percentAtMs: nowMs,
+      seenMs: nowMs,
     };
     runs.set(key, run);
     startAnswered.set(run, nowMs);
