fix(dispatch): keep what runs in sight when the dispatcher changes

Cause: three ways to a second run at the heal of a cut. A resubmitted job started what was missing without asking every endpoint anew; endpoints that had dropped out of the directory were not asked at all; a run that was claimed on an endpoint without a lease of its own counted as lapsed at the first silence. And a job that an earlier dispatcher may have run was refused as never run. Now a moved job names the endpoints that hold its runs, starts wait for reports asked for after it came, and claimed runs keep the longest lease of before.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -19,7 +19,7 @@
   type RunEnd,
   type Steward,
 } from '@celerybarrow/endpoints';
-import { JobStates, type JobOutcome, type LeasedJob } from '@celerybarrow/protocol';
+import { JobStates, type JobOutcome, type JobState, type LeasedJob } from '@celerybarrow/protocol';
 import type { Logger, Metrics } from '@celerybarrow/telemetry';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import { createEndpointPool } from './endpointPool.js';
@@ -27,7 +27,7 @@
 import { createGatewayLeases } from './gatewayLeases.js';
 import { createJobRecord, type JobRecord, type TaskRecord } from './jobRecord.js';
 import { isOverdue } from './overdueRun.js';
-import { createPlacer } from './placer.js';
+import { createPlacer, type PlannedJob } from './placer.js';
 import { isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
 
@@ -48,6 +48,8 @@
   readonly gateway: string;
   /** How often the gateway has handed the job to a dispatcher before. */
   readonly resubmissions: number;
+  /** Endpoints on which an earlier dispatcher left runs of the job. */
+  readonly heldOn?: readonly string[] | undefined;
 }
 
 export interface Dispatcher {
@@ -158,18 +160,20 @@
     });
   }
 
-  function admit({ job, gateway, resubmissions }: Submission): Promise<JobOutcome> {
+  function admit({ job, gateway, resubmissions, heldOn = [] }: Submission): Promise<JobOutcome> {
     return new Promise((resolve) => {
       const arrivedMs = clock.nowMs();
       const longestMs = placer.longestChainMs(job);
       const firstRun = resubmissions * RUNS_PER_SUBMISSION + 1;
-      const record = createJobRecord(job, gateway, { arrivedMs, longestMs, firstRun }, resolve);
+      const mayHaveRun = resubmissions > 0;
+      const origin = { arrivedMs, longestMs, firstRun, mayHaveRun };
+      const record = createJobRecord(job, gateway, origin, resolve);
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
-      claimEarlierRuns(record, resubmissions > 0);
+      claimEarlierRuns(record, resubmissions > 0, heldOn);
       if (record.outcome !== undefined) return;
       if (!placer.isRunnable(record)) {
-        finish(record, { state: JobStates.REFUSED, reason: 'no endpoint can run it' });
+        finish(record, { state: refusalOf(record), reason: 'no endpoint can run it' });
         return;
       }
       if (pool.size() > 0) pass();
@@ -177,13 +181,26 @@
     });
   }
 
-  /** Takes over what an earlier dispatcher started for the job, or may have started. */
-  function claimEarlierRuns(record: JobRecord, isResubmitted: boolean): void {
-    const ageMs = clock.nowMs() - createdMs;
-    if (!isResubmitted && ageMs > EARLIER_RUNS_GONE_MS) return;
+  /**
+   * Takes over what an earlier dispatcher started for the job. A job that may have been with one just
+   * now starts nothing new before every endpoint has said, when asked after the job came, what runs
+   * there.
+   */
+  function claimEarlierRuns(
+    record: JobRecord,
+    isResubmitted: boolean,
+    heldOn: readonly string[],
+  ): void {
+    const nowMs = clock.nowMs();
+    if (heldOn.some((endpoint) => pool.find(endpoint) === undefined)) {
+      finish(record, { state: JobStates.LOST, reason: 'an endpoint with its runs is not listed' });
+      return;
+    }
+    if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
     for (const task of record.tasks) claimTask(record, task);
-    if (!isResubmitted || ageMs > EARLIER_RUNS_GONE_MS || isAllSurveyed()) return;
-    record.claimUntilMs = createdMs + SURVEY_LIMIT_MS;
+    if (!isResubmitted || record.waiting === 0) return;
+    record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
+    for (const steward of pool.stewards()) steward.refresh();
   }
 
   function claimTask(record: JobRecord, task: TaskRecord): void {
@@ -207,17 +224,26 @@
     }
   }
 
-  function isAllSurveyed(): boolean {
-    return pool.size() > 0 && [...pool.stewards()].every((steward) => steward.isSurveyed());
+  function hasAllReportedSince(sinceMs: number): boolean {
+    const stewards = [...pool.stewards()];
+    return stewards.length > 0 && stewards.every((one) => (one.reportedMs() ?? -1) >= sinceMs);
   }
 
-  /** Goes on with jobs that waited for the survey; gives them up when it takes too long. */
+  /** Goes on with jobs that waited for the reports; gives them up when it takes too long. */
   function settleClaims(nowMs: number): void {
     for (const record of jobs.values()) {
       if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
       for (const task of record.tasks) claimTask(record, task);
-      if (record.waiting === 0 || isAllSurveyed()) record.claimUntilMs = undefined;
-      else if (nowMs > record.claimUntilMs) {
+      if (record.waiting === 0 || hasAllReportedSince(record.arrivedMs)) {
+        record.claimUntilMs = undefined;
+        logger.info('Earlier runs were looked for.', {
+          job: record.job.id,
+          found: record.tasks.length - record.waiting,
+          missing: record.waiting,
+          tookMs: Math.round(nowMs - record.arrivedMs),
+        });
+        schedulePass();
+      } else if (nowMs > record.claimUntilMs) {
         finish(record, { state: JobStates.LOST, reason: 'earlier runs are out of sight' });
       }
     }
@@ -238,6 +264,7 @@
     const waiting = [...jobs.values()].filter(isWaiting);
     for (const one of placer.plan(waiting, nowMs)) {
       for (const start of one.starts) startTask(one.record, start.task, start.steward);
+      if (one.starts.length > 0) logPlacement(one, nowMs);
       if (one.record.hasStarted || one.record.outcome !== undefined) continue;
       const isLate = isRefused({
         nowMs,
@@ -251,6 +278,18 @@
     }
   }
 
+  function logPlacement({ record, starts, waitMs }: PlannedJob, nowMs: number): void {
+    logger.info('Tasks are placed.', {
+      job: record.job.id,
+      places: starts
+        .map(({ task, steward }) => `${task.ref.step}/${task.ref.index}@${steward.id}`)
+        .join(' '),
+      left: record.waiting,
+      waitedMs: Math.round(nowMs - record.arrivedMs),
+      expectedWaitMs: Math.round(waitMs),
+    });
+  }
+
   function isWaiting(record: JobRecord): boolean {
     return (
       record.outcome === undefined &&
@@ -264,12 +303,17 @@
   function refuse(record: JobRecord, waitMs: number): void {
     metrics.increment(`refused/${record.job.team}`);
     finish(record, {
-      state: JobStates.REFUSED,
+      state: refusalOf(record),
       reason: `would wait ${Math.round(waitMs)} ms`,
       retryAfterMs: retryAfterMs(waitMs, options.random),
     });
   }
 
+  /** Only a job that never ran anywhere is refused; of others the end is not known here. */
+  function refusalOf(record: JobRecord): JobState {
+    return record.mayHaveRun ? JobStates.LOST : JobStates.REFUSED;
+  }
+
   function startTask(record: JobRecord, task: TaskRecord, steward: Steward): void {
     const demand = record.job.steps[task.ref.step]?.demand;
     if (demand === undefined) return;
@@ -313,6 +357,10 @@
     answer: OrderAnswer | undefined,
   ): void {
     record.waiting += 1;
+    if (record.outcome === undefined) {
+      const { endpoint } = task;
+      logger.warn('Run ended without success.', { task: task.key, endpoint, end, answer });
+    }
     if (end === RunEnds.FAILED) noteFailure(record, task);
     if (answer === OrderAnswers.OUTDATED) task.nextRun += RUNS_PER_SUBMISSION;
     if (answer === OrderAnswers.UNHEALTHY) noteStrike(task, 1);
@@ -433,7 +481,7 @@
     for (const record of [...jobs.values()]) {
       if (record.outcome !== undefined) continue;
       if (nowMs >= record.deadlineMs) {
-        const state = record.hasStarted ? JobStates.EXPIRED : JobStates.REFUSED;
+        const state = record.hasStarted ? JobStates.EXPIRED : refusalOf(record);
         finish(record, { state, reason: "the caller's time is over" });
       } else if (!leases.isHeld(record.gateway, record.heldSinceMs)) {
         finish(record, { state: JobStates.LOST, reason: 'its gateway is silent' });
@@ -464,7 +512,10 @@
     pool.close();
     for (const record of jobs.values()) {
       if (record.outcome !== undefined) continue;
-      record.outcome = { state: JobStates.MOVED, reason: 'another instance dispatches' };
+      const heldOn = record.tasks.flatMap((task) =>
+        task.run === undefined || task.endpoint === undefined ? [] : [task.endpoint],
+      );
+      record.outcome = { state: JobStates.MOVED, reason: 'another instance dispatches', heldOn };
       record.answer(record.outcome);
     }
     jobs.clear();
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -28,6 +28,8 @@
   /** Tasks that are neither done nor running. */
   waiting: number;
   hasStarted: boolean;
+  /** Whether tasks may have run under an earlier submission or dispatcher. */
+  readonly mayHaveRun: boolean;
   /** Set once the job is decided; its runs are being stopped then. */
   outcome?: JobOutcome;
   /** Until when tasks of an earlier dispatcher's runs may be found; no new runs before. */
@@ -35,30 +37,32 @@
   answer: (outcome: JobOutcome) => void;
 }
 
-export interface JobTimes {
+export interface JobOrigin {
   readonly arrivedMs: number;
   readonly longestMs: number;
   readonly firstRun: number;
+  readonly mayHaveRun: boolean;
 }
 
 export function createJobRecord(
   job: LeasedJob,
   gateway: string,
-  times: JobTimes,
+  origin: JobOrigin,
   answer: (outcome: JobOutcome) => void,
 ): JobRecord {
-  const createdMs = times.arrivedMs - job.ageMs;
-  const tasks = job.steps.flatMap((step, number) => tasksOf(job.id, step, number, times.firstRun));
+  const createdMs = origin.arrivedMs - job.ageMs;
+  const tasks = job.steps.flatMap((step, number) => tasksOf(job.id, step, number, origin.firstRun));
   return {
     job,
     gateway,
-    heldSinceMs: times.arrivedMs,
-    arrivedMs: times.arrivedMs,
-    deadlineMs: times.arrivedMs + job.remainingMs,
-    objectiveMs: createdMs + job.objectiveStretch * times.longestMs + job.objectiveAllowanceMs,
+    heldSinceMs: origin.arrivedMs,
+    arrivedMs: origin.arrivedMs,
+    deadlineMs: origin.arrivedMs + job.remainingMs,
+    objectiveMs: createdMs + job.objectiveStretch * origin.longestMs + job.objectiveAllowanceMs,
     tasks,
     waiting: tasks.length,
     hasStarted: false,
+    mayHaveRun: origin.mayHaveRun,
     answer,
   };
 }
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -28,7 +28,8 @@
   type TaskRef,
 } from './leasedEndpoint.js';
 
-/** Leases reach this far ahead; the platform shortens longer ones to 1 s. */
+/** Longest lease that endpoints grant, and how far ahead the own ones reach. */
+const LONGEST_LEASE_MS = 1_000;
 const LEASE_MS = 950;
 /** Lease that a start carries by itself; holds prolong it. */
 const START_LEASE_MS = 600;
@@ -105,8 +106,10 @@
   /** Whether it may get new tasks now, apart from its room. */
   isUsable(): boolean;
   isSilent(): boolean;
-  /** Whether all that earlier dispatchers had started there is known. */
-  isSurveyed(): boolean;
+  /** When the newest report was asked for; undefined before the first. */
+  reportedMs(): number | undefined;
+  /** Asks for a report now, without waiting for an end. */
+  refresh(): void;
   room(): Resources;
   runs(): Iterable<Run>;
   start(request: RunRequest): Run;
@@ -135,6 +138,8 @@
   /** The endpoint's clock in the newest report. */
   let newestReportMs = -Infinity;
   let surveyedAtMs: number | undefined;
+  let reportedMs: number | undefined;
+  let isRefreshing = false;
   let unanswered = 0;
   let pausedUntilMs = 0;
   let isReplaced = false;
@@ -187,6 +192,16 @@
     lapseSilentRuns();
   }
 
+  function refresh(): void {
+    if (isRefreshing) return;
+    isRefreshing = true;
+    // All that ask in one turn of the event loop share one look.
+    setImmediate(() => {
+      isRefreshing = false;
+      if (!closing.signal.aborted) void look(0);
+    });
+  }
+
   function takeHold(answer: Result<HoldAnswer, EndpointError>, sentMs: number): void {
     if (answer.isErr) {
       countUnanswered(answer.error.message);
@@ -222,6 +237,7 @@
     }
     bornMs = report.bornMs ?? bornMs;
     endpointClock.read(report.clockMs, nowMs);
+    reportedMs = Math.max(reportedMs ?? sentMs, sentMs);
     const isFirst = surveyedAtMs === undefined;
     surveyedAtMs ??= nowMs;
     for (const one of report.ended) {
@@ -233,6 +249,8 @@
     }
     // Answers on different connections may overtake each other.
     if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
+    // Leases that the earlier dispatcher gave ended its reach when this fence arrived.
+    if (!foreign.isEmpty()) lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
     newestReportMs = Math.max(newestReportMs, report.clockMs);
     if (isFirst) events.onChange();
     events.onReport();
@@ -450,7 +468,8 @@
       !isReplaced &&
       clock.nowMs() >= pausedUntilMs,
     isSilent: () => unanswered >= SILENT_CALLS,
-    isSurveyed: () => surveyedAtMs !== undefined,
+    reportedMs: () => reportedMs,
+    refresh,
     room,
     runs: () => runs.values(),
     start,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -24,6 +24,7 @@
     job: LeasedJob;
     gateway: string;
     resubmissions: number;
+    heldOn?: readonly string[];
   }): Promise<JobOutcome>;
   withdraw(job: string, gateway?: string): boolean;
 }
@@ -54,6 +55,8 @@
   resubmissions: number;
   /** The view under which it was handed over last. */
   sentUnder?: View;
+  /** Endpoints on which runs of the job were left by the dispatchers it moved away from. */
+  readonly heldOn: Set<string>;
 }
 
 /** The end of one attempt to have a job run; undefined calls for another attempt. */
@@ -64,7 +67,7 @@
   const open = new Map<string, OpenJob>();
 
   async function submit(job: LeasedJob, signal: AbortSignal): Promise<JobOutcome> {
-    const one: OpenJob = { job, signal, startedMs: clock.nowMs(), resubmissions: 0 };
+    const one: OpenJob = { job, signal, startedMs: clock.nowMs(), resubmissions: 0, heldOn: new Set() };
     open.set(job.id, one);
     const onLeave = () => {
       void withdraw(job.id, instance);
@@ -87,6 +90,7 @@
       const outcome = await attempt(one, view);
       if (outcome !== undefined) return outcome;
       one.resubmissions += 1;
+      if (leadership.view() === view) await timer.sleep(LOOK_INTERVAL_MS);
       logger.warn('Job is handed over again.', {
         job: one.job.id,
         epoch: view.epoch,
@@ -121,11 +125,12 @@
     const remaining = remainingMs(one);
     const ageMs = one.job.ageMs + (clock.nowMs() - one.startedMs);
     const job = { ...one.job, ageMs, remainingMs: remaining };
-    const submission = { job, gateway: instance, resubmissions: one.resubmissions };
+    const { resubmissions, heldOn } = one;
+    const submission = { job, gateway: instance, resubmissions, heldOn: [...heldOn] };
     const local = leadership.isDispatching() ? options.local() : undefined;
     if (local !== undefined) {
       one.sentUnder = view;
-      return settle(await local.submit(submission));
+      return settle(one, await local.submit(submission));
     }
     const link = leadership.link();
     if (link === undefined) return undefined;
@@ -137,12 +142,14 @@
       return undefined;
     }
     one.sentUnder = view;
-    if (reply.isOk) return settle(reply.value);
+    if (reply.isOk) return settle(one, reply.value);
     return undefined;
   }
 
-  function settle(outcome: JobOutcome): Attempt {
-    return outcome.state === JobStates.MOVED ? undefined : outcome;
+  function settle(one: OpenJob, outcome: JobOutcome): Attempt {
+    if (outcome.state !== JobStates.MOVED) return outcome;
+    for (const endpoint of outcome.heldOn ?? []) one.heldOn.add(endpoint);
+    return undefined;
   }
 
   function overtime(one: OpenJob): JobOutcome {
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -39,6 +39,8 @@
 const LARGEST_RECONNECT_MS = 300;
 /** Time without an answer after which the store counts as out of reach; renewals come every second. */
 const STORE_SILENCE_MS = 2_500;
+/** How long the stored dispatcher may take to be reached after a cut has healed. */
+const RETURN_LIMIT_MS = 1_500;
 /** Pause between attempts to raise the fence. */
 const RAISE_INTERVAL_MS = 300;
 /** The fleet waits this long for its members to enrol before it names its first dispatcher. */
@@ -97,6 +99,8 @@
   let storeHeardMs = -Infinity;
   let hasStoreFailed = true;
   let raisedMs = -Infinity;
+  /** Since when the stored dispatcher did not answer after a return of the store. */
+  let missedMs: number | undefined;
   let isStopping = false;
   let waitingThere: Record<string, number> = {};
   let startedMs = 0;
@@ -325,7 +329,13 @@
       connectWaitMs: PULSE_TIMEOUT_MS,
     });
     if (view !== of) return;
-    if (reply.isErr || !reply.value.isDispatching) await takeByStore(self, 'return of the store');
+    if (reply.isOk && reply.value.isDispatching) {
+      missedMs = undefined;
+      return;
+    }
+    const nowMs = clock.nowMs();
+    missedMs ??= nowMs;
+    if (nowMs - missedMs > RETURN_LIMIT_MS) await takeByStore(self, 'return of the store');
   }
 
   /** Raises the fence above one that endpoints have seen, if this instance is still the dispatcher. */
@@ -334,6 +344,10 @@
     if (!isDispatching() || isStopping || nowMs - raisedMs < RAISE_INTERVAL_MS) return;
     raisedMs = nowMs;
     const of = view;
+    if (of !== undefined && of.round > 0) {
+      await returnToStore(of);
+      return;
+    }
     if (!(await readStored()) || view !== of) return;
     logger.warn('Fence is raised.', { reason, epoch: of?.epoch });
     await takeByStore(self, 'raised fence');
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -71,6 +71,8 @@
   reason: z.string(),
   /** After which span the job would be accepted, when it was refused. */
   retryAfterMs: span.optional(),
+  /** Endpoints on which runs of the job go on, when it has moved. */
+  heldOn: z.array(z.string()).optional(),
 });
 
 /** One instance of the fleet. */
@@ -128,6 +130,8 @@
       gateway: z.string(),
       /** How often this gateway has handed the job to a dispatcher before. */
       resubmissions: count,
+      /** Endpoints on which an earlier dispatcher left runs of the job. */
+      heldOn: z.array(z.string()).optional(),
     }),
     reply: jobOutcomeSchema,
   },
