perf(dispatch): look for places only when something waits, and call endpoints with less

Each event planned anew with nothing waiting; each call made abort signals and promises of its own; each log line was a system call.

--- a/packages/dispatch/src/choosePlace.ts
+++ b/packages/dispatch/src/choosePlace.ts
@@ -10,8 +10,13 @@
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import type { Resources, Step } from '@celerybarrow/protocol';
 
-/** Part of the caller's time that the expected run may take on an endpoint of choice. */
-const SAFE_SHARE = 0.6;
+/**
+ * Parts of the time to the objective and of the caller's time that the expected run may take on an
+ * endpoint of choice. The objective grows with the true length of the work, the caller's time does
+ * not, so a wrong estimate needs more room there.
+ */
+const SAFE_OBJECTIVE_SHARE = 0.6;
+const SAFE_PATIENCE_SHARE = 0.45;
 /** How much longer a task runs away from the rack of its data. */
 const OTHER_RACK_FACTOR = 1.5;
 
@@ -50,7 +55,10 @@
 
 export function choosePlace<T extends Place>(places: readonly T[], placing: Placing): T | undefined {
   const limitMs = limitOf(placing);
-  const safeMs = Math.min(placing.objectiveInMs, placing.patienceMs) * SAFE_SHARE;
+  const safeMs = Math.min(
+    placing.objectiveInMs * SAFE_OBJECTIVE_SHARE,
+    placing.patienceMs * SAFE_PATIENCE_SHARE,
+  );
   let slowestSafe: T | undefined;
   let slowestSafeMs = -Infinity;
   let first: T | undefined;
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -26,7 +26,7 @@
 import { createEndpointVerdict } from './endpointVerdict.js';
 import { createGatewayLeases } from './gatewayLeases.js';
 import { createJobRecord, type JobRecord, type TaskRecord } from './jobRecord.js';
-import { isOverdue } from './overdueRun.js';
+import { isLate, isWorthMoving } from './overdueRun.js';
 import { createPlacer, type PlannedJob } from './placer.js';
 import { isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
@@ -261,12 +261,13 @@
   /** Starts what can start, in order, and refuses what can no longer be served. */
   function pass(): void {
     const nowMs = clock.nowMs();
-    const waiting = [...jobs.values()].filter(isWaiting);
+    const waiting = [...jobs.values()].filter((record) => isWaiting(record, nowMs));
+    if (waiting.length === 0) return;
     for (const one of placer.plan(waiting, nowMs)) {
       for (const start of one.starts) startTask(one.record, start.task, start.steward);
       if (one.starts.length > 0) logPlacement(one, nowMs);
       if (one.record.hasStarted || one.record.outcome !== undefined) continue;
-      const isLate = isRefused({
+      const isHopeless = isRefused({
         nowMs,
         deadlineMs: one.record.deadlineMs,
         arrivedMs: one.record.arrivedMs,
@@ -274,7 +275,7 @@
         runMs: one.runMs,
         hasRoom: one.hasRoom,
       });
-      if (isLate) refuse(one.record, one.waitMs);
+      if (isHopeless) refuse(one.record, one.waitMs);
     }
   }
 
@@ -290,12 +291,12 @@
     });
   }
 
-  function isWaiting(record: JobRecord): boolean {
+  function isWaiting(record: JobRecord, nowMs: number): boolean {
     return (
       record.outcome === undefined &&
       record.waiting > 0 &&
       record.claimUntilMs === undefined &&
-      clock.nowMs() < record.deadlineMs &&
+      nowMs < record.deadlineMs &&
       leases.isHeld(record.gateway, record.heldSinceMs)
     );
   }
@@ -444,9 +445,6 @@
 
   function takeBackTask(record: JobRecord, task: TaskRecord, run: Run, nowMs: number): void {
     const expectedMs = placer.expectedMs(record, task);
-    if (nowMs - run.sentMs < expectedMs / 2) return;
-    const freshMs = placer.freshMs(record, task);
-    if (freshMs === undefined) return;
     const progress = {
       nowMs,
       startedMs: run.sentMs,
@@ -454,12 +452,13 @@
       percentAtMs: run.percentAtMs,
       seenMs: run.seenMs,
       expectedMs,
-      freshMs,
       objectiveMs: record.objectiveMs,
       deadlineMs: record.deadlineMs,
       moves: task.moves,
     };
-    if (!isOverdue(progress)) return;
+    if (!isLate(progress)) return;
+    const freshMs = placer.freshMs(record, task);
+    if (freshMs === undefined || !isWorthMoving(progress, freshMs)) return;
     task.moves += 1;
     if (task.endpoint !== undefined) task.avoided.add(task.endpoint);
     logger.warn('Overdue run is taken back.', {
@@ -487,7 +486,7 @@
         finish(record, { state: JobStates.LOST, reason: 'its gateway is silent' });
       }
     }
-    if ([...jobs.values()].some(isWaiting)) pass();
+    pass();
   }
 
   function withdraw(id: string, gateway?: string): boolean {
--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -28,27 +28,32 @@
   /** When the progress was last seen to change, and when it was last seen at all. */
   readonly percentAtMs: number;
   readonly seenMs: number;
-  /** Expected run time where it runs, and on the best endpoint that is free now. */
+  /** Expected run time where it runs. */
   readonly expectedMs: number;
-  readonly freshMs: number;
   readonly objectiveMs: number;
   readonly deadlineMs: number;
   readonly moves: number;
 }
 
-export function isOverdue(run: RunProgress): boolean {
+/** Whether the run, as it goes on, would miss the objective or the caller's time. */
+export function isLate(run: RunProgress): boolean {
   if (run.moves >= MAX_MOVES) return false;
+  return run.nowMs + remainingMs(run) > Math.min(run.objectiveMs, run.deadlineMs);
+}
+
+/** Whether a fresh run, expected to take so long where there is room, would meet what this misses. */
+export function isWorthMoving(run: RunProgress, freshMs: number): boolean {
   const endMs = run.nowMs + remainingMs(run);
-  const freshEndMs = run.nowMs + freshRunMs(run) * FRESH_MARGIN + MOVE_COST_MS;
+  const freshEndMs = run.nowMs + correctedMs(run, freshMs) * FRESH_MARGIN + MOVE_COST_MS;
   const wouldSave = (limitMs: number) => endMs > limitMs && freshEndMs <= limitMs;
   return wouldSave(run.objectiveMs) || wouldSave(run.deadlineMs);
 }
 
 /** Expected time of a fresh run, corrected by what the progress says of the job's length. */
-function freshRunMs(run: RunProgress): number {
+function correctedMs(run: RunProgress, freshMs: number): number {
   const totalMs = run.nowMs - run.startedMs + remainingMs(run);
   const factor = totalMs / Math.max(1, run.expectedMs);
-  return run.freshMs * (factor <= LARGEST_ESTIMATE_ERROR ? Math.max(1, factor) : 1);
+  return freshMs * (factor <= LARGEST_ESTIMATE_ERROR ? Math.max(1, factor) : 1);
 }
 
 /** Expected time until the run ends. */
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -46,6 +46,14 @@
   readonly steward: Steward;
 }
 
+/** The endpoints on which some waiting task fits. */
+interface OpenRoom {
+  readonly places: OpenPlace[];
+  /** The least that any waiting task needs. */
+  readonly smallest: Resources;
+  readonly leastSlowness: number;
+}
+
 export function createPlacer({ pool, times, verdict, clock }: PlacerOptions): Placer {
   function openPlaces(service: string | undefined, nowMs: number): OpenPlace[] {
     const places: OpenPlace[] = [];
@@ -75,12 +83,13 @@
   }
 
   function plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[] {
-    const places = openPlaces(undefined, nowMs);
+    const smallest = smallestDemand(waiting);
+    const places = openPlaces(undefined, nowMs).filter((place) => hasRoomFor(place.room, smallest));
     const { capacity, leastSlowness } = surveyPool(pool, times, nowMs);
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft }) => {
-      const starts = placeTasks(record, places, leastSlowness, nowMs);
+      const starts = places.length === 0 ? [] : placeTasks(record, { places, smallest, leastSlowness }, nowMs);
       const hasRoom = starts.length > 0;
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
       const waitMs = starts.length >= record.waiting ? 0 : workAhead / Math.max(1, capacity);
@@ -90,19 +99,26 @@
 
   function describe(record: JobRecord, nowMs: number) {
     const runMs = longestChainMs(record.job);
-    const workLeft = record.tasks.reduce((sum, task) => sum + workOf(record, task), 0);
+    const workLeft = workLeftOf(record);
     const { priority } = record.job;
     const { arrivedMs, hasStarted, objectiveMs } = record;
     const isInTime = nowMs + runMs <= objectiveMs;
     return { record, priority, isInTime, hasStarted, workLeft, arrivedMs, runMs };
   }
 
-  function workOf(record: JobRecord, task: TaskRecord): number {
-    if (task.isDone || task.run !== undefined) return 0;
-    return stepOf(record, task).demand.cores * baseMs(record.job, task.ref.step);
+  /** Core-milliseconds that have not started. */
+  function workLeftOf({ job, tasks, waiting }: JobRecord): number {
+    const [only] = job.steps;
+    if (job.steps.length === 1 && only !== undefined) {
+      return waiting * only.demand.cores * baseMs(job, 0);
+    }
+    return tasks.reduce((sum, { isDone, run, ref }) => {
+      const isOpen = !isDone && run === undefined;
+      return isOpen ? sum + (job.steps[ref.step]?.demand.cores ?? 0) * baseMs(job, ref.step) : sum;
+    }, 0);
   }
 
-  function placeTasks(record: JobRecord, places: OpenPlace[], leastSlowness: number, nowMs: number) {
+  function placeTasks(record: JobRecord, { places, smallest, leastSlowness }: OpenRoom, nowMs: number) {
     const starts: { task: TaskRecord; steward: Steward }[] = [];
     for (const task of record.tasks) {
       if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
@@ -121,7 +137,7 @@
         (hasAvoidedAll(task, mine) ? choosePlace(mine, { ...placing, avoided: new Set() }) : undefined);
       if (place === undefined) break;
       starts.push({ task, steward: place.steward });
-      occupy(places, place, step.demand);
+      occupy(places, place, step.demand, smallest);
     }
     return starts;
   }
@@ -158,6 +174,18 @@
   };
 }
 
+function smallestDemand(waiting: readonly JobRecord[]): Resources {
+  const smallest = { cores: Infinity, memoryMb: Infinity, accelerators: Infinity };
+  for (const { job } of waiting) {
+    for (const { demand } of job.steps) {
+      smallest.cores = Math.min(smallest.cores, demand.cores);
+      smallest.memoryMb = Math.min(smallest.memoryMb, demand.memoryMb);
+      smallest.accelerators = Math.min(smallest.accelerators, demand.accelerators);
+    }
+  }
+  return smallest;
+}
+
 /** Whether an ejected endpoint is busy with its probe. */
 function hasRuns(steward: Steward, verdict: EndpointVerdict): boolean {
   return verdict.isEjected(steward.id) && [...steward.runs()].length > 0;
@@ -201,12 +229,18 @@
   return task.avoided.size > 0 && places.every((place) => task.avoided.has(place.entry.id));
 }
 
-function occupy(places: OpenPlace[], place: OpenPlace, demand: Resources): void {
+function occupy(
+  places: OpenPlace[],
+  place: OpenPlace,
+  demand: Resources,
+  smallest: Resources,
+): void {
   place.room = {
     cores: place.room.cores - demand.cores,
     memoryMb: place.room.memoryMb - demand.memoryMb,
     accelerators: place.room.accelerators - demand.accelerators,
   };
   place.allowance -= 1;
-  if (place.allowance <= 0) places.splice(places.indexOf(place), 1);
+  if (place.allowance > 0 && hasRoomFor(place.room, smallest)) return;
+  places.splice(places.indexOf(place), 1);
 }
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -150,7 +150,7 @@
       if (isIdle()) await restIdle();
       if (closing.signal.aborted) return;
       await look(holdWaitMs());
-      if (unanswered > 1 || isReplaced) await timer.sleep(RETRY_MS, closing.signal);
+      if (unanswered > 1 || isReplaced) await timer.sleep(RETRY_MS);
     }
   }
 
@@ -159,8 +159,13 @@
   }
 
   async function restIdle(): Promise<void> {
-    wake = createDeferred();
-    await Promise.race([wake.promise, timer.sleep(IDLE_LOOK_MS, closing.signal)]);
+    const woken = createDeferred<undefined>();
+    wake = woken;
+    const cancel = timer.onAfter(IDLE_LOOK_MS, () => {
+      woken.resolve(undefined);
+    });
+    await woken.promise;
+    cancel();
   }
 
   function holdWaitMs(): number {
@@ -408,7 +413,7 @@
         stopAnswered.set(run, clock.nowMs());
         await look(0);
       }
-      if (runs.get(run.key) === run) await timer.sleep(STOP_RETRY_MS, closing.signal);
+      if (runs.get(run.key) === run) await timer.sleep(STOP_RETRY_MS);
     }
   }
 
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -43,3 +43,42 @@
 function addInstance(line: string, instance: string): string {
   return `${line.slice(0, -1)},"instance":${JSON.stringify(instance)}}`;
 }
+
+/** Lines are written together at this interval, which costs one system call for all of them. */
+const FLUSH_INTERVAL_MS = 100;
+/** Lines that wait beyond this are dropped, and counted. */
+const MAX_BUFFERED_LINES = 2_000;
+
+export interface LogBuffer {
+  write(line: string): void;
+  flush(): void;
+}
+
+/**
+ * Gathers log lines and writes them together. When more come than can be written, the newest are
+ * dropped and a line tells how many.
+ */
+export function createLogBuffer(
+  write: (text: string) => void,
+  onEvery: (everyMs: number, subscriber: () => void) => unknown,
+): LogBuffer {
+  let lines: string[] = [];
+  let dropped = 0;
+
+  function flush(): void {
+    if (lines.length === 0) return;
+    if (dropped > 0) lines.push(`{"message":"[log] Lines were dropped.","dropped":${dropped}}\n`);
+    write(lines.join(''));
+    lines = [];
+    dropped = 0;
+  }
+
+  onEvery(FLUSH_INTERVAL_MS, flush);
+  return {
+    write(line) {
+      if (lines.length < MAX_BUFFERED_LINES) lines.push(line);
+      else dropped += 1;
+    },
+    flush,
+  };
+}
