--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -35,6 +35,8 @@
 const START_LEASE_MS = 600;
 /** Longest wait of a hold while tasks run there: a third of the lease, so that two may be lost. */
 const HOLD_WAIT_MS = 280;
+/** Pause after a report, in which the ends of one job's tasks gather into the next. */
+const GATHER_MS = 4;
 /** Pause between looks at an endpoint on which nothing runs. */
 const IDLE_LOOK_MS = 1_500;
 /** Pause after a hold without an answer. */
@@ -150,6 +152,7 @@
       if (isIdle()) await restIdle();
       if (closing.signal.aborted) return;
       await look(holdWaitMs());
+      if (runs.size > 0 && unanswered === 0) await timer.sleep(GATHER_MS);
       if (unanswered > 1 || isReplaced) await timer.sleep(RETRY_MS);
     }
   }
--- a/packages/telemetry/src/histograms.ts
+++ b/packages/telemetry/src/histograms.ts
@@ -1,6 +1,11 @@
 /** Latency histograms, one for each series name; values are whole milliseconds. */
-import { build, type Histogram } from 'hdr-histogram-js';
+// The library's index loads compression and WebAssembly, which double the start of a process.
+import hdrInt32 from 'hdr-histogram-js/dist/Int32Histogram.js';
 
+const Histogram = hdrInt32.default;
+type Histogram = InstanceType<typeof Histogram>;
+
+const SMALLEST_MS = 1;
 const LARGEST_MS = 600_000;
 const SIGNIFICANT_DIGITS = 2;
 
@@ -23,11 +28,7 @@
   function find(series: string): Histogram {
     const known = bySeries.get(series);
     if (known !== undefined) return known;
-    const created = build({
-      lowestDiscernibleValue: 1,
-      highestTrackableValue: LARGEST_MS,
-      numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-    });
+    const created = new Histogram(SMALLEST_MS, LARGEST_MS, SIGNIFICANT_DIGITS);
     bySeries.set(series, created);
     return created;
   }
