feat(instance): rehearse dispatching after a start; go on alone in a cut data centre

Cause: an instance that became dispatcher under load ran code for the first time, and for most of a second its own endpoints counted as silent.

--- a/packages/dispatch/src/choosePlace.ts
+++ b/packages/dispatch/src/choosePlace.ts
@@ -53,7 +53,10 @@
   return hasRoomFor(entry.capacity, step.demand);
 }
 
-export function choosePlace<T extends Place>(places: readonly T[], placing: Placing): T | undefined {
+export function choosePlace<T extends Place>(
+  places: readonly T[],
+  placing: Placing,
+): T | undefined {
   const limitMs = limitOf(placing);
   const safeMs = Math.min(
     placing.objectiveInMs * SAFE_OBJECTIVE_SHARE,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -115,7 +115,8 @@
   const stopReviews = timer.onEvery(REVIEW_INTERVAL_MS, review);
 
   function submit(submission: Submission): Promise<JobOutcome> {
-    if (isClosed) return Promise.resolve({ state: JobStates.MOVED, reason: 'no longer dispatching' });
+    if (isClosed)
+      return Promise.resolve({ state: JobStates.MOVED, reason: 'no longer dispatching' });
     leases.renew(submission.gateway);
     const { id } = submission.job;
     const kept = outcomes.get(id);
@@ -343,10 +344,7 @@
     verdict.noteDone(endpoint);
     const { estimateMs } = record.job.steps[task.ref.step] ?? { estimateMs: 1 };
     const nowMs = clock.nowMs();
-    times.learn(
-      { team: record.job.team, estimateMs, endpoint, ranMs: nowMs - run.sentMs },
-      nowMs,
-    );
+    times.learn({ team: record.job.team, estimateMs, endpoint, ranMs: nowMs - run.sentMs }, nowMs);
     task.isDone = true;
     completeIfDone(record);
   }
@@ -409,7 +407,8 @@
     });
     metrics.increment(`outcome/${outcome.state}`);
     metrics.time('job', team, nowMs - record.arrivedMs);
-    if (outcome.state === JobStates.COMPLETED || outcome.state === JobStates.FAILED) keep(id, outcome);
+    if (outcome.state === JobStates.COMPLETED || outcome.state === JobStates.FAILED)
+      keep(id, outcome);
     for (const task of record.tasks) stopTask(task);
     forgetIfOver(record);
   }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -89,7 +89,8 @@
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft }) => {
-      const starts = places.length === 0 ? [] : placeTasks(record, { places, smallest, leastSlowness }, nowMs);
+      const starts =
+        places.length === 0 ? [] : placeTasks(record, { places, smallest, leastSlowness }, nowMs);
       const hasRoom = starts.length > 0;
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
       const waitMs = starts.length >= record.waiting ? 0 : workAhead / Math.max(1, capacity);
@@ -118,7 +119,11 @@
     }, 0);
   }
 
-  function placeTasks(record: JobRecord, { places, smallest, leastSlowness }: OpenRoom, nowMs: number) {
+  function placeTasks(
+    record: JobRecord,
+    { places, smallest, leastSlowness }: OpenRoom,
+    nowMs: number,
+  ) {
     const starts: { task: TaskRecord; steward: Steward }[] = [];
     for (const task of record.tasks) {
       if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
@@ -134,7 +139,9 @@
       };
       const place =
         choosePlace(mine, { ...placing, avoided: task.avoided }) ??
-        (hasAvoidedAll(task, mine) ? choosePlace(mine, { ...placing, avoided: new Set() }) : undefined);
+        (hasAvoidedAll(task, mine)
+          ? choosePlace(mine, { ...placing, avoided: new Set() })
+          : undefined);
       if (place === undefined) break;
       starts.push({ task, steward: place.steward });
       occupy(places, place, step.demand, smallest);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -67,7 +67,13 @@
   const open = new Map<string, OpenJob>();
 
   async function submit(job: LeasedJob, signal: AbortSignal): Promise<JobOutcome> {
-    const one: OpenJob = { job, signal, startedMs: clock.nowMs(), resubmissions: 0, heldOn: new Set() };
+    const one: OpenJob = {
+      job,
+      signal,
+      startedMs: clock.nowMs(),
+      resubmissions: 0,
+      heldOn: new Set(),
+    };
     open.set(job.id, one);
     const onLeave = () => {
       void withdraw(job.id, instance);
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -4,3 +4,4 @@
   type InstanceOptions,
   type StoredSource,
 } from './instance.js';
+export type { Stage } from './rehearsal.js';
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -3,7 +3,7 @@
  * the fleet, when leadership falls to it. The platform's names and formats reach it only through the
  * interfaces in the options.
  */
-import { parseAddress, type Random } from '@celerybarrow/shared';
+import { describeError, parseAddress, type Random } from '@celerybarrow/shared';
 import { createElapsedClock, type TimerService } from '@celerybarrow/timer';
 import {
   createPeerServer,
@@ -15,10 +15,17 @@
 import { followPrefix, type Entry as StoreEntry, type Store } from '@celerybarrow/store';
 import type { EndpointEntry, EndpointNetwork } from '@celerybarrow/endpoints';
 import { createDispatcher, createEndpointDirectory, type Dispatcher } from '@celerybarrow/dispatch';
-import { createDocuments, createLeadership, fenceOf, type Leadership } from '@celerybarrow/leadership';
+import {
+  createDocuments,
+  createLeadership,
+  fenceOf,
+  type Leadership,
+} from '@celerybarrow/leadership';
 import { createEntry, type Entry, type Routing } from '@celerybarrow/entry';
 import { createLogger, type Metrics } from '@celerybarrow/telemetry';
 
+import { rehearse, type Stage } from './rehearsal.js';
+
 /** Pause between looks at the endpoints' entries, which change with every heartbeat. */
 const DIRECTORY_PAUSE_MS = 400;
 /** Interval at which the own gateway's right is renewed; below a third of the lease. */
@@ -46,6 +53,8 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly metrics: Metrics;
+  /** Opens endpoints on which dispatching is rehearsed after the start; none without it. */
+  readonly openStage?: () => Promise<Stage>;
 }
 
 export interface Instance {
@@ -221,12 +230,23 @@
       onEntry: (one) => {
         const read = options.routing.read(one);
         if (read === undefined) log.warn('Configuration cannot be read.', { key: one.key });
-        else documents.offer(ROUTING_DOCUMENT, { version: read.version, text: JSON.stringify(read) });
+        else
+          documents.offer(ROUTING_DOCUMENT, { version: read.version, text: JSON.stringify(read) });
       },
       onContact: () => undefined,
       signal: closing.signal,
     });
     log.info('Started.', { peer: self.peer, dataCentre: self.dataCentre });
+    startRehearsal();
+  }
+
+  function startRehearsal(): void {
+    if (options.openStage === undefined) return;
+    const isBusy = () => isStopping || (dispatcher !== undefined && entry.openJobs() > 0);
+    const { openStage } = options;
+    rehearse({ openStage, timer, random, logger: log, isBusy }).catch((error: unknown) => {
+      log.warn('Rehearsal failed.', { reason: describeError(error) });
+    });
   }
 
   async function stop(): Promise<void> {
@@ -237,7 +257,10 @@
     while (entry.openJobs() > 0 && clock.nowMs() - sinceMs < DRAIN_LIMIT_MS) {
       await timer.sleep(DRAIN_LOOK_MS);
     }
-    log.info('Stopped.', { openJobs: entry.openJobs(), tookMs: Math.round(clock.nowMs() - sinceMs) });
+    log.info('Stopped.', {
+      openJobs: entry.openJobs(),
+      tookMs: Math.round(clock.nowMs() - sinceMs),
+    });
   }
 
   return {
--- /dev/null
+++ b/packages/instance/src/rehearsal.ts
@@ -0,0 +1,85 @@
+/**
+ * Rehearses dispatching right after a start, against endpoints of its own on the loopback interface.
+ *
+ * Load pattern: an instance becomes the dispatcher in the middle of full load, because another one
+ * was lost. Code that has not run yet is several times slower in this runtime, and the first seconds
+ * would be late for everybody. The rehearsal gives way to real work.
+ */
+import { createDispatcher } from '@celerybarrow/dispatch';
+import type { EndpointEntry, EndpointNetwork } from '@celerybarrow/endpoints';
+import type { LeasedJob } from '@celerybarrow/protocol';
+import type { Random } from '@celerybarrow/shared';
+import { createMetrics, type Logger } from '@celerybarrow/telemetry';
+import { createElapsedClock, type TimerService } from '@celerybarrow/timer';
+
+/** Endpoints that exist for the rehearsal only. */
+export interface Stage {
+  readonly network: EndpointNetwork;
+  readonly entries: readonly EndpointEntry[];
+  close(): Promise<void>;
+}
+
+export interface RehearsalOptions {
+  readonly openStage: () => Promise<Stage>;
+  readonly timer: TimerService;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** Whether real work needs the processor now. */
+  readonly isBusy: () => boolean;
+}
+
+const JOBS = 160;
+const TASKS_PER_JOB = 6;
+/** Pause between jobs; the rehearsal takes about four seconds and a tenth of a core. */
+const PAUSE_MS = 25;
+const GATEWAY = 'rehearsal';
+const SETTLE_MS = 500;
+
+export async function rehearse(options: RehearsalOptions): Promise<void> {
+  const { timer, random } = options;
+  const stage = await options.openStage();
+  const dispatcher = createDispatcher({
+    network: stage.network,
+    timer,
+    clock: createElapsedClock(timer),
+    random,
+    logger: createSilentLogger(),
+    metrics: createMetrics(),
+    fence: () => 1,
+    onFenced: () => undefined,
+  });
+  dispatcher.follow(stage.entries);
+  await timer.sleep(SETTLE_MS);
+  let submitted = 0;
+  for (; submitted < JOBS && !options.isBusy(); submitted += 1) {
+    dispatcher.noteGateway(GATEWAY);
+    const job = createJob(submitted, stage.entries[0]?.service ?? '');
+    void dispatcher.submit({ job, gateway: GATEWAY, resubmissions: 0 });
+    await timer.sleep(PAUSE_MS);
+  }
+  dispatcher.close();
+  await stage.close();
+  options.logger.info('Rehearsal has ended.', { jobs: submitted });
+}
+
+function createJob(number: number, service: string): LeasedJob {
+  const demand = { cores: 1_000, memoryMb: 1, accelerators: 0 };
+  return {
+    id: `rehearsal-${number}`,
+    team: GATEWAY,
+    service,
+    priority: 0,
+    maxAttempts: 1,
+    objectiveStretch: 2,
+    objectiveAllowanceMs: 100,
+    payload: '',
+    steps: [{ tasks: TASKS_PER_JOB, demand, estimateMs: 10, after: [] }],
+    ageMs: 0,
+    remainingMs: 1_000,
+  };
+}
+
+function createSilentLogger(): Logger {
+  const ignore = () => undefined;
+  return { debug: ignore, info: ignore, warn: ignore, error: ignore };
+}
--- a/packages/leadership/src/documents.ts
+++ b/packages/leadership/src/documents.ts
@@ -29,7 +29,9 @@
     versions: () =>
       Object.fromEntries([...documents].map(([name, { version }]) => [name, version])),
     newerThan(versions) {
-      const newer = [...documents].filter(([name, { version }]) => version > (versions[name] ?? -1));
+      const newer = [...documents].filter(
+        ([name, { version }]) => version > (versions[name] ?? -1),
+      );
       return Object.fromEntries(newer);
     },
     onDocument(name, subscriber) {
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -101,6 +101,7 @@
   let raisedMs = -Infinity;
   /** Since when the stored dispatcher did not answer after a return of the store. */
   let missedMs: number | undefined;
+  let wasFenced = false;
   let isStopping = false;
   let waitingThere: Record<string, number> = {};
   let startedMs = 0;
@@ -120,7 +121,9 @@
       else logger.warn('Store does not answer.', { silentMs });
     }
     hasStoreFailed = !isReachable;
-    if (isReachable) storeHeardMs = clock.nowMs();
+    if (!isReachable) return;
+    storeHeardMs = clock.nowMs();
+    wasFenced = false;
   }
 
   function takeView(next: View, source: string): void {
@@ -259,6 +262,7 @@
       isDispatcherGone: of === undefined || linkTo(of.dispatcher).isGone(),
       epoch: of?.epoch ?? 0,
       suspectedForMs: clock.nowMs() - (suspectedMs ?? nowMs),
+      wasFenced,
     });
     logger.info('Loss of the dispatcher was weighed.', {
       decision,
@@ -268,7 +272,10 @@
     });
     if (decision === Takeovers.TAKE) await takeByStore(self, 'takeover');
     if (decision === Takeovers.TAKE_APART && of !== undefined) {
-      takeView({ epoch: of.epoch, round: of.round + 1, dispatcher: self }, 'takeover without store');
+      takeView(
+        { epoch: of.epoch, round: of.round + 1, dispatcher: self },
+        'takeover without store',
+      );
     }
   }
 
@@ -353,6 +360,13 @@
     await takeByStore(self, 'raised fence');
   }
 
+  /** Endpoints obey another dispatcher: whoever goes on apart from it does harm. */
+  function giveUpApart(of: View): void {
+    if (!isDispatching() || isStoreReachable()) return;
+    wasFenced = true;
+    logger.warn('Another dispatcher reaches the endpoints.', { epoch: of.epoch, round: of.round });
+  }
+
   function answerPulse(ask: Ask<'pulse'>, peer: Greeting): Reply<'pulse'> {
     const mine = view;
     if (isDispatching() && mine !== undefined) {
@@ -435,6 +449,7 @@
     },
     link: () => (view === undefined || isDispatching() ? undefined : linkTo(view.dispatcher)),
     noteFenced() {
+      if (view !== undefined && view.round > 0) giveUpApart(view);
       void raise('an endpoint obeys another dispatcher');
     },
     waiting: () => (isDispatching() ? options.waiting() : waitingThere),
@@ -454,4 +469,3 @@
     return undefined;
   }
 }
-
--- a/packages/leadership/src/takeover.ts
+++ b/packages/leadership/src/takeover.ts
@@ -13,6 +13,13 @@
 /** How much later each further candidate acts than the one before it. */
 const PATIENCE_PER_RANK_MS = 250;
 
+/**
+ * An instance that reaches nobody goes on alone after this time, when the leases of the dispatcher
+ * that it lost have ended. If endpoints then turn out to obey another one, it is this instance that
+ * is cut off, and it does not try again.
+ */
+const ALONE_AFTER_MS = 1_200;
+
 export const Takeovers = {
   WAIT: 'wait',
   /** Become dispatcher by compare-and-swap. */
@@ -42,6 +49,8 @@
   readonly isDispatcherGone: boolean;
   readonly epoch: number;
   readonly suspectedForMs: number;
+  /** Whether endpoints obeyed another dispatcher when this instance last went on alone. */
+  readonly wasFenced: boolean;
 }
 
 export function decideTakeover(suspicion: Suspicion): Takeover {
@@ -70,6 +79,10 @@
 function decideApart(suspicion: Suspicion, silent: readonly Answered[]): Takeover {
   const { self, others } = suspicion;
   if (suspicion.answered.some(({ opinion }) => opinion.isStoreReachable)) return Takeovers.WAIT;
+  if (suspicion.answered.length === 0) {
+    const mayBeAlone = !suspicion.wasFenced && suspicion.suspectedForMs >= ALONE_AFTER_MS;
+    return mayBeAlone ? Takeovers.TAKE_APART : Takeovers.WAIT;
+  }
   const isNear = (member: FleetMember) => member.dataCentre === self.dataCentre;
   const near = others.filter(isNear).length;
   const nearAnswered = silent.filter(({ member }) => isNear(member)).length;
--- a/packages/leadership/src/views.ts
+++ b/packages/leadership/src/views.ts
@@ -13,7 +13,9 @@
 export function fenceOf(view: View): number {
   const base = (view.epoch * ROUNDS_PER_EPOCH + view.round) * FENCES_PER_ROUND;
   if (view.round === 0) return base;
-  return base + 1 + (weigh(String(view.round), view.dispatcher.incarnation) % (FENCES_PER_ROUND - 1));
+  return (
+    base + 1 + (weigh(String(view.round), view.dispatcher.incarnation) % (FENCES_PER_ROUND - 1))
+  );
 }
 
 export function isNewer(view: View, than: View | undefined): boolean {
--- a/packages/placement/src/endpointDirectory.ts
+++ b/packages/placement/src/endpointDirectory.ts
@@ -5,7 +5,12 @@
 import type { Random } from '@celerybarrow/shared';
 import { spreadDelay } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
-import { InstanceRoles, InstanceStates, type Instance, type InstanceList } from '@celerybarrow/store';
+import {
+  InstanceRoles,
+  InstanceStates,
+  type Instance,
+  type InstanceList,
+} from '@celerybarrow/store';
 import type { Logger } from '@celerybarrow/telemetry';
 
 const REFRESH_INTERVAL_MS = 1_000;
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -117,7 +117,9 @@
 
   async function open() {
     const candidate = dial(options);
-    const abandon = timer.onAfter(options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, () => candidate.destroy());
+    const abandon = timer.onAfter(options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, () =>
+      candidate.destroy(),
+    );
     const onClosing = () => candidate.destroy();
     closing.signal.addEventListener('abort', onClosing, { once: true });
     try {
@@ -165,8 +167,7 @@
     const silentMs = timer.nowMs() - heardMs;
     if (waiting.size === 0) heardMs = timer.nowMs();
     else if (silentMs > silenceLimitMs) opened.destroy();
-    else if (silentMs > aliveIntervalMs)
-      void request('alive', {}, { timeoutMs: silenceLimitMs });
+    else if (silentMs > aliveIntervalMs) void request('alive', {}, { timeoutMs: silenceLimitMs });
   }
 
   function settle(frame: unknown): void {
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,3 +1,10 @@
 export { createHistograms, type Histograms, type LatencySummary } from './histograms.js';
-export { createLogBuffer, createLogger, routeLogs, type LogBuffer, type LogContext, type Logger } from './logger.js';
+export {
+  createLogBuffer,
+  createLogger,
+  routeLogs,
+  type LogBuffer,
+  type LogContext,
+  type Logger,
+} from './logger.js';
 export { createMetrics, type Metrics, type MetricsOptions } from './metrics.js';
