--- /dev/null
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -0,0 +1,225 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createElapsedClock, createManualTimer, type TimerService } from '@celerybarrow/timer';
+import type { EndpointEntry } from '@celerybarrow/endpoints';
+import { choosePlace, type Placing } from '../src/choosePlace.js';
+import { createEndpointVerdict } from '../src/endpointVerdict.js';
+import { createGatewayLeases } from '../src/gatewayLeases.js';
+import { compareJobs, type OrderedJob } from '../src/jobOrder.js';
+import { isLate, isWorthMoving } from '../src/overdueRun.js';
+import { isRefused, retryAfterMs } from '../src/refusal.js';
+import { createRunTimes } from '../src/runTimes.js';
+
+const capacity = { cores: 32_000, memoryMb: 1_000, accelerators: 0 };
+const demand = { cores: 14_000, memoryMb: 64, accelerators: 0 };
+
+function entry(id: string, labels: readonly string[] = []): EndpointEntry {
+  const base = { service: 's', address: '127.0.0.1:1', dataCentre: 'd', isLeaving: false };
+  return { id, ...base, capacity, labels };
+}
+
+function place(id: string, slowness: number, room = capacity) {
+  return { entry: entry(id), room, slowness };
+}
+
+function placing(change: Partial<Placing>): Placing {
+  return {
+    step: { tasks: 1, demand, estimateMs: 100, after: [] },
+    baseMs: 100,
+    objectiveInMs: 220,
+    patienceMs: 1_400,
+    leastSlowness: 0.6,
+    avoided: new Set(),
+    tasksOn: () => 0,
+    ...change,
+  };
+}
+
+describe('the choice of a place, with endpoints of different speeds', () => {
+  const fast = place('fast', 0.6);
+  const usual = place('usual', 1);
+  const slow = place('slow', 1.7);
+
+  it('leaves fast endpoints to tasks that need them', () => {
+    expect(choosePlace([fast, usual, slow], placing({}))?.entry.id).toEqual('usual');
+  });
+
+  it('takes the fastest for a long task whose caller leaves before a slow one would end', () => {
+    const long = placing({ baseMs: 900, objectiveInMs: 1_500 });
+    expect(choosePlace([slow, usual, fast], long)?.entry.id).toEqual('fast');
+  });
+
+  it('waits for a fast endpoint rather than start where it cannot be in time', () => {
+    const long = placing({ baseMs: 900, objectiveInMs: 1_000 });
+    expect(choosePlace([slow, usual].slice(0, 1), long)).toEqual(undefined);
+  });
+
+  it('starts late work where it still ends in the caller’s time', () => {
+    const late = placing({ baseMs: 900, objectiveInMs: -10, patienceMs: 1_000 });
+    expect(choosePlace([slow, usual], late)?.entry.id).toEqual('usual');
+  });
+
+  it('keeps to room, labels and the limit per endpoint', () => {
+    const full = place('full', 1, { ...capacity, cores: 13_999 });
+    expect(choosePlace([full], placing({}))).toEqual(undefined);
+    const step = { tasks: 1, demand, estimateMs: 100, after: [], label: 'b' };
+    expect(choosePlace([usual], placing({ step }))).toEqual(undefined);
+    const limited = { tasks: 2, demand, estimateMs: 100, after: [], perEndpoint: 1 };
+    expect(choosePlace([usual], placing({ step: limited, tasksOn: () => 1 }))).toEqual(undefined);
+  });
+});
+
+describe('the order of waiting jobs under too much load', () => {
+  const job: OrderedJob = {
+    priority: 1,
+    isInTime: true,
+    hasStarted: false,
+    workLeft: 10,
+    arrivedMs: 0,
+  };
+
+  it('puts what can be in time before what cannot, then goes by priority', () => {
+    expect(compareJobs(job, { ...job, isInTime: false, priority: 0 }) < 0).toEqual(true);
+    expect(compareJobs({ ...job, priority: 0 }, job) < 0).toEqual(true);
+  });
+
+  it('ends started jobs first, then the shorter ones', () => {
+    expect(compareJobs({ ...job, hasStarted: true, workLeft: 99 }, job) < 0).toEqual(true);
+    expect(compareJobs(job, { ...job, workLeft: 20 }) < 0).toEqual(true);
+  });
+});
+
+describe('refusal', () => {
+  const waiting = {
+    nowMs: 0,
+    arrivedMs: 0,
+    deadlineMs: 1_500,
+    waitMs: 2_000,
+    runMs: 200,
+    hasRoom: false,
+  };
+
+  it('refuses at once what cannot end in its caller’s time', () => {
+    expect(isRefused(waiting)).toEqual(true);
+    expect(isRefused({ ...waiting, waitMs: 100 })).toEqual(false);
+  });
+
+  it('never refuses what could start now', () => {
+    expect(isRefused({ ...waiting, hasRoom: true })).toEqual(false);
+  });
+
+  it('names a time after which the queue has drained, spread over the callers', () => {
+    expect(retryAfterMs(3_000, { next: () => 0 })).toEqual(3_000);
+    expect(retryAfterMs(3_000, { next: () => 0.9 }) > 3_000).toEqual(true);
+    expect(retryAfterMs(10, { next: () => 0 })).toEqual(1_000);
+  });
+});
+
+describe('learned run times', () => {
+  it('learns how slow an endpoint is, and how far estimates are off', () => {
+    const times = createRunTimes();
+    for (let index = 0; index < 60; index += 1) {
+      for (const [endpoint, factor] of [
+        ['slow', 2],
+        ['fast', 0.5],
+      ] as const) {
+        const run = { team: 't', estimateMs: 50, endpoint, ranMs: 100 * factor };
+        times.learn(run, index);
+      }
+    }
+    const ratio = times.slowness('slow', 60) / times.slowness('fast', 60);
+    expect(ratio > 3 && ratio < 5).toEqual(true);
+    const base = times.baseMs('t', 50);
+    expect(base > 80 && base < 125).toEqual(true);
+  });
+
+  it('forgets striking slowness when nothing runs there', () => {
+    const times = createRunTimes();
+    const run = { team: 't', estimateMs: 100, endpoint: 'e', ranMs: 800 };
+    for (let index = 0; index < 30; index += 1) {
+      times.learn({ ...run, endpoint: 'other', ranMs: 100 }, index);
+      if (index % 3 === 0) times.learn(run, index);
+    }
+    expect(times.slowness('e', 30) > 3).toEqual(true);
+    expect(times.slowness('e', 30_000) < 2.2).toEqual(true);
+  });
+});
+
+describe('the verdict on endpoints', () => {
+  it('ejects one that fails all it starts, and lets it back by a probe', () => {
+    const verdict = createEndpointVerdict(() => 12);
+    for (let index = 0; index < 2; index += 1) verdict.noteFailure('bad', 1, 0);
+    expect(verdict.allowance('bad', 10)).toEqual(0);
+    expect(verdict.allowance('bad', 1_100)).toEqual(1);
+    for (let index = 0; index < 4; index += 1) verdict.noteDone('bad');
+    expect(verdict.allowance('bad', 1_200)).toEqual(Infinity);
+  });
+
+  it('does not eject sound endpoints for jobs that fail everywhere', () => {
+    const verdict = createEndpointVerdict(() => 12);
+    for (let index = 0; index < 3; index += 1) {
+      verdict.noteFailure('sound', 0.3, 0);
+      verdict.noteDone('sound');
+    }
+    expect(verdict.isEjected('sound')).toEqual(false);
+  });
+
+  it('ejects at most a third', () => {
+    const verdict = createEndpointVerdict(() => 6);
+    for (const endpoint of ['a', 'b', 'c', 'd']) {
+      for (let index = 0; index < 4; index += 1) verdict.noteFailure(endpoint, 1, 0);
+    }
+    expect(['a', 'b', 'c', 'd'].filter((one) => verdict.isEjected(one)).length).toEqual(2);
+  });
+});
+
+describe('overdue runs', () => {
+  const run = {
+    nowMs: 400,
+    startedMs: 0,
+    percent: 8,
+    percentAtMs: 400,
+    seenMs: 400,
+    expectedMs: 200,
+    objectiveMs: 800,
+    deadlineMs: 1_500,
+    moves: 0,
+  };
+
+  it('takes back a run whose progress says that it will be late, if a fresh one is not', () => {
+    expect(isLate(run)).toEqual(true);
+    expect(isWorthMoving(run, 200)).toEqual(true);
+  });
+
+  it('leaves a long job where it is when a fresh run would be as long', () => {
+    expect(isWorthMoving({ ...run, percent: 44, expectedMs: 500, objectiveMs: 850 }, 500)).toEqual(false);
+  });
+
+  it('does not judge before a report has listed the run', () => {
+    const unseen = { ...run, percent: 0, percentAtMs: 0, seenMs: 0, nowMs: 190 };
+    expect(isLate(unseen)).toEqual(false);
+  });
+});
+
+describe('the right of a gateway’s jobs to run', () => {
+  it('ends when the gateway is silent, and does not come back for earlier jobs', async () => {
+    const timer = createManualTimer();
+    const leases = createGatewayLeases(createElapsedClock(timer));
+    leases.renew('g');
+    expect(leases.isHeld('g', 0)).toEqual(true);
+    await timer.advance(600);
+    expect(leases.isHeld('g', 0)).toEqual(false);
+    leases.renew('g');
+    expect(leases.isHeld('g', 0)).toEqual(false);
+    expect(leases.isHeld('g', 600)).toEqual(true);
+  });
+
+  it('ends also when only the wall clock went on, as on a suspended machine', () => {
+    let wallMs = 0;
+    const timer = { nowMs: () => 0, wallMs: () => wallMs } as TimerService;
+    const leases = createGatewayLeases(createElapsedClock(timer));
+    leases.renew('g');
+    wallMs = 3_000;
+    expect(leases.isHeld('g', 0)).toEqual(false);
+  });
+});
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -199,17 +199,18 @@
 }
 
 interface PoolSurvey {
-  /** Thousandths of cores of usual speed that the usable endpoints have together. */
+  /** Thousandths of cores of usual speed that the answering endpoints have together. */
   readonly capacity: number;
-  /** Slowness of the fastest usable endpoint. */
+  /** Slowness of the fastest of them. */
   readonly leastSlowness: number;
 }
 
+/** Endpoints that are only being surveyed count as well: they will be usable before a refusal is. */
 function surveyPool(pool: EndpointPool, times: RunTimes, nowMs: number): PoolSurvey {
   let capacity = 0;
   let leastSlowness = Infinity;
   for (const steward of pool.stewards()) {
-    if (!steward.isUsable()) continue;
+    if (steward.isSilent() || steward.entry().isLeaving) continue;
     const slowness = times.slowness(steward.id, nowMs);
     capacity += steward.entry().capacity.cores / slowness;
     leastSlowness = Math.min(leastSlowness, slowness);
--- /dev/null
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -0,0 +1,112 @@
+/** An endpoint in memory, whose answers tests decide, on a timer that they drive. */
+import { Result } from 'true-myth';
+import { ErrorCodes } from '@celerybarrow/shared';
+import type { ManualTimer } from '@celerybarrow/timer';
+import {
+  EndpointError,
+  OrderAnswers,
+  RunEnds,
+  taskKey,
+  type EndedTask,
+  type HoldAnswer,
+  type HoldOrder,
+  type LeasedEndpoint,
+  type OrderAnswer,
+  type RunEnd,
+  type RunOrder,
+  type RunningTask,
+  type StartOrder,
+} from '../src/index.js';
+
+const CLOCK_AHEAD_MS = 5_000;
+
+export interface FakeEndpoint extends LeasedEndpoint {
+  readonly starts: StartOrder[];
+  readonly stops: RunOrder[];
+  readonly holds: HoldOrder[];
+  /** Whether calls get no answer. */
+  isSilent: boolean;
+  /** Whether starts get no answer, and are not carried out until told. */
+  areStartsLost: boolean;
+  bornMs: number;
+  carryOut(order: RunOrder): void;
+  end(order: RunOrder, how: RunEnd): void;
+  setPercent(order: RunOrder, percent: number): void;
+  running(): readonly RunningTask[];
+}
+
+export function createFakeEndpoint(timer: ManualTimer): FakeEndpoint {
+  const running = new Map<string, { task: RunningTask['task']; run: number; percent: number }>();
+  const ended: EndedTask[] = [];
+  const stopped = new Map<string, number>();
+
+  function unanswered(): Result<never, EndpointError> {
+    return Result.err(new EndpointError(ErrorCodes.ENDPOINT_SILENT));
+  }
+
+  const fake: FakeEndpoint = {
+    starts: [],
+    stops: [],
+    holds: [],
+    isSilent: false,
+    areStartsLost: false,
+    bornMs: 1,
+    carryOut({ task, run }) {
+      if ((stopped.get(taskKey(task)) ?? 0) < run) {
+        running.set(taskKey(task), { task, run, percent: 0 });
+      }
+    },
+    end({ task, run }, how) {
+      running.delete(taskKey(task));
+      ended.push({ number: ended.length + 1, task, run, end: how });
+    },
+    setPercent({ task }, percent) {
+      const one = running.get(taskKey(task));
+      if (one !== undefined) one.percent = percent;
+    },
+    running: () => [...running.values()],
+    async start(order): Promise<Result<OrderAnswer, EndpointError>> {
+      fake.starts.push(order);
+      await timer.sleep(1);
+      if (fake.isSilent || fake.areStartsLost) {
+        await timer.sleep(100);
+        return unanswered();
+      }
+      fake.carryOut(order);
+      return Result.ok(OrderAnswers.ACCEPTED);
+    },
+    async stop(order): Promise<Result<OrderAnswer, EndpointError>> {
+      fake.stops.push(order);
+      await timer.sleep(1);
+      if (fake.isSilent) {
+        await timer.sleep(100);
+        return unanswered();
+      }
+      stopped.set(taskKey(order.task), order.run);
+      if (running.get(taskKey(order.task))?.run === order.run) fake.end(order, RunEnds.STOPPED);
+      return Result.ok(OrderAnswers.ACCEPTED);
+    },
+    async hold(order): Promise<Result<HoldAnswer, EndpointError>> {
+      fake.holds.push(order);
+      const seen = order.endsSeen ?? 0;
+      await timer.sleep(1);
+      for (let waited = 0; waited < order.waitMs && !fake.isSilent; waited += 5) {
+        if (ended.some((one) => one.number > seen)) break;
+        await timer.sleep(5);
+      }
+      if (fake.isSilent) {
+        await timer.sleep(100);
+        return unanswered();
+      }
+      const report = {
+        clockMs: timer.nowMs() + CLOCK_AHEAD_MS,
+        bornMs: fake.bornMs,
+        running: [...running.values()].map((one) => ({ ...one })),
+        ended: ended.filter((one) => one.number > seen),
+      };
+      return Result.ok({ answer: OrderAnswers.ACCEPTED, report });
+    },
+    close: () => undefined,
+  };
+  return fake;
+}
--- /dev/null
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -0,0 +1,164 @@
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
+import { createSteward, RunEnds, type Run, type RunEnd, type Steward } from '../src/index.js';
+import { createFakeEndpoint } from './fakeEndpoint.js';
+
+const demand = { cores: 14_000, memoryMb: 64, accelerators: 0 };
+const task = { job: 'a', step: 0, index: 0 };
+const order = { task, run: 1, fence: 1 };
+const opened: Steward[] = [];
+
+afterEach(() => {
+  for (const steward of opened.splice(0)) steward.close();
+});
+
+async function open(prepare?: (endpoint: ReturnType<typeof createFakeEndpoint>) => void) {
+  const timer = createManualTimer();
+  const endpoint = createFakeEndpoint(timer);
+  prepare?.(endpoint);
+  const ends: { run: Run; end: RunEnd; atMs: number }[] = [];
+  const steward = createSteward({
+    entry: {
+      id: 'i-1',
+      service: 's',
+      address: '127.0.0.1:1',
+      dataCentre: 'd',
+      isLeaving: false,
+      capacity: { cores: 32_000, memoryMb: 1_000, accelerators: 0 },
+      labels: [],
+    },
+    endpoint,
+    fence: () => 1,
+    timer,
+    clock: createElapsedClock(timer),
+    events: {
+      onEnd: (run, end) => ends.push({ run, end, atMs: timer.nowMs() }),
+      onFenced: () => undefined,
+      onChange: () => undefined,
+      onReport: () => undefined,
+      onNote: () => undefined,
+    },
+  });
+  opened.push(steward);
+  await timer.advance(20);
+  return { timer, endpoint, steward, ends };
+}
+
+function startOne(steward: Steward): Run {
+  return steward.start({ task, number: 1, demand, payload: '' });
+}
+
+describe('the steward of an endpoint', () => {
+  it('reads the end of a run that it started', async () => {
+    const { timer, endpoint, steward, ends } = await open();
+    const run = startOne(steward);
+    await timer.advance(50);
+    endpoint.end(order, RunEnds.DONE);
+    await timer.advance(20);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.DONE]);
+    expect(ends[0]?.run).toEqual(run);
+  });
+
+  it('takes room for a run until its end is certain', async () => {
+    const { timer, endpoint, steward } = await open();
+    startOne(steward);
+    expect(steward.room().cores).toEqual(18_000);
+    await timer.advance(50);
+    endpoint.end(order, RunEnds.DONE);
+    await timer.advance(20);
+    expect(steward.room().cores).toEqual(32_000);
+  });
+
+  it('ends a run whose start got no answer only after a stop was answered', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
+    startOne(steward);
+    await timer.advance(90);
+    expect(ends).toEqual([]);
+    await timer.advance(60);
+    expect(endpoint.stops.length).toEqual(1);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
+    endpoint.carryOut(order);
+    expect(endpoint.running()).toEqual([]);
+  });
+
+  it('stops a run that was carried out although its start got no answer', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
+    startOne(steward);
+    endpoint.carryOut(order);
+    await timer.advance(500);
+    expect(ends.length <= 1).toEqual(true);
+    const isKnown = [...steward.runs()].length === 1 || ends[0]?.end === RunEnds.STOPPED;
+    expect(isKnown).toEqual(true);
+  });
+
+  it('does not let the runs of a silent endpoint lapse before their lease has certainly ended', async () => {
+    const { timer, endpoint, steward, ends } = await open();
+    startOne(steward);
+    await timer.advance(300);
+    const lastLease = () => Math.max(...endpoint.holds.map((one) => one.leaseEndMs ?? 0)) - 5_000;
+    endpoint.isSilent = true;
+    await timer.advance(3_000);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.LAPSED]);
+    expect((ends[0]?.atMs ?? 0) > lastLease()).toEqual(true);
+  });
+
+  it('asks for no longer lease while an endpoint does not answer', async () => {
+    const { timer, endpoint, steward } = await open();
+    startOne(steward);
+    await timer.advance(300);
+    endpoint.isSilent = true;
+    await timer.advance(600);
+    const before = endpoint.holds.length;
+    await timer.advance(600);
+    const later = endpoint.holds.slice(before);
+    expect(later.length > 0).toEqual(true);
+    expect(later.every((one) => one.leaseEndMs === undefined)).toEqual(true);
+  });
+
+  it('lets an earlier dispatcher’s run be claimed, and prolongs it', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => {
+      one.carryOut(order);
+    });
+    const claimed = steward.claim(task, demand);
+    expect(typeof claimed).toEqual('object');
+    await timer.advance(400);
+    expect(endpoint.stops).toEqual([]);
+    expect(endpoint.holds.some((one) => one.leaseEndMs !== undefined)).toEqual(true);
+    endpoint.end(order, RunEnds.DONE);
+    await timer.advance(20);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.DONE]);
+  });
+
+  it('does not call a claimed run lapsed at the first silence', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => {
+      one.carryOut(order);
+    });
+    steward.claim(task, demand);
+    endpoint.isSilent = true;
+    await timer.advance(500);
+    expect(ends).toEqual([]);
+  });
+
+  it('stops what nobody claims, and starts nothing there before it is gone', async () => {
+    const { timer, endpoint, steward } = await open((one) => {
+      one.carryOut(order);
+    });
+    expect(steward.isUsable()).toEqual(false);
+    await timer.advance(400);
+    expect(endpoint.stops.length > 0).toEqual(true);
+    expect(endpoint.running()).toEqual([]);
+    await timer.advance(100);
+    expect(steward.isUsable()).toEqual(true);
+  });
+
+  it('knows that a new life of the endpoint runs nothing of before', async () => {
+    const { timer, endpoint, steward, ends } = await open();
+    startOne(steward);
+    await timer.advance(50);
+    endpoint.end(order, RunEnds.STOPPED);
+    endpoint.bornMs = 2;
+    await timer.advance(400);
+    expect(ends.length).toEqual(1);
+  });
+});
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -293,7 +293,7 @@
   /** A report that was asked for after the last doubt, and does not list the run, is proof. */
   function settleUnlisted(run: Run, report: EndpointReport, sentMs: number): void {
     const answeredMs = stopAnswered.get(run);
-    if (answeredMs !== undefined && sentMs > answeredMs) {
+    if (answeredMs !== undefined && sentMs >= answeredMs) {
       end(run, RunEnds.NOT_STARTED);
       return;
     }
--- /dev/null
+++ b/packages/leadership/__tests__/takeover.spec.ts
@@ -0,0 +1,128 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { FleetMember, Opinion } from '@celerybarrow/protocol';
+import { createDocuments, decideTakeover, fenceOf, isNewer, Takeovers } from '../src/index.js';
+import type { Suspicion } from '../src/index.js';
+
+function member(name: string, dataCentre = 'a'): FleetMember {
+  return { instance: name, incarnation: `${name}-1`, peer: '127.0.0.1:1', dataCentre, weight: 1 };
+}
+
+const self = member('self');
+const silent: Opinion = { isStoreReachable: true, isStopping: false };
+const cutOff: Opinion = { isStoreReachable: false, isStopping: false };
+
+function suspicion(change: Partial<Suspicion>): Suspicion {
+  return {
+    self,
+    others: [member('b'), member('c')],
+    answered: [],
+    silenceMs: 300,
+    isStoreReachable: true,
+    isDispatcherListed: true,
+    isDispatcherGone: false,
+    epoch: 1,
+    suspectedForMs: 5_000,
+    wasFenced: false,
+    ...change,
+  };
+}
+
+function answered(names: readonly string[], opinion: Opinion, dataCentre = 'a') {
+  return names.map((name) => ({ member: member(name, dataCentre), opinion }));
+}
+
+describe('a dispatcher that is not heard', () => {
+  const table: [string, Partial<Suspicion>, string][] = [
+    ['others do not hear it either', { answered: answered(['b', 'c'], silent) }, Takeovers.TAKE],
+    [
+      'the others hear it',
+      { answered: answered(['b', 'c'], { ...silent, heardAgoMs: 50 }) },
+      Takeovers.WAIT,
+    ],
+    ['nobody answers, and it is listed', {}, Takeovers.WAIT],
+    ['nobody answers, and its entry has lapsed', { isDispatcherListed: false }, Takeovers.TAKE],
+    [
+      'it is the only other instance, and its process has ended',
+      { others: [], isDispatcherGone: true },
+      Takeovers.TAKE,
+    ],
+    [
+      'the store is out of reach here, but not elsewhere',
+      { isStoreReachable: false, answered: answered(['b', 'c'], silent) },
+      Takeovers.WAIT,
+    ],
+    [
+      'the data centre is cut off together',
+      { isStoreReachable: false, answered: answered(['b', 'c'], cutOff) },
+      Takeovers.TAKE_APART,
+    ],
+    [
+      'half of the own data centre is missing too much',
+      {
+        isStoreReachable: false,
+        others: [member('b'), member('c'), member('d'), member('e', 'z')],
+        answered: answered(['e'], cutOff, 'z'),
+      },
+      Takeovers.WAIT,
+    ],
+    ['the instance reaches nobody at all', { isStoreReachable: false }, Takeovers.TAKE_APART],
+    [
+      'it reaches nobody, but not long enough',
+      { isStoreReachable: false, suspectedForMs: 500 },
+      Takeovers.WAIT,
+    ],
+    [
+      'it reaches nobody, and endpoints obeyed another one',
+      { isStoreReachable: false, wasFenced: true },
+      Takeovers.WAIT,
+    ],
+  ];
+  for (const [name, change, expected] of table) {
+    it(`${expected}: ${name}`, () => {
+      expect(decideTakeover(suspicion(change))).toEqual(expected as never);
+    });
+  }
+
+  it('lets one candidate act at a time, in the same order everywhere', () => {
+    const all = [self, member('b'), member('c')];
+    const first = all.filter((one) => {
+      const others = all.filter((other) => other !== one);
+      const decision = decideTakeover(
+        suspicion({
+          self: one,
+          others,
+          answered: others.map((other) => ({ member: other, opinion: silent })),
+          suspectedForMs: 0,
+        }),
+      );
+      return decision === Takeovers.TAKE;
+    });
+    expect(first.length).toEqual(1);
+  });
+});
+
+describe('fences', () => {
+  it('rise with the epoch and the round, and differ between instances of one round', () => {
+    const stored = { epoch: 3, round: 0, dispatcher: self };
+    const apart = { epoch: 3, round: 1, dispatcher: self };
+    const elsewhere = { epoch: 3, round: 1, dispatcher: member('b') };
+    const next = { epoch: 4, round: 0, dispatcher: self };
+    expect(isNewer(apart, stored)).toEqual(true);
+    expect(isNewer(next, apart)).toEqual(true);
+    expect(fenceOf(apart) === fenceOf(elsewhere)).toEqual(false);
+  });
+});
+
+describe('documents', () => {
+  it('never go back to an older version', () => {
+    const documents = createDocuments();
+    const seen: string[] = [];
+    documents.onDocument('routing', ({ text }) => seen.push(text));
+    documents.offer('routing', { version: 2, text: 'two' });
+    documents.offer('routing', { version: 1, text: 'one' });
+    expect(seen).toEqual(['two']);
+    expect(Object.keys(documents.newerThan({ routing: 2 }))).toEqual([]);
+    expect(Object.keys(documents.newerThan({}))).toEqual(['routing']);
+  });
+});
