--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -177,8 +177,7 @@
         finish(record, { state: refusalOf(record), reason: 'no endpoint can run it' });
         return;
       }
-      if (pool.size() > 0) pass();
-      else schedulePass();
+      pass();
     });
   }
 
@@ -259,11 +258,15 @@
     });
   }
 
-  /** Starts what can start, in order, and refuses what can no longer be served. */
+  /** Starts what can start, in order; with nothing free that is little work. */
   function pass(): void {
     const nowMs = clock.nowMs();
     const waiting = [...jobs.values()].filter((record) => isWaiting(record, nowMs));
-    if (waiting.length === 0) return;
+    if (waiting.length > 0 && placer.hasRoom(waiting, nowMs)) carryOutPlan(waiting, nowMs);
+  }
+
+  /** Starts what can start, and refuses what can no longer be served. */
+  function carryOutPlan(waiting: readonly JobRecord[], nowMs: number): void {
     for (const one of placer.plan(waiting, nowMs)) {
       for (const start of one.starts) startTask(one.record, start.task, start.steward);
       if (one.starts.length > 0) logPlacement(one, nowMs);
@@ -485,7 +488,8 @@
         finish(record, { state: JobStates.LOST, reason: 'its gateway is silent' });
       }
     }
-    pass();
+    const waiting = [...jobs.values()].filter((record) => isWaiting(record, nowMs));
+    if (waiting.length > 0) carryOutPlan(waiting, nowMs);
   }
 
   function withdraw(id: string, gateway?: string): boolean {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -22,6 +22,8 @@
 }
 
 export interface Placer {
+  /** Whether the smallest of the waiting tasks fits anywhere. */
+  hasRoom(waiting: readonly JobRecord[], nowMs: number): boolean;
   plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[];
   /** Whether any endpoint could ever run all its tasks. */
   isRunnable(record: JobRecord): boolean;
@@ -82,6 +84,15 @@
     return Math.max(...ends);
   }
 
+  function hasRoom(waiting: readonly JobRecord[], nowMs: number): boolean {
+    const smallest = smallestDemand(waiting);
+    for (const steward of pool.stewards()) {
+      if (!steward.isUsable() || !hasRoomFor(steward.room(), smallest)) continue;
+      if (verdict.allowance(steward.id, nowMs) > 0) return true;
+    }
+    return false;
+  }
+
   function plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[] {
     const smallest = smallestDemand(waiting);
     const places = openPlaces(undefined, nowMs).filter((place) => hasRoomFor(place.room, smallest));
@@ -154,6 +165,7 @@
   }
 
   return {
+    hasRoom,
     plan,
     longestChainMs,
     isRunnable(record) {
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -68,6 +68,8 @@
   start(): Promise<void>;
   /** Hands over, and resolves when no job is open or the limit has passed. */
   stop(): Promise<void>;
+  /** Ends at once and hands over nothing, as a crash would. */
+  close(): Promise<void>;
 }
 
 export function createInstance(options: InstanceOptions): Instance {
@@ -273,5 +275,12 @@
     isReady: () => !isStopping && routing !== undefined && leadership.view() !== undefined,
     start,
     stop,
+    async close() {
+      isStopping = true;
+      closing.abort();
+      leadership.close();
+      stopDispatching();
+      await server.close();
+    },
   };
 }
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -28,6 +28,8 @@
 
 const PULSE_INTERVAL_MS = 150;
 const PULSE_TIMEOUT_MS = 250;
+/** How long the first connection to a dispatcher may take before others are asked about it. */
+const FIRST_CONNECT_MS = 60;
 /** Silence of the dispatcher after which others are asked about it. */
 const SILENCE_MS = 330;
 const OPINION_TIMEOUT_MS = 180;
@@ -211,10 +213,15 @@
 
   async function pulse(of: View): Promise<void> {
     const link = linkTo(of.dispatcher);
+    if (of.dispatcher.instance === self.instance) {
+      // An earlier life of this instance; it has certainly ended.
+      await suspect(of);
+      return;
+    }
     const ask = { view: of, versions: documents.versions() };
     const reply = await link.request('pulse', ask, {
       timeoutMs: PULSE_TIMEOUT_MS,
-      connectWaitMs: PULSE_TIMEOUT_MS,
+      connectWaitMs: link.failedAttempts() > 0 ? 0 : FIRST_CONNECT_MS,
     });
     if (view !== of) return;
     if (reply.isOk && (reply.value.isDispatching || reply.value.view !== undefined)) {
