fix(leadership): one dispatcher at a time takes over without the store

Cause: found by the fleet test with the store away. Two instances took over in the same moment, as their patience had run while both still waited for the store; neither looked for the other afterwards, and each placed tasks on endpoints that obeyed the other, thousands of times a second. Patience counts from the turn of another candidate now, dispatchers without the store look for each other, and a fenced endpoint gets nothing before it answers again.

--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -145,6 +145,8 @@
   let unanswered = 0;
   let pausedUntilMs = 0;
   let isReplaced = false;
+  /** Whether the endpoint obeys another dispatcher, as far as is known. */
+  let isFenced = false;
   let wake = createDeferred<undefined>();
 
   async function follow(): Promise<void> {
@@ -215,7 +217,7 @@
       countUnanswered(answer.error.message);
       return;
     }
-    if (answer.value.answer === OrderAnswers.FENCED) events.onFenced();
+    if (answer.value.answer === OrderAnswers.FENCED) noteFenced();
     if (answer.value.answer === OrderAnswers.REPLACED) loseLife('replaced');
     if (answer.value.report === undefined) {
       countUnanswered(answer.value.answer);
@@ -224,6 +226,7 @@
     const wasSilent = unanswered >= SILENT_CALLS;
     unanswered = 0;
     isReplaced = false;
+    isFenced = false;
     takeReport(answer.value.report, sentMs);
     if (wasSilent) {
       events.onNote('Endpoint answers again.', { endpoint: entry.id });
@@ -231,6 +234,11 @@
     }
   }
 
+  function noteFenced(): void {
+    isFenced = true;
+    events.onFenced();
+  }
+
   function countUnanswered(reason: string): void {
     unanswered += 1;
     if (unanswered !== SILENT_CALLS) return;
@@ -396,7 +404,7 @@
       if (run.state === RunStates.STARTING) run.state = RunStates.RUNNING;
       return;
     }
-    if (answer === OrderAnswers.FENCED) events.onFenced();
+    if (answer === OrderAnswers.FENCED) noteFenced();
     const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
     end(run, RunEnds.NOT_STARTED, answer);
     if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
@@ -408,7 +416,7 @@
     while (!closing.signal.aborted && runs.get(run.key) === run) {
       const answer = await endpoint.stop({ task: run.task, run: run.number, fence: fence() });
       if (closing.signal.aborted || runs.get(run.key) !== run) return;
-      if (answer.isOk && answer.value === OrderAnswers.FENCED) events.onFenced();
+      if (answer.isOk && answer.value === OrderAnswers.FENCED) noteFenced();
       const isCarriedOut =
         answer.isOk &&
         (answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED);
@@ -474,6 +482,7 @@
       !entry.isLeaving &&
       unanswered < SILENT_CALLS &&
       !isReplaced &&
+      !isFenced &&
       clock.nowMs() >= pausedUntilMs,
     isSilent: () => unanswered >= SILENT_CALLS,
     reportedMs: () => reportedMs,
--- a/packages/leadership/__tests__/takeover.spec.ts
+++ b/packages/leadership/__tests__/takeover.spec.ts
@@ -23,6 +23,7 @@
     isDispatcherGone: false,
     epoch: 1,
     suspectedForMs: 5_000,
+    standingByForMs: 5_000,
     wasFenced: false,
     ...change,
   };
@@ -93,7 +94,7 @@
           self: one,
           others,
           answered: others.map((other) => ({ member: other, opinion: silent })),
-          suspectedForMs: 0,
+          standingByForMs: 0,
         }),
       );
       return decision === Takeovers.TAKE;
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -43,6 +43,8 @@
 const STORE_SILENCE_MS = 2_500;
 /** How long the stored dispatcher may take to be reached after a cut has healed. */
 const RETURN_LIMIT_MS = 1_500;
+/** Interval at which dispatchers without the store look for each other. */
+const COMPARE_INTERVAL_MS = 400;
 /** Pause between attempts to raise the fence. */
 const RAISE_INTERVAL_MS = 300;
 /** The fleet waits this long for its members to enrol before it names its first dispatcher. */
@@ -98,6 +100,8 @@
   let stored: { readonly view: View | undefined; readonly revision: number } | undefined;
   let heardMs: number | undefined;
   let suspectedMs: number | undefined;
+  let standingByMs: number | undefined;
+  let comparedMs = -Infinity;
   let storeHeardMs = -Infinity;
   let hasStoreFailed = true;
   let raisedMs = -Infinity;
@@ -133,6 +137,7 @@
     view = next;
     heardMs = undefined;
     suspectedMs = undefined;
+    standingByMs = undefined;
     members.note(next.dispatcher);
     logger.info('Dispatcher is known.', {
       dispatcher: next.dispatcher.instance,
@@ -203,7 +208,7 @@
   async function step(): Promise<void> {
     pruneLinks();
     if (isDispatching()) {
-      if (view !== undefined && view.round > 0 && isStoreReachable()) await returnToStore(view);
+      if (view !== undefined && view.round > 0) await seekOthers(view);
     } else if (view !== undefined) {
       await pulse(view);
     } else if (clock.nowMs() - startedMs > GATHERING_MS) {
@@ -269,6 +274,7 @@
       isDispatcherGone: of === undefined || linkTo(of.dispatcher).isGone(),
       epoch: of?.epoch ?? 0,
       suspectedForMs: clock.nowMs() - (suspectedMs ?? nowMs),
+      standingByForMs: standingByMs === undefined ? 0 : clock.nowMs() - standingByMs,
       wasFenced,
     });
     logger.info('Loss of the dispatcher was weighed.', {
@@ -277,6 +283,8 @@
       answered: answered.length,
       isStoreReachable: isRead,
     });
+    if (decision === Takeovers.STAND_BY) standingByMs ??= clock.nowMs();
+    else standingByMs = undefined;
     if (decision === Takeovers.TAKE) await takeByStore(self, 'takeover');
     if (decision === Takeovers.TAKE_APART && of !== undefined) {
       takeView(
@@ -334,6 +342,20 @@
     return true;
   }
 
+  /** A dispatcher without the store goes back to the stored one, or to a newer one it meets. */
+  async function seekOthers(of: View): Promise<void> {
+    if (isStoreReachable()) {
+      await returnToStore(of);
+      return;
+    }
+    const nowMs = clock.nowMs();
+    if (nowMs - comparedMs < COMPARE_INTERVAL_MS) return;
+    comparedMs = nowMs;
+    for (const { opinion } of await askOthers(members.others(self.incarnation), of)) {
+      if (opinion.view !== undefined) takeView(opinion.view, 'another instance');
+    }
+  }
+
   /** A dispatcher without the store asks the stored one to go on, or takes its place. */
   async function returnToStore(of: View): Promise<void> {
     if (!(await readStored()) || view !== of || stored?.view === undefined) return;
@@ -369,8 +391,9 @@
 
   /** Endpoints obey another dispatcher: whoever goes on apart from it does harm. */
   function giveUpApart(of: View): void {
-    if (!isDispatching() || isStoreReachable()) return;
+    if (!isDispatching() || isStoreReachable() || wasFenced) return;
     wasFenced = true;
+    comparedMs = -Infinity;
     logger.warn('Another dispatcher reaches the endpoints.', { epoch: of.epoch, round: of.round });
   }
 
--- a/packages/leadership/src/takeover.ts
+++ b/packages/leadership/src/takeover.ts
@@ -10,8 +10,8 @@
 import { weigh } from '@celerybarrow/shared';
 import type { FleetMember, Opinion } from '@celerybarrow/protocol';
 
-/** How much later each further candidate acts than the one before it. */
-const PATIENCE_PER_RANK_MS = 250;
+/** How much later each further candidate acts than the one before it; longer than one inquiry. */
+const PATIENCE_PER_RANK_MS = 700;
 
 /**
  * An instance that reaches nobody goes on alone after this time, when the leases of the dispatcher
@@ -22,6 +22,8 @@
 
 export const Takeovers = {
   WAIT: 'wait',
+  /** Another candidate comes first; its turn is now. */
+  STAND_BY: 'stand-by',
   /** Become dispatcher by compare-and-swap. */
   TAKE: 'take',
   /** Become dispatcher of what is in reach, without the store. */
@@ -49,6 +51,8 @@
   readonly isDispatcherGone: boolean;
   readonly epoch: number;
   readonly suspectedForMs: number;
+  /** How long another candidate has had its turn. */
+  readonly standingByForMs: number;
   /** Whether endpoints obeyed another dispatcher when this instance last went on alone. */
   readonly wasFenced: boolean;
 }
@@ -63,7 +67,7 @@
   const candidates = silent
     .filter(({ opinion }) => opinion.isStoreReachable)
     .map(({ member }) => member);
-  return isTurnOf(self, candidates, suspicion) ? Takeovers.TAKE : Takeovers.WAIT;
+  return isTurnOf(self, candidates, suspicion) ? Takeovers.TAKE : Takeovers.STAND_BY;
 }
 
 function hears(opinion: Opinion, silenceMs: number): boolean {
@@ -88,16 +92,16 @@
   const nearAnswered = silent.filter(({ member }) => isNear(member)).length;
   if (nearAnswered * 2 < near) return Takeovers.WAIT;
   const candidates = silent.map(({ member }) => member);
-  return isTurnOf(self, candidates, suspicion) ? Takeovers.TAKE_APART : Takeovers.WAIT;
+  return isTurnOf(self, candidates, suspicion) ? Takeovers.TAKE_APART : Takeovers.STAND_BY;
 }
 
 function isTurnOf(
   self: FleetMember,
   candidates: readonly FleetMember[],
-  { epoch, suspectedForMs }: Suspicion,
+  { epoch, standingByForMs }: Suspicion,
 ): boolean {
   const rank = rankMembers([self, ...candidates], epoch).indexOf(self);
-  return suspectedForMs >= rank * PATIENCE_PER_RANK_MS;
+  return standingByForMs >= rank * PATIENCE_PER_RANK_MS;
 }
 
 /** Members in the order in which they should dispatch: the largest first, then by hash. */
