feat(dispatch): count the work that goes on arriving ahead of a waiting job

Cause: under lasting overload a late job waits behind every newcomer that can still be in time, while its expected wait counted only the queue of the moment; it was held to its end. The drain rate leaves out now what goes on arriving before it, so it is refused early instead.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,12 +21,12 @@
 }));
 
 export default tseslint.config(
-  { ignores: ['**/dist/', 'results/'] },
+  { ignores: ['**/dist/', 'results/', 'target/'] },
   eslint.configs.recommended,
   tseslint.configs.strict,
   tseslint.configs.stylistic,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true } },
     rules: {
       '@typescript-eslint/no-floating-promises': [
--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { createElapsedClock, createManualTimer, type TimerService } from '@celerybarrow/timer';
 import type { EndpointEntry } from '@celerybarrow/endpoints';
+import { createArrivalRates } from '../src/arrivalRates.js';
 import { choosePlace, type Placing } from '../src/choosePlace.js';
 import { createEndpointVerdict } from '../src/endpointVerdict.js';
 import { createGatewayLeases } from '../src/gatewayLeases.js';
@@ -192,7 +193,9 @@
   });
 
   it('leaves a long job where it is when a fresh run would be as long', () => {
-    expect(isWorthMoving({ ...run, percent: 44, expectedMs: 500, objectiveMs: 850 }, 500)).toEqual(false);
+    expect(isWorthMoving({ ...run, percent: 44, expectedMs: 500, objectiveMs: 850 }, 500)).toEqual(
+      false,
+    );
   });
 
   it('does not judge before a report has listed the run', () => {
@@ -223,3 +226,19 @@
     expect(leases.isHeld('g', 0)).toEqual(false);
   });
 });
+
+describe('work that goes on arriving', () => {
+  it('counts what goes before a priority, and fades when nothing arrives', () => {
+    const rates = createArrivalRates();
+    for (let nowMs = 0; nowMs < 4_000; nowMs += 10) {
+      rates.note(0, 100, nowMs);
+      rates.note(1, 300, nowMs);
+    }
+    const before = rates.before(1, 4_000);
+    const all = rates.before(undefined, 4_000);
+    expect(before > 8 && before < 12).toEqual(true);
+    expect(all > 34 && all < 46).toEqual(true);
+    expect(rates.before(0, 4_000)).toEqual(0);
+    expect(rates.before(undefined, 9_000) < 0.1).toEqual(true);
+  });
+});
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -22,6 +22,7 @@
 import { JobStates, type JobOutcome, type JobState, type LeasedJob } from '@celerybarrow/protocol';
 import type { Logger, Metrics } from '@celerybarrow/telemetry';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
+import { createArrivalRates } from './arrivalRates.js';
 import { createEndpointPool } from './endpointPool.js';
 import { createEndpointVerdict } from './endpointVerdict.js';
 import { createGatewayLeases } from './gatewayLeases.js';
@@ -108,7 +109,8 @@
     },
   });
   const verdict = createEndpointVerdict(() => pool.size());
-  const placer = createPlacer({ pool, times, verdict, clock });
+  const rates = createArrivalRates();
+  const placer = createPlacer({ pool, times, verdict, rates, clock });
   const createdMs = clock.nowMs();
   let isPassDue = false;
   let isClosed = false;
@@ -171,6 +173,7 @@
       const record = createJobRecord(job, gateway, origin, resolve);
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
+      rates.note(job.priority, placer.workLeft(record), arrivedMs);
       claimEarlierRuns(record, resubmissions > 0, heldOn);
       if (record.outcome !== undefined) return;
       if (!placer.isRunnable(record)) {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -5,6 +5,7 @@
 import type { Steward } from '@celerybarrow/endpoints';
 import type { LeasedJob, Resources } from '@celerybarrow/protocol';
 import type { ElapsedClock } from '@celerybarrow/timer';
+import type { ArrivalRates } from './arrivalRates.js';
 import { choosePlace, hasRoomFor, isAllowed, type Place } from './choosePlace.js';
 import type { EndpointPool } from './endpointPool.js';
 import type { EndpointVerdict } from './endpointVerdict.js';
@@ -27,6 +28,8 @@
   plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[];
   /** Whether any endpoint could ever run all its tasks. */
   isRunnable(record: JobRecord): boolean;
+  /** Core-milliseconds of a job that have not started. */
+  workLeft(record: JobRecord): number;
   /** Expected time of the longest chain of steps on a usual endpoint. */
   longestChainMs(job: LeasedJob): number;
   /** Expected run time of a task where it runs. */
@@ -39,6 +42,7 @@
   readonly pool: EndpointPool;
   readonly times: RunTimes;
   readonly verdict: EndpointVerdict;
+  readonly rates: ArrivalRates;
   readonly clock: ElapsedClock;
 }
 
@@ -48,6 +52,16 @@
   readonly steward: Steward;
 }
 
+/** Part of the cores that tasks of a third to a half of an endpoint can fill. */
+const PACKED_SHARE = 0.88;
+/** Part of the capacity that is taken to drain the queue even when more work arrives than that. */
+const LEAST_DRAIN_SHARE = 0.04;
+
+/** Time until the work ahead has its turn, with what goes on arriving before it. */
+function drainMs(workAhead: number, capacity: number, arriving: number): number {
+  return workAhead / Math.max(1, capacity * LEAST_DRAIN_SHARE, capacity - arriving);
+}
+
 /** The endpoints on which some waiting task fits. */
 interface OpenRoom {
   readonly places: OpenPlace[];
@@ -56,7 +70,7 @@
   readonly leastSlowness: number;
 }
 
-export function createPlacer({ pool, times, verdict, clock }: PlacerOptions): Placer {
+export function createPlacer({ pool, times, verdict, rates, clock }: PlacerOptions): Placer {
   function openPlaces(service: string | undefined, nowMs: number): OpenPlace[] {
     const places: OpenPlace[] = [];
     for (const steward of pool.stewards()) {
@@ -99,13 +113,17 @@
     const { capacity, leastSlowness } = surveyPool(pool, times, nowMs);
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
     let workAhead = 0;
-    return ordered.map(({ record, runMs, workLeft }) => {
+    return ordered.map(({ record, runMs, workLeft, priority }) => {
       const starts =
         places.length === 0 ? [] : placeTasks(record, { places, smallest, leastSlowness }, nowMs);
       const hasRoom = starts.length > 0;
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
-      const waitMs = starts.length >= record.waiting ? 0 : workAhead / Math.max(1, capacity);
-      return { record, starts, waitMs, runMs, hasRoom };
+      if (starts.length >= record.waiting) return { record, starts, waitMs: 0, runMs, hasRoom };
+      const usable = capacity * PACKED_SHARE;
+      const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
+      const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
+      const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
+      return { record, starts, waitMs: Math.max(inTimeMs, lateMs), runMs, hasRoom };
     });
   }
 
@@ -167,6 +185,7 @@
   return {
     hasRoom,
     plan,
+    workLeft: workLeftOf,
     longestChainMs,
     isRunnable(record) {
       if (pool.size() === 0) return true;
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -6,8 +6,9 @@
 const SUITE_TIMEOUT_MS = 300_000;
 
 function testFiles() {
-  return readdirSync('packages').flatMap((name) => {
-    const folder = join('packages', name, 'dist', '__tests__');
+  const roots = [...readdirSync('packages').map((name) => join('packages', name)), 'platform'];
+  return roots.flatMap((root) => {
+    const folder = join(root, 'dist', '__tests__');
     if (!existsSync(folder)) return [];
     return readdirSync(folder)
       .filter((file) => file.endsWith('.spec.js'))
