--- /dev/null
+++ b/packages/telemetry/__tests__/telemetry.spec.ts
@@ -0,0 +1,30 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createLogBuffer, createMetrics, renderMetrics } from '../src/index.js';
+
+describe('the metrics address', () => {
+  it('shows counters by class and latencies by quantile', async () => {
+    const metrics = createMetrics();
+    metrics.increment('outcome/completed', 3);
+    metrics.time('job', 'renders', 20);
+    const { text } = await renderMetrics(metrics);
+    expect(text).toMatchRegex(/celerybarrow_events_total\{event="outcome",class="completed"\} 3/);
+    expect(text).toMatchRegex(/measure="job",class="renders",quantile="0.99"\} 20/);
+  });
+});
+
+describe('buffered log lines', () => {
+  it('are written together, and what is dropped is counted', () => {
+    const written: string[] = [];
+    const buffer = createLogBuffer(
+      (text) => written.push(text),
+      () => undefined,
+    );
+    for (let index = 0; index < 2_005; index += 1) buffer.write(`${index}\n`);
+    buffer.flush();
+    expect(written.length).toEqual(1);
+    expect(written[0] ?? '').toMatchRegex(/"dropped":5/);
+    buffer.flush();
+    expect(written.length).toEqual(1);
+  });
+});
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -8,3 +8,4 @@
   type Logger,
 } from './logger.js';
 export { createMetrics, type Metrics, type MetricsOptions } from './metrics.js';
+export { renderMetrics, type MetricsText } from './metricsText.js';
--- /dev/null
+++ b/packages/telemetry/src/metricsText.ts
@@ -0,0 +1,58 @@
+/**
+ * The counters and latency summaries in the usual text format for a metrics address. The library is
+ * loaded at the first question, so that it costs a start nothing.
+ */
+import type { Metrics } from './metrics.js';
+
+export interface MetricsText {
+  readonly contentType: string;
+  readonly text: string;
+}
+
+const PERCENTILES = [
+  ['0.5', 'p50Ms'],
+  ['0.9', 'p90Ms'],
+  ['0.99', 'p99Ms'],
+] as const;
+
+/** Counters named `outcome/completed` become one metric with the rest of the name as a label. */
+export async function renderMetrics(metrics: Metrics): Promise<MetricsText> {
+  const { Counter, Gauge, Registry } = await import('prom-client');
+  const registry = new Registry();
+  const registers = [registry];
+  const counter = new Counter({
+    name: 'celerybarrow_events_total',
+    help: 'Events by name and class.',
+    labelNames: ['event', 'class'],
+    registers,
+  });
+  const latency = new Gauge({
+    name: 'celerybarrow_latency_ms',
+    help: 'Latency by what was measured, class and quantile.',
+    labelNames: ['measure', 'class', 'quantile'],
+    registers,
+  });
+  const count = new Gauge({
+    name: 'celerybarrow_latency_count',
+    help: 'Measurements behind each latency.',
+    labelNames: ['measure', 'class'],
+    registers,
+  });
+  for (const [name, value] of Object.entries(metrics.counters())) {
+    const [event, label] = splitName(name);
+    counter.inc({ event, class: label }, value);
+  }
+  for (const [name, summary] of Object.entries(metrics.histograms.summarize())) {
+    const [measure, label] = splitName(name);
+    count.set({ measure, class: label }, summary.count);
+    for (const [quantile, field] of PERCENTILES) {
+      latency.set({ measure, class: label, quantile }, summary[field]);
+    }
+  }
+  return { contentType: registry.contentType, text: await registry.metrics() };
+}
+
+function splitName(name: string): [string, string] {
+  const [first = '', ...rest] = name.split('/');
+  return [first, rest.join('/')];
+}
