--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -27,6 +27,7 @@
 import { createEndpointVerdict } from './endpointVerdict.js';
 import { createGatewayLeases } from './gatewayLeases.js';
 import { createJobRecord, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { createOutcomeMemory } from './outcomeMemory.js';
 import { isLate, isWorthMoving } from './overdueRun.js';
 import { createPlacer, type PlannedJob } from './placer.js';
 import { isRefused, retryAfterMs } from './refusal.js';
@@ -38,9 +39,6 @@
 const SURVEY_LIMIT_MS = 300;
 /** After this time without renewal no run of an earlier dispatcher can be left anywhere. */
 const EARLIER_RUNS_GONE_MS = 1_700;
-/** How long the outcome of a completed job is kept for a caller that missed the answer. */
-const OUTCOME_KEPT_MS = 6_000;
-const MAX_OUTCOMES = 20_000;
 /** Runs of one gateway's submission are numbered from a multiple of this. */
 const RUNS_PER_SUBMISSION = 100;
 
@@ -84,7 +82,7 @@
   const { timer, clock, logger, metrics } = options;
   const jobs = new Map<string, JobRecord>();
   const byTask = new Map<string, { record: JobRecord; task: TaskRecord }>();
-  const outcomes = new Map<string, { outcome: JobOutcome; atMs: number }>();
+  const outcomes = createOutcomeMemory(clock);
   const times = createRunTimes();
   const leases = createGatewayLeases(clock);
   const pool = createEndpointPool({
@@ -121,10 +119,8 @@
       return Promise.resolve({ state: JobStates.MOVED, reason: 'no longer dispatching' });
     leases.renew(submission.gateway);
     const { id } = submission.job;
-    const kept = outcomes.get(id);
-    if (kept !== undefined && clock.nowMs() - kept.atMs < OUTCOME_KEPT_MS) {
-      return Promise.resolve(kept.outcome);
-    }
+    const kept = outcomes.find(id);
+    if (kept !== undefined) return Promise.resolve(kept);
     const known = jobs.get(id);
     if (known === undefined) return admit(submission);
     if (known.outcome === undefined) return join(known, submission);
@@ -413,21 +409,11 @@
     });
     metrics.increment(`outcome/${outcome.state}`);
     metrics.time('job', team, nowMs - record.arrivedMs);
-    if (outcome.state === JobStates.COMPLETED || outcome.state === JobStates.FAILED)
-      keep(id, outcome);
+    outcomes.keep(id, outcome);
     for (const task of record.tasks) stopTask(task);
     forgetIfOver(record);
   }
 
-  function keep(id: string, outcome: JobOutcome): void {
-    const nowMs = clock.nowMs();
-    outcomes.set(id, { outcome, atMs: nowMs });
-    for (const [other, { atMs }] of outcomes) {
-      if (nowMs - atMs < OUTCOME_KEPT_MS && outcomes.size <= MAX_OUTCOMES) return;
-      outcomes.delete(other);
-    }
-  }
-
   function stopTask(task: TaskRecord): void {
     if (task.run === undefined || task.endpoint === undefined) return;
     pool.find(task.endpoint)?.stop(task.run);
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -6,7 +6,6 @@
 import { describeError, type Random } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import {
-  createPeerLink,
   viewSchema,
   type Ask,
   type FleetMember,
@@ -23,6 +22,7 @@
 import type { Documents } from './documents.js';
 import { keepEnrolled } from './enrolment.js';
 import { createMembers } from './members.js';
+import { createPeerLinks } from './peerLinks.js';
 import { decideTakeover, rankMembers, Takeovers, type Answered } from './takeover.js';
 import { isNewer } from './views.js';
 
@@ -35,10 +35,6 @@
 const OPINION_TIMEOUT_MS = 180;
 /** How long a read of the store may take while the dispatcher is in doubt. */
 const QUICK_READ_MS = 300;
-/** Silence that closes a connection between instances. */
-const LINK_SILENCE_MS = 700;
-const LINK_CONNECT_MS = 300;
-const LARGEST_RECONNECT_MS = 300;
 /** Time without an answer after which the store counts as out of reach; renewals come every second. */
 const STORE_SILENCE_MS = 2_500;
 /** How long the stored dispatcher may take to be reached after a cut has healed. */
@@ -94,7 +90,7 @@
   const { self, store, server, documents, timer, clock, logger } = options;
   const closing = new AbortController();
   const members = createMembers(clock, logger);
-  const links = new Map<string, PeerLink>();
+  const links = createPeerLinks(options);
   const subscribers = new Set<(view: View) => void>();
   let view: View | undefined;
   let stored: { readonly view: View | undefined; readonly revision: number } | undefined;
@@ -164,34 +160,11 @@
     else takeView(parsed, 'store');
   }
 
-  function linkTo(member: FleetMember): PeerLink {
-    const known = links.get(member.incarnation);
-    if (known !== undefined) return known;
-    const created = createPeerLink({
-      address: member.peer,
-      localHost: options.localHost,
-      self: options.greeting,
-      expectedIncarnation: member.incarnation,
-      timer,
-      random: options.random,
-      traffic: options.traffic,
-      silenceLimitMs: LINK_SILENCE_MS,
-      connectTimeoutMs: LINK_CONNECT_MS,
-      largestReconnectMs: LARGEST_RECONNECT_MS,
-    });
-    links.set(member.incarnation, created);
-    return created;
-  }
-
-  /** Closes the connections to instances that are neither listed nor the dispatcher. */
+  /** Closes the connections to instances that are neither known nor the dispatcher. */
   function pruneLinks(): void {
     const wanted = new Set(members.others().map((member) => member.incarnation));
     if (view !== undefined) wanted.add(view.dispatcher.incarnation);
-    for (const [incarnation, link] of links) {
-      if (wanted.has(incarnation)) continue;
-      link.close();
-      links.delete(incarnation);
-    }
+    links.keepOnly(wanted);
   }
 
   async function run(): Promise<void> {
@@ -217,7 +190,7 @@
   }
 
   async function pulse(of: View): Promise<void> {
-    const link = linkTo(of.dispatcher);
+    const link = links.to(of.dispatcher);
     if (of.dispatcher.instance === self.instance) {
       // An earlier life of this instance; it has certainly ended.
       await suspect(of);
@@ -271,7 +244,7 @@
       silenceMs: SILENCE_MS,
       isStoreReachable: isRead,
       isDispatcherListed: isRead && of !== undefined ? members.isListed(of.dispatcher) : undefined,
-      isDispatcherGone: of === undefined || linkTo(of.dispatcher).isGone(),
+      isDispatcherGone: of === undefined || links.to(of.dispatcher).isGone(),
       epoch: of?.epoch ?? 0,
       suspectedForMs: clock.nowMs() - (suspectedMs ?? nowMs),
       standingByForMs: standingByMs === undefined ? 0 : clock.nowMs() - standingByMs,
@@ -315,7 +288,7 @@
   ): Promise<readonly Answered[]> {
     const asked = others.map(async (member): Promise<Answered | undefined> => {
       const ask: Ask<'opinion'> = of === undefined ? {} : { view: of };
-      const reply = await linkTo(member).request('opinion', ask, {
+      const reply = await links.to(member).request('opinion', ask, {
         timeoutMs: OPINION_TIMEOUT_MS,
         connectWaitMs: OPINION_TIMEOUT_MS,
       });
@@ -360,7 +333,7 @@
   async function returnToStore(of: View): Promise<void> {
     if (!(await readStored()) || view !== of || stored?.view === undefined) return;
     const ask = { view: of, versions: documents.versions() };
-    const reply = await linkTo(stored.view.dispatcher).request('pulse', ask, {
+    const reply = await links.to(stored.view.dispatcher).request('pulse', ask, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: PULSE_TIMEOUT_MS,
     });
@@ -423,7 +396,7 @@
   }
 
   function isDispatcherConnected(): boolean {
-    return view !== undefined && links.get(view.dispatcher.incarnation)?.isConnected() === true;
+    return view !== undefined && links.isConnected(view.dispatcher.incarnation);
   }
 
   async function cede(): Promise<void> {
@@ -443,7 +416,7 @@
       takeView({ epoch: of.epoch, round: of.round + 1, dispatcher: successor }, 'cession');
     }
     if (view === undefined) return;
-    await linkTo(successor).request('takeOver', { view }, { timeoutMs: PULSE_TIMEOUT_MS });
+    await links.to(successor).request('takeOver', { view }, { timeoutMs: PULSE_TIMEOUT_MS });
   }
 
   function start(): void {
@@ -477,7 +450,7 @@
     onView(subscriber) {
       subscribers.add(subscriber);
     },
-    link: () => (view === undefined || isDispatching() ? undefined : linkTo(view.dispatcher)),
+    link: () => (view === undefined || isDispatching() ? undefined : links.to(view.dispatcher)),
     noteFenced() {
       if (view !== undefined && view.round > 0) giveUpApart(view);
       void raise('an endpoint obeys another dispatcher');
@@ -487,7 +460,7 @@
     cede,
     close() {
       closing.abort();
-      for (const link of links.values()) link.close();
+      links.close();
     },
   };
 }
