--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -11,7 +11,6 @@
 import {
   OrderAnswers,
   RunEnds,
-  RunStates,
   type EndpointEntry,
   type EndpointNetwork,
   type OrderAnswer,
@@ -28,7 +27,7 @@
 import { createGatewayLeases } from './gatewayLeases.js';
 import { createJobRecord, type JobRecord, type TaskRecord } from './jobRecord.js';
 import { createOutcomeMemory } from './outcomeMemory.js';
-import { isLate, isWorthMoving } from './overdueRun.js';
+import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
 import { isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
@@ -426,42 +425,21 @@
   }
 
   function takeBackOverdue(endpoint: string): void {
-    const nowMs = clock.nowMs();
-    for (const run of [...(pool.find(endpoint)?.runs() ?? [])]) {
-      const found = byTask.get(run.key);
-      if (run.state !== RunStates.RUNNING || found?.task.run !== run) continue;
-      if (found.record.outcome === undefined) takeBackTask(found.record, found.task, run, nowMs);
-    }
-  }
-
-  function takeBackTask(record: JobRecord, task: TaskRecord, run: Run, nowMs: number): void {
-    const expectedMs = placer.expectedMs(record, task);
-    const progress = {
-      nowMs,
-      startedMs: run.sentMs,
-      percent: run.percent,
-      percentAtMs: run.percentAtMs,
-      seenMs: run.seenMs,
-      expectedMs,
-      objectiveMs: record.objectiveMs,
-      deadlineMs: record.deadlineMs,
-      moves: task.moves,
-    };
-    if (!isLate(progress)) return;
-    const freshMs = placer.freshMs(record, task);
-    if (freshMs === undefined || !isWorthMoving(progress, freshMs)) return;
-    task.moves += 1;
-    if (task.endpoint !== undefined) task.avoided.add(task.endpoint);
-    logger.warn('Overdue run is taken back.', {
-      task: task.key,
-      endpoint: task.endpoint,
-      percent: run.percent,
-      ranMs: Math.round(nowMs - run.sentMs),
-      expectedMs: Math.round(expectedMs),
-      freshMs: Math.round(freshMs),
+    const overdue = findOverdueTasks(pool.find(endpoint), clock.nowMs(), {
+      placer,
+      logger,
+      find(run) {
+        const found = byTask.get(run.key);
+        const isOpen = found?.task.run === run && found.record.outcome === undefined;
+        return isOpen ? found : undefined;
+      },
     });
-    if (run.seenMs - run.percentAtMs > expectedMs) noteStrike(task, 1);
-    stopTask(task);
+    for (const { task, standsStill } of overdue) {
+      task.moves += 1;
+      task.avoided.add(endpoint);
+      if (standsStill) noteStrike(task, 1);
+      stopTask(task);
+    }
   }
 
   /** Looks at what no event announces: deadlines, silent gateways, claims, waiting jobs. */
