--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -8,8 +8,8 @@
   RunEnds,
   taskKey,
   type EndedTask,
-  type HoldAnswer,
-  type HoldOrder,
+  type RenewalAnswer,
+  type RenewalOrder,
   type LeasedEndpoint,
   type OrderAnswer,
   type RunEnd,
@@ -23,7 +23,7 @@
 export interface FakeEndpoint extends LeasedEndpoint {
   readonly starts: StartOrder[];
   readonly stops: RunOrder[];
-  readonly holds: HoldOrder[];
+  readonly renewals: RenewalOrder[];
   /** Whether calls get no answer. */
   isSilent: boolean;
   /** Whether starts get no answer, and are not carried out until told. */
@@ -47,7 +47,7 @@
   const fake: FakeEndpoint = {
     starts: [],
     stops: [],
-    holds: [],
+    renewals: [],
     isSilent: false,
     areStartsLost: false,
     bornMs: 1,
@@ -86,8 +86,8 @@
       if (running.get(taskKey(order.task))?.run === order.run) fake.end(order, RunEnds.STOPPED);
       return Result.ok(OrderAnswers.ACCEPTED);
     },
-    async hold(order): Promise<Result<HoldAnswer, EndpointError>> {
-      fake.holds.push(order);
+    async renew(order): Promise<Result<RenewalAnswer, EndpointError>> {
+      fake.renewals.push(order);
       const seen = order.endsSeen ?? 0;
       await timer.sleep(1);
       for (let waited = 0; waited < order.waitMs && !fake.isSilent; waited += 5) {
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -96,7 +96,8 @@
     const { timer, endpoint, steward, ends } = await open();
     startOne(steward);
     await timer.advance(300);
-    const lastLease = () => Math.max(...endpoint.holds.map((one) => one.leaseEndMs ?? 0)) - 5_000;
+    const lastLease = () =>
+      Math.max(...endpoint.renewals.map((one) => one.leaseEndMs ?? 0)) - 5_000;
     endpoint.isSilent = true;
     await timer.advance(3_000);
     expect(ends.map(({ end }) => end)).toEqual([RunEnds.LAPSED]);
@@ -109,9 +110,9 @@
     await timer.advance(300);
     endpoint.isSilent = true;
     await timer.advance(600);
-    const before = endpoint.holds.length;
+    const before = endpoint.renewals.length;
     await timer.advance(600);
-    const later = endpoint.holds.slice(before);
+    const later = endpoint.renewals.slice(before);
     expect(later.length > 0).toEqual(true);
     expect(later.every((one) => one.leaseEndMs === undefined)).toEqual(true);
   });
@@ -124,7 +125,7 @@
     expect(typeof claimed).toEqual('object');
     await timer.advance(400);
     expect(endpoint.stops).toEqual([]);
-    expect(endpoint.holds.some((one) => one.leaseEndMs !== undefined)).toEqual(true);
+    expect(endpoint.renewals.some((one) => one.leaseEndMs !== undefined)).toEqual(true);
     endpoint.end(order, RunEnds.DONE);
     await timer.advance(20);
     expect(ends.map(({ end }) => end)).toEqual([RunEnds.DONE]);
--- a/packages/endpoints/src/leasedEndpoint.ts
+++ b/packages/endpoints/src/leasedEndpoint.ts
@@ -30,7 +30,7 @@
   readonly leaseEndMs: number;
 }
 
-export interface HoldOrder {
+export interface RenewalOrder {
   readonly fence: number;
   /** Ends up to this number are acknowledged, and the endpoint forgets them. */
   readonly endsSeen?: number;
@@ -95,7 +95,7 @@
   readonly ended: readonly EndedTask[];
 }
 
-export interface HoldAnswer {
+export interface RenewalAnswer {
   readonly answer: OrderAnswer;
   readonly report?: EndpointReport;
 }
@@ -104,7 +104,7 @@
 export interface LeasedEndpoint {
   start(order: StartOrder): Promise<Result<OrderAnswer, EndpointError>>;
   stop(order: RunOrder): Promise<Result<OrderAnswer, EndpointError>>;
-  hold(order: HoldOrder): Promise<Result<HoldAnswer, EndpointError>>;
+  renew(order: RenewalOrder): Promise<Result<RenewalAnswer, EndpointError>>;
   close(): void;
 }
 
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -1,6 +1,6 @@
 /**
  * The steward of one endpoint: the only one that starts and stops tasks there and reads their ends.
- * One task follows the endpoint with a waiting `hold`; each start and stop is a task of its own.
+ * One task follows the endpoint with a waiting renewal; each start and stop is a task of its own.
  *
  * Fault patterns that it answers: orders that get no answer and are carried out late (the run stays
  * in doubt until a stop was answered or the order's lease has passed, and a later report does not
@@ -21,7 +21,7 @@
   taskKey,
   type EndpointEntry,
   type EndpointReport,
-  type HoldAnswer,
+  type RenewalAnswer,
   type LeasedEndpoint,
   type OrderAnswer,
   type RunEnd,
@@ -31,15 +31,15 @@
 /** Longest lease that endpoints grant, and how far ahead the own ones reach. */
 const LONGEST_LEASE_MS = 1_000;
 const LEASE_MS = 950;
-/** Lease that a start carries by itself; holds prolong it. */
+/** Lease that a start carries by itself; renewals prolong it. */
 const START_LEASE_MS = 600;
-/** Longest wait of a hold while tasks run there: a third of the lease, so that two may be lost. */
-const HOLD_WAIT_MS = 280;
+/** Longest wait of a renewal while tasks run there: a third of the lease, so that two may be lost. */
+const RENEWAL_WAIT_MS = 280;
 /** Pause after a report, in which the ends of one job's tasks gather into the next. */
 const GATHER_MS = 4;
 /** Pause between looks at an endpoint on which nothing runs. */
 const IDLE_LOOK_MS = 1_500;
-/** Pause after a hold without an answer. */
+/** Pause after a renewal without an answer. */
 const RETRY_MS = 60;
 const STOP_RETRY_MS = 120;
 /** Time that a stop takes at most, and a margin for the endpoint to notice the end of a lease. */
@@ -153,7 +153,7 @@
     while (!closing.signal.aborted) {
       if (isIdle()) await restIdle();
       if (closing.signal.aborted) return;
-      await look(holdWaitMs());
+      await look(renewalWaitMs());
       if (runs.size > 0 && unanswered === 0) await timer.sleep(GATHER_MS);
       if (unanswered > 1 || isReplaced) await timer.sleep(RETRY_MS);
     }
@@ -173,9 +173,9 @@
     cancel();
   }
 
-  function holdWaitMs(): number {
+  function renewalWaitMs(): number {
     if (surveyedAtMs === undefined || runs.size === 0 || unanswered > 0) return 0;
-    return isServing() ? HOLD_WAIT_MS : RETRY_MS;
+    return isServing() ? RENEWAL_WAIT_MS : RETRY_MS;
   }
 
   /** Whether the runs of earlier dispatchers are claimed or gone, so that leases may be renewed. */
@@ -186,19 +186,19 @@
   async function look(waitMs: number): Promise<void> {
     const sentMs = clock.nowMs();
     const reached = endpointClock.reachedMs(sentMs);
-    // Only a hold that follows an answer renews: otherwise the leases of a silent endpoint, whose
+    // Only a call that follows an answer renews: otherwise the leases of a silent endpoint, whose
     // orders may all arrive late, would never certainly end.
     const mayRenew = isServing() && reached !== undefined && unanswered === 0;
     const leaseEndMs = mayRenew ? Math.floor(reached + LEASE_MS) : undefined;
     if (leaseEndMs !== undefined) lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
-    const answer = await endpoint.hold({
+    const answer = await endpoint.renew({
       fence: fence(),
       waitMs,
       ...(mayRenew ? { endsSeen } : {}),
       ...(leaseEndMs === undefined ? {} : { leaseEndMs }),
     });
     if (closing.signal.aborted) return;
-    takeHold(answer, sentMs);
+    takeRenewal(answer, sentMs);
     lapseSilentRuns();
   }
 
@@ -212,7 +212,7 @@
     });
   }
 
-  function takeHold(answer: Result<HoldAnswer, EndpointError>, sentMs: number): void {
+  function takeRenewal(answer: Result<RenewalAnswer, EndpointError>, sentMs: number): void {
     if (answer.isErr) {
       countUnanswered(answer.error.message);
       return;
--- a/packages/instance/src/index.ts
+++ b/packages/instance/src/index.ts
@@ -4,4 +4,4 @@
   type InstanceOptions,
   type StoredSource,
 } from './instance.js';
-export type { Stage } from './rehearsal.js';
+export type { LoopbackEndpoints } from './warmUp.js';
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -24,7 +24,7 @@
 import { createEntry, type Entry, type Routing } from '@celerybarrow/entry';
 import { createLogger, type Metrics } from '@celerybarrow/telemetry';
 
-import { rehearse, type Stage } from './rehearsal.js';
+import { warmUp, type LoopbackEndpoints } from './warmUp.js';
 
 /** Pause between looks at the endpoints' entries, which change with every heartbeat. */
 const DIRECTORY_PAUSE_MS = 400;
@@ -53,8 +53,8 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly metrics: Metrics;
-  /** Opens endpoints on which dispatching is rehearsed after the start; none without it. */
-  readonly openStage?: () => Promise<Stage>;
+  /** Opens endpoints against which the dispatcher is warmed up; it is not without them. */
+  readonly openLoopback?: () => Promise<LoopbackEndpoints>;
 }
 
 export interface Instance {
@@ -239,15 +239,15 @@
       signal: closing.signal,
     });
     log.info('Started.', { peer: self.peer, dataCentre: self.dataCentre });
-    startRehearsal();
+    startWarmUp();
   }
 
-  function startRehearsal(): void {
-    if (options.openStage === undefined) return;
+  function startWarmUp(): void {
+    if (options.openLoopback === undefined) return;
     const isBusy = () => isStopping || (dispatcher !== undefined && entry.openJobs() > 0);
-    const { openStage } = options;
-    rehearse({ openStage, timer, random, logger: log, isBusy }).catch((error: unknown) => {
-      log.warn('Rehearsal failed.', { reason: describeError(error) });
+    const { openLoopback } = options;
+    warmUp({ openLoopback, timer, random, logger: log, isBusy }).catch((error: unknown) => {
+      log.warn('Warm-up failed.', { reason: describeError(error) });
     });
   }
 
--- a/packages/instance/src/rehearsal.ts
+++ b/packages/instance/src/warmUp.ts
@@ -1,9 +1,10 @@
 /**
- * Rehearses dispatching right after a start, against endpoints of its own on the loopback interface.
+ * Warms up the code of the dispatcher right after a start, against endpoints of its own on the
+ * loopback interface.
  *
  * Load pattern: an instance becomes the dispatcher in the middle of full load, because another one
  * was lost. Code that has not run yet is several times slower in this runtime, and the first seconds
- * would be late for everybody. The rehearsal gives way to real work.
+ * would be late for everybody. The warm-up gives way to real work.
  */
 import { createDispatcher } from '@celerybarrow/dispatch';
 import type { EndpointEntry, EndpointNetwork } from '@celerybarrow/endpoints';
@@ -12,15 +13,15 @@
 import { createMetrics, type Logger } from '@celerybarrow/telemetry';
 import { createElapsedClock, type TimerService } from '@celerybarrow/timer';
 
-/** Endpoints that exist for the rehearsal only. */
-export interface Stage {
+/** Endpoints that exist for the warm-up only. */
+export interface LoopbackEndpoints {
   readonly network: EndpointNetwork;
   readonly entries: readonly EndpointEntry[];
   close(): Promise<void>;
 }
 
-export interface RehearsalOptions {
-  readonly openStage: () => Promise<Stage>;
+export interface WarmUpOptions {
+  readonly openLoopback: () => Promise<LoopbackEndpoints>;
   readonly timer: TimerService;
   readonly random: Random;
   readonly logger: Logger;
@@ -30,16 +31,16 @@
 
 const JOBS = 160;
 const TASKS_PER_JOB = 6;
-/** Pause between jobs; the rehearsal takes about four seconds and a tenth of a core. */
+/** Pause between jobs; the warm-up takes about four seconds and a tenth of a core. */
 const PAUSE_MS = 25;
-const GATEWAY = 'rehearsal';
+const GATEWAY = 'warm-up';
 const SETTLE_MS = 500;
 
-export async function rehearse(options: RehearsalOptions): Promise<void> {
+export async function warmUp(options: WarmUpOptions): Promise<void> {
   const { timer, random } = options;
-  const stage = await options.openStage();
+  const loopback = await options.openLoopback();
   const dispatcher = createDispatcher({
-    network: stage.network,
+    network: loopback.network,
     timer,
     clock: createElapsedClock(timer),
     random,
@@ -48,24 +49,24 @@
     fence: () => 1,
     onFenced: () => undefined,
   });
-  dispatcher.follow(stage.entries);
+  dispatcher.follow(loopback.entries);
   await timer.sleep(SETTLE_MS);
   let submitted = 0;
   for (; submitted < JOBS && !options.isBusy(); submitted += 1) {
     dispatcher.noteGateway(GATEWAY);
-    const job = createJob(submitted, stage.entries[0]?.service ?? '');
+    const job = createJob(submitted, loopback.entries[0]?.service ?? '');
     void dispatcher.submit({ job, gateway: GATEWAY, resubmissions: 0 });
     await timer.sleep(PAUSE_MS);
   }
   dispatcher.close();
-  await stage.close();
-  options.logger.info('Rehearsal has ended.', { jobs: submitted });
+  await loopback.close();
+  options.logger.info('Warm-up has ended.', { jobs: submitted });
 }
 
 function createJob(number: number, service: string): LeasedJob {
   const demand = { cores: 1_000, memoryMb: 1, accelerators: 0 };
   return {
-    id: `rehearsal-${number}`,
+    id: `warm-up-${number}`,
     team: GATEWAY,
     service,
     priority: 0,
