--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -13,9 +13,14 @@
 import { isStepOpen, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
 import type { RunTimes } from './runTimes.js';
 
+export interface PlannedStart {
+  readonly task: TaskRecord;
+  readonly steward: Steward;
+}
+
 export interface PlannedJob {
   readonly record: JobRecord;
-  readonly starts: readonly { readonly task: TaskRecord; readonly steward: Steward }[];
+  readonly starts: readonly PlannedStart[];
   /** Expected wait until the last of its tasks gets room. */
   readonly waitMs: number;
   readonly runMs: number;
@@ -112,18 +117,22 @@
     const places = openPlaces(undefined, nowMs).filter((place) => hasRoomFor(place.room, smallest));
     const { capacity, leastSlowness } = surveyPool(pool, times, nowMs);
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
+    const room: OpenRoom = { places, smallest, leastSlowness };
+    const usable = capacity * PACKED_SHARE;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
-      const starts =
-        places.length === 0 ? [] : placeTasks(record, { places, smallest, leastSlowness }, nowMs);
-      const hasRoom = starts.length > 0;
-      workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
-      if (starts.length >= record.waiting) return { record, starts, waitMs: 0, runMs, hasRoom };
-      const usable = capacity * PACKED_SHARE;
-      const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
+      const starts = placeTasks(record, room, nowMs, false);
+      const ahead = workAhead + workLeft * (1 - starts.length / Math.max(1, record.waiting));
+      if (starts.length >= record.waiting)
+        return { record, starts, waitMs: 0, runMs, hasRoom: true };
+      const inTimeMs = drainMs(ahead, usable, rates.before(priority, nowMs));
       const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
-      const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
-      return { record, starts, waitMs: Math.max(inTimeMs, lateMs), runMs, hasRoom };
+      const lateMs = isInTime ? 0 : drainMs(ahead, usable, rates.before(undefined, nowMs));
+      const waitMs = Math.max(inTimeMs, lateMs);
+      // What cannot be in time any more takes any room in which it still ends in its caller's time.
+      if (!isInTime) starts.push(...placeTasks(record, room, nowMs, true, starts));
+      workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
+      return { record, starts, waitMs, runMs, hasRoom: starts.length > 0 };
     });
   }
 
@@ -152,24 +161,30 @@
     record: JobRecord,
     { places, smallest, leastSlowness }: OpenRoom,
     nowMs: number,
-  ) {
-    const starts: { task: TaskRecord; steward: Steward }[] = [];
+    isLate: boolean,
+    placed: readonly PlannedStart[] = [],
+  ): PlannedStart[] {
+    const starts: PlannedStart[] = [];
+    if (places.length === 0) return starts;
+    const mine = places.filter((place) => place.entry.service === record.job.service);
     for (const task of record.tasks) {
       if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
+      if (placed.some((one) => one.task === task)) continue;
       const step = stepOf(record, task);
-      const mine = places.filter((place) => place.entry.service === record.job.service);
+      const patienceMs = record.deadlineMs - nowMs;
       const placing = {
         step,
         baseMs: baseMs(record.job, task.ref.step),
-        objectiveInMs: record.objectiveMs - nowMs,
-        patienceMs: record.deadlineMs - nowMs,
+        objectiveInMs: isLate ? patienceMs : record.objectiveMs - nowMs,
+        patienceMs,
         leastSlowness,
-        tasksOn: (endpoint: string) => countOn(record, task, endpoint, starts),
+        tasksOn: (endpoint: string) => countOn(record, task, endpoint, [...placed, ...starts]),
       };
+      const open = mine.filter((place) => places.includes(place));
       const place =
-        choosePlace(mine, { ...placing, avoided: task.avoided }) ??
-        (hasAvoidedAll(task, mine)
-          ? choosePlace(mine, { ...placing, avoided: new Set() })
+        choosePlace(open, { ...placing, avoided: task.avoided }) ??
+        (hasAvoidedAll(task, open)
+          ? choosePlace(open, { ...placing, avoided: new Set() })
           : undefined);
       if (place === undefined) break;
       starts.push({ task, steward: place.steward });
@@ -253,7 +268,7 @@
   record: JobRecord,
   task: TaskRecord,
   endpoint: string,
-  starts: readonly { readonly task: TaskRecord; readonly steward: Steward }[],
+  starts: readonly PlannedStart[],
 ): number {
   const isSameStep = (one: TaskRecord) => one.ref.step === task.ref.step;
   const running = record.tasks.filter(
