--- a/packages/placement/src/endpointClient.ts
+++ b/packages/placement/src/endpointClient.ts
@@ -36,8 +36,6 @@
    * ENDPOINT_UNREACHABLE when the task did not start, ENDPOINT_FAILED when it may have.
    */
   run(request: TaskRequest): Promise<Result<string, PlacementError>>;
-  /** Closes the connections to an endpoint. */
-  forget(address: string): void;
   close(): Promise<void>;
 }
 
@@ -84,11 +82,6 @@
 
   return {
     run,
-    forget(address) {
-      const pool = pools.get(address);
-      pools.delete(address);
-      void pool?.close();
-    },
     async close() {
       await Promise.all([...pools.values()].map((pool) => pool.destroy()));
       pools.clear();
--- a/packages/scenarios/src/experiment/runExperiment.ts
+++ b/packages/scenarios/src/experiment/runExperiment.ts
@@ -9,19 +9,13 @@
 import type { Scenario } from '../scenarioSchema.js';
 import type { Experiment } from './experimentSchema.js';
 import { computeIdeal, type IdealTime } from './idealTimes.js';
+import type { JobResult } from './jobResult.js';
 import { summarize, type PolicyResult, type UsageSample } from './summary.js';
 import { dataCentreNames, planWorkload, speedOf, type PlannedJob } from './workload.js';
 
 const START_PATIENCE_MS = 30_000;
 const UNLIMITED = 10_000_000;
 
-export interface JobResult {
-  readonly job: PlannedJob;
-  readonly ideal: IdealTime;
-  readonly outcome: string;
-  readonly responseMs: number;
-}
-
 export async function runPolicy(
   experiment: Experiment,
   policy: string,
--- a/packages/scenarios/src/experiment/summary.ts
+++ b/packages/scenarios/src/experiment/summary.ts
@@ -1,7 +1,7 @@
 /** Figures of one policy: response time over the ideal, wasted messages, and what control costs. */
 import { build } from 'hdr-histogram-js';
 import type { Experiment } from './experimentSchema.js';
-import type { JobResult } from './runExperiment.js';
+import type { JobResult } from './jobResult.js';
 
 export interface TrafficSample {
   readonly messages: number;
