--- a/packages/placement/__tests__/dispatcher.spec.ts
+++ b/packages/placement/__tests__/dispatcher.spec.ts
@@ -41,7 +41,6 @@
       running -= 1;
       return Result.ok('1');
     },
-    forget: () => undefined,
     close: () => Promise.resolve(),
   };
   const dispatcher = createDispatcher({
