--- a/packages/telemetry/src/metricsText.ts
+++ b/packages/telemetry/src/metricsText.ts
@@ -18,8 +18,8 @@
 /** Counters named `outcome/completed` become one metric with the rest of the name as a label. */
 export async function renderMetrics(metrics: Metrics): Promise<MetricsText> {
   const { Counter, Gauge, Registry } = await import('prom-client');
-  const registry = new Registry();
-  const registers = [registry];
+  const promRegistry = new Registry();
+  const registers = [promRegistry];
   const counter = new Counter({
     name: 'celerybarrow_events_total',
     help: 'Events by name and class.',
@@ -49,7 +49,7 @@
       latency.set({ measure, class: label, quantile }, summary[field]);
     }
   }
-  return { contentType: registry.contentType, text: await registry.metrics() };
+  return { contentType: promRegistry.contentType, text: await promRegistry.metrics() };
 }
 
 function splitName(name: string): [string, string] {
