fix(dispatch): refuse nothing before the endpoints are known

After the loss of all instances the next dispatcher knew no endpoint yet, worked out endless waits, and refused 65 requests in its first 0.3 s with every endpoint idle. Ruled out: store, configuration, silent endpoints. The test fails without the change.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -93,7 +93,7 @@
   };
 }
 
-async function open(taskMs: number, slowness: Record<string, number>) {
+async function open(taskMs: number, slowness: Record<string, number>, isListed = true) {
   const timer = createManualTimer();
   const ignore = () => undefined;
   const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
@@ -109,7 +109,10 @@
     onFenced: ignore,
   });
   opened.push(dispatcher);
-  dispatcher.follow(Object.keys(slowness).map(entry));
+  const list = () => {
+    dispatcher.follow(Object.keys(slowness).map(entry));
+  };
+  if (isListed) list();
   await timer.advance(50);
   const outcomes: Record<string, JobOutcome> = {};
   const submit = (one: LeasedJob, resubmissions = 0, heldOn: string[] = []) => {
@@ -123,7 +126,7 @@
       await timer.advance(50);
     }
   };
-  return { timer, dispatcher, started, outcomes, submit, advance };
+  return { timer, dispatcher, started, outcomes, submit, advance, list };
 }
 
 describe('the dispatcher under too much load', () => {
@@ -162,6 +165,18 @@
   });
 });
 
+describe('a dispatcher that has just begun', () => {
+  it('refuses nothing before it knows its endpoints, as after a loss of all instances', async () => {
+    const { outcomes, submit, advance, list } = await open(100, { a: 1, b: 1 }, false);
+    submit(job('early'));
+    await advance(100);
+    expect(outcomes.early).toEqual(undefined);
+    list();
+    await advance(500);
+    expect(outcomes.early?.state).toEqual(JobStates.COMPLETED);
+  });
+});
+
 describe('a job that an earlier dispatcher may have run', () => {
   it('is lost, not refused, when it cannot be served', async () => {
     const { outcomes, submit, advance } = await open(900, { a: 1 });
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -34,7 +34,10 @@
 
 /** Interval at which waiting jobs, deadlines and progress are looked at without any event. */
 const REVIEW_INTERVAL_MS = 20;
-/** How long a resubmitted job waits for the survey of all endpoints before it is given up. */
+/**
+ * How long the endpoints may take to say what runs there: a resubmitted job waits that long before it
+ * is given up, and a dispatcher that has just begun refuses nothing before.
+ */
 const SURVEY_LIMIT_MS = 300;
 /** After this time without renewal no run of an earlier dispatcher can be left anywhere. */
 const EARLIER_RUNS_GONE_MS = 1_700;
@@ -275,7 +278,7 @@
         arrivedMs: one.record.arrivedMs,
         waitMs: one.waitMs,
         runMs: one.runMs,
-        hasRoom: one.hasRoom,
+        hasRoom: one.hasRoom || nowMs - createdMs < SURVEY_LIMIT_MS,
       });
       if (isHopeless) refuse(one.record, one.waitMs);
     }
