--- /dev/null
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -0,0 +1,104 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
+import { JobStates, type JobOutcome, type LeasedJob, type View } from '@celerybarrow/protocol';
+import type { Leadership } from '@celerybarrow/leadership';
+import { createEntry, type LocalDispatch } from '../src/index.js';
+
+const dispatcher = { instance: 'a', incarnation: 'a-1', peer: '', dataCentre: 'd', weight: 1 };
+
+function createJob(): LeasedJob {
+  return {
+    id: 'j',
+    team: 't',
+    service: 's',
+    priority: 0,
+    maxAttempts: 1,
+    objectiveStretch: 1.6,
+    objectiveAllowanceMs: 60,
+    payload: '',
+    steps: [],
+    ageMs: 0,
+    remainingMs: 1_500,
+  };
+}
+
+type Submission = Parameters<LocalDispatch['submit']>[0];
+
+/** An entry whose instance dispatches itself, with the outcomes that a test has laid out. */
+function open(outcomes: JobOutcome[]) {
+  const timer = createManualTimer();
+  const submissions: Submission[] = [];
+  const withdrawn: string[] = [];
+  const state: { view: View | undefined } = { view: { epoch: 1, round: 0, dispatcher } };
+  const leadership = {
+    view: () => state.view,
+    isDispatching: () => state.view !== undefined,
+    link: () => undefined,
+  } as unknown as Leadership;
+  const local: LocalDispatch = {
+    async submit(submission) {
+      submissions.push(submission);
+      const outcome = outcomes.shift();
+      if (outcome !== undefined) return outcome;
+      await timer.sleep(1e9);
+      return { state: JobStates.LOST, reason: 'never' };
+    },
+    withdraw(job) {
+      withdrawn.push(job);
+      return true;
+    },
+  };
+  const ignore = () => undefined;
+  const entry = createEntry({
+    instance: 'a',
+    leadership,
+    local: () => local,
+    timer,
+    clock: createElapsedClock(timer),
+    logger: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+  });
+  return { timer, entry, submissions, withdrawn, state };
+}
+
+describe('the way of a job from its gateway to the dispatcher', () => {
+  it('goes to the next dispatcher when it has moved, with the endpoints that hold its runs', async () => {
+    const moved = { state: JobStates.MOVED, reason: '', heldOn: ['e1'] };
+    const completed = { state: JobStates.COMPLETED, reason: '' };
+    const { timer, entry, submissions } = open([moved, completed]);
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(200);
+    expect((await outcome).state).toEqual(JobStates.COMPLETED);
+    expect(submissions.map((one) => one.resubmissions)).toEqual([0, 1]);
+    expect(submissions[1]?.heldOn).toEqual(['e1']);
+  });
+
+  it('is refused, as never run, when no dispatcher is known', async () => {
+    const { timer, entry, state, submissions } = open([]);
+    state.view = undefined;
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(700);
+    expect((await outcome).state).toEqual(JobStates.REFUSED);
+    expect(((await outcome).retryAfterMs ?? 0) > 0).toEqual(true);
+    expect(submissions).toEqual([]);
+  });
+
+  it('is lost, and not refused, once it was handed over', async () => {
+    const { timer, entry, state } = open([{ state: JobStates.MOVED, reason: '' }]);
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(5);
+    state.view = undefined;
+    await timer.advance(2_000);
+    expect((await outcome).state).toEqual(JobStates.LOST);
+  });
+
+  it('ends when its caller leaves', async () => {
+    const { timer, entry, withdrawn } = open([]);
+    const leaving = new AbortController();
+    void entry.submit(createJob(), leaving.signal);
+    await timer.advance(50);
+    leaving.abort();
+    await timer.advance(50);
+    expect(withdrawn).toEqual(['j']);
+  });
+});
