--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,4 @@
+export { isAllowed } from './choosePlace.js';
 export {
   createDispatcher,
   type Dispatcher,
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -31,7 +31,8 @@
   const submissions: Submission[] = [];
   const withdrawn: string[] = [];
   const state: { view: View | undefined } = { view: { epoch: 1, round: 0, dispatcher } };
-  const leadership = {
+  const leading = {
+    shard: 0,
     view: () => state.view,
     isDispatching: () => state.view !== undefined,
     link: () => undefined,
@@ -52,8 +53,8 @@
   const ignore = () => undefined;
   const entry = createEntry({
     instance: 'a',
-    leadership,
-    local: () => local,
+    shardOf: () => 0,
+    routes: () => [{ leading, local }],
     timer,
     clock: createElapsedClock(timer),
     logger: { debug: ignore, info: ignore, warn: ignore, error: ignore },
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,6 +1,6 @@
 /**
- * Takes jobs from callers at any instance and hands them to the dispatcher, here or elsewhere. When
- * the dispatcher changes, the job goes to the next one, which claims what runs already; a job that
+ * Takes jobs from callers at any instance and hands them to the dispatcher of their shard, here or
+ * elsewhere. When the dispatcher changes, the job goes to the next one, which claims what runs already; a job that
  * was never handed over is refused truthfully, one that may have run is answered as lost.
  */
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
@@ -29,11 +29,19 @@
   withdraw(job: string, gateway?: string): boolean;
 }
 
+/** The way of a job to the dispatcher of its shard. */
+export interface Route {
+  readonly leading: Leadership;
+  /** The dispatcher of the shard, if this instance is it. */
+  readonly local: LocalDispatch | undefined;
+}
+
 export interface EntryOptions {
   readonly instance: string;
-  readonly leadership: Leadership;
-  /** The dispatcher of this instance, while it dispatches. */
-  readonly local: () => LocalDispatch | undefined;
+  /** The shard of a job; undefined before the shards of the fleet are known. */
+  readonly shardOf: (job: LeasedJob) => number | undefined;
+  /** The ways to the dispatchers of all shards. */
+  readonly routes: () => readonly Route[];
   readonly timer: TimerService;
   readonly clock: ElapsedClock;
   readonly logger: Logger;
@@ -52,6 +60,8 @@
   readonly job: LeasedJob;
   readonly startedMs: number;
   readonly signal: AbortSignal;
+  /** Kept once it is known, so that each attempt meets the runs of the earlier ones. */
+  shard?: number | undefined;
   resubmissions: number;
   /** The view under which it was handed over last. */
   sentUnder?: View;
@@ -63,7 +73,7 @@
 type Attempt = JobOutcome | undefined;
 
 export function createEntry(options: EntryOptions): Entry {
-  const { instance, leadership, timer, clock, logger } = options;
+  const { instance, shardOf, routes, timer, clock, logger } = options;
   const open = new Map<string, OpenJob>();
 
   async function submit(job: LeasedJob, signal: AbortSignal): Promise<JobOutcome> {
@@ -76,7 +86,8 @@
     };
     open.set(job.id, one);
     const onLeave = () => {
-      void withdraw(job.id, instance);
+      const route = routeOf(one);
+      if (route !== undefined) void withdraw(route, job.id, instance);
     };
     signal.addEventListener('abort', onLeave, { once: true });
     try {
@@ -96,7 +107,7 @@
       const outcome = await attempt(one, view);
       if (outcome !== undefined) return outcome;
       one.resubmissions += 1;
-      if (leadership.view() === view) await timer.sleep(LOOK_INTERVAL_MS);
+      if (routeOf(one)?.leading.view() === view) await timer.sleep(LOOK_INTERVAL_MS);
       logger.warn('Job is handed over again.', {
         job: one.job.id,
         epoch: view.epoch,
@@ -105,6 +116,11 @@
     }
   }
 
+  function routeOf(one: OpenJob): Route | undefined {
+    one.shard ??= shardOf(one.job);
+    return one.shard === undefined ? undefined : routes()[one.shard];
+  }
+
   function remainingMs(one: OpenJob): number {
     return one.job.remainingMs - (clock.nowMs() - one.startedMs);
   }
@@ -115,16 +131,22 @@
     const limitMs = one.sentUnder === undefined ? UNSENT_WAIT_MS : SENT_WAIT_MS;
     const untilMs = sinceMs + Math.min(limitMs, remainingMs(one));
     for (;;) {
-      const view = leadership.view();
-      if (view !== undefined && isReady()) return view;
+      const route = routeOf(one);
+      const view = route?.leading.view();
+      if (route !== undefined && view !== undefined && isReady(route)) return view;
       if (one.signal.aborted || clock.nowMs() >= untilMs) return undefined;
       await timer.sleep(LOOK_INTERVAL_MS);
     }
   }
 
-  function isReady(): boolean {
-    if (leadership.isDispatching()) return options.local() !== undefined;
-    return leadership.link()?.isConnected() === true;
+  function isReady({ leading, local }: Route): boolean {
+    if (leading.isDispatching()) return local !== undefined;
+    return leading.link()?.isConnected() === true;
+  }
+
+  /** The dispatcher of a shard that this instance dispatches itself. */
+  function localOf({ leading, local }: Route): LocalDispatch | undefined {
+    return leading.isDispatching() ? local : undefined;
   }
 
   async function attempt(one: OpenJob, view: View): Promise<Attempt> {
@@ -133,14 +155,16 @@
     const job = { ...one.job, ageMs, remainingMs: remaining };
     const { resubmissions, heldOn } = one;
     const submission = { job, gateway: instance, resubmissions, heldOn: [...heldOn] };
-    const local = leadership.isDispatching() ? options.local() : undefined;
+    const route = routeOf(one);
+    const local = route === undefined ? undefined : localOf(route);
     if (local !== undefined) {
       one.sentUnder = view;
       return settle(one, await local.submit(submission));
     }
-    const link = leadership.link();
-    if (link === undefined) return undefined;
-    const reply = await link.request('dispatch', submission, {
+    const link = route?.leading.link();
+    if (route === undefined || link === undefined) return undefined;
+    const ask = { shard: route.leading.shard, ...submission };
+    const reply = await link.request('dispatch', ask, {
       timeoutMs: remaining + ANSWER_GRACE_MS,
     });
     if (reply.isErr && reply.error.isUnsent) {
@@ -170,17 +194,26 @@
     return { state: JobStates.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS };
   }
 
-  async function withdraw(id: string, gateway?: string): Promise<boolean> {
-    const local = leadership.isDispatching() ? options.local() : undefined;
+  async function withdraw(route: Route, id: string, gateway?: string): Promise<boolean> {
+    const local = localOf(route);
     if (local !== undefined) return local.withdraw(id, gateway);
-    const ask = gateway === undefined ? { job: id } : { job: id, gateway };
-    const reply = await leadership.link()?.request('withdraw', ask, { timeoutMs: UNSENT_WAIT_MS });
+    const { shard } = route.leading;
+    const ask = gateway === undefined ? { shard, job: id } : { shard, job: id, gateway };
+    const reply = await route.leading
+      .link()
+      ?.request('withdraw', ask, { timeoutMs: UNSENT_WAIT_MS });
     return reply?.isOk === true && reply.value.found;
   }
 
+  /** The shard of a job is not known from its id alone, so all are asked. */
+  async function cancel(id: string): Promise<boolean> {
+    const found = await Promise.all(routes().map((route) => withdraw(route, id)));
+    return found.includes(true);
+  }
+
   return {
     submit,
-    cancel: (job) => withdraw(job),
+    cancel,
     isKnown: (id) => open.has(id),
     openJobs: () => open.size,
   };
--- /dev/null
+++ b/packages/instance/src/followEndpoints.ts
@@ -0,0 +1,112 @@
+/**
+ * The list of endpoints: read from the store by the instances that dispatch, and spread to the
+ * others as a document, so that a data centre that is cut off from the store knows its endpoints.
+ */
+import { createEndpointDirectory, type EndpointDirectory } from '@celerybarrow/dispatch';
+import type { EndpointEntry } from '@celerybarrow/endpoints';
+import type { Documents } from '@celerybarrow/leadership';
+import type { Random } from '@celerybarrow/shared';
+import { followPrefix, type Store } from '@celerybarrow/store';
+import { createLogger } from '@celerybarrow/telemetry';
+import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
+import type { StoredSource } from './instance.js';
+
+/** Pause between looks at the endpoints' entries, which change with every heartbeat. */
+const DIRECTORY_PAUSE_MS = 400;
+/** Interval at which entries that stay missing are given up. */
+const DIRECTORY_REVIEW_MS = 500;
+/** Least time between two documents, each of which goes whole to every instance. */
+const DOCUMENT_INTERVAL_MS = 1_000;
+const ENDPOINTS_DOCUMENT = 'endpoints';
+
+export interface EndpointFollowerOptions {
+  readonly store: Store;
+  readonly source: StoredSource<EndpointEntry>;
+  readonly documents: Documents;
+  readonly timer: TimerService;
+  readonly clock: ElapsedClock;
+  readonly random: Random;
+  readonly onEntries: (entries: readonly EndpointEntry[]) => void;
+}
+
+export interface EndpointFollower {
+  entries(): readonly EndpointEntry[];
+  /** Begins to read the store, unless it is being read. */
+  start(): void;
+  stop(): void;
+}
+
+export function createEndpointFollower(options: EndpointFollowerOptions): EndpointFollower {
+  const { store, source, documents, timer, clock, random } = options;
+  const log = createLogger('endpoints');
+  const directory: EndpointDirectory = createEndpointDirectory(clock);
+  let following: AbortController | undefined;
+  let listedText = '';
+  let spreadText = '';
+  let spreadMs = -Infinity;
+
+  async function follow(signal: AbortSignal): Promise<void> {
+    let reached = 0;
+    const idOf = (key: string) => key.slice(source.prefix.length);
+    const stopReviews = timer.onEvery(DIRECTORY_REVIEW_MS, () => {
+      publish(reached);
+    });
+    await followPrefix({
+      store,
+      timer,
+      random,
+      prefix: source.prefix,
+      pauseMs: DIRECTORY_PAUSE_MS,
+      onEntry: (one) => {
+        directory.take(idOf(one.key), source.read(one));
+      },
+      onRemoved: (key) => {
+        directory.takeRemoval(idOf(key));
+      },
+      onBatch: (revision) => {
+        reached = revision;
+        publish(revision);
+      },
+      onContact: () => undefined,
+      signal,
+    });
+    stopReviews();
+  }
+
+  function publish(revision: number): void {
+    const entries = directory.entries();
+    const text = JSON.stringify(entries);
+    if (text !== listedText) {
+      listedText = text;
+      options.onEntries(entries);
+      const leaving = entries.filter((one) => one.isLeaving).length;
+      log.info('Endpoints have changed.', { endpoints: entries.length, leaving, revision });
+    }
+    spread(revision);
+  }
+
+  function spread(revision: number): void {
+    const nowMs = clock.nowMs();
+    if (listedText === spreadText || nowMs - spreadMs < DOCUMENT_INTERVAL_MS) return;
+    spreadText = listedText;
+    spreadMs = nowMs;
+    documents.offer(ENDPOINTS_DOCUMENT, { version: revision, text: listedText });
+  }
+
+  documents.onDocument(ENDPOINTS_DOCUMENT, ({ text }) => {
+    if (following === undefined) directory.replace(JSON.parse(text) as EndpointEntry[]);
+  });
+
+  return {
+    entries: () => directory.entries(),
+    start() {
+      if (following !== undefined) return;
+      following = new AbortController();
+      void follow(following.signal);
+    },
+    stop() {
+      following?.abort();
+      following = undefined;
+    },
+  };
+}
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,6 +1,6 @@
 /**
  * One instance of the fleet under leased dispatch: a gateway for callers, always; the dispatcher of
- * the fleet, when leadership falls to it. The platform's names and formats reach it only through the
+ * one or more shards of the fleet, when leadership falls to it. The platform's names and formats reach it only through the
  * interfaces in the options.
  */
 import { describeError, parseAddress, type Random } from '@celerybarrow/shared';
@@ -8,35 +8,29 @@
 import {
   createPeerServer,
   createTraffic,
+  JobStates,
   PROTOCOL_VERSION,
   type FleetMember,
-  type View,
 } from '@celerybarrow/protocol';
 import { followPrefix, type Entry as StoreEntry, type Store } from '@celerybarrow/store';
 import type { EndpointEntry, EndpointNetwork } from '@celerybarrow/endpoints';
-import { createDispatcher, createEndpointDirectory, type Dispatcher } from '@celerybarrow/dispatch';
 import {
   createDocuments,
-  createLeadership,
-  fenceOf,
+  createFleetLeadership,
+  type FleetLeadership,
   type Leadership,
 } from '@celerybarrow/leadership';
 import { createEntry, type Entry, type Routing } from '@celerybarrow/entry';
 import { createLogger, type Metrics } from '@celerybarrow/telemetry';
-
+import { chooseShard } from './chooseShard.js';
+import { createEndpointFollower } from './followEndpoints.js';
+import { createShardDispatch } from './shardDispatch.js';
 import { warmUp, type LoopbackEndpoints } from './warmUp.js';
 
-/** Pause between looks at the endpoints' entries, which change with every heartbeat. */
-const DIRECTORY_PAUSE_MS = 400;
-/** Interval at which the own gateway's right is renewed; below a third of the lease. */
-const OWN_PULSE_MS = 150;
-/** Interval at which entries that stay missing are given up. */
-const DIRECTORY_REVIEW_MS = 500;
 /** How long open jobs may take to end before a planned stop goes on without them. */
 const DRAIN_LIMIT_MS = 4_000;
 const DRAIN_LOOK_MS = 50;
 const ROUTING_DOCUMENT = 'routing';
-const ENDPOINTS_DOCUMENT = 'endpoints';
 
 /** Where the store keeps something, and how an entry is read; undefined for one that cannot be. */
 export interface StoredSource<T> {
@@ -59,7 +53,7 @@
 
 export interface Instance {
   readonly entry: Entry;
-  readonly leadership: Leadership;
+  readonly leadership: FleetLeadership;
   /** Undefined until a configuration is known. */
   routing(): Routing | undefined;
   onRouting(subscriber: (routing: Routing) => void): void;
@@ -77,7 +71,6 @@
   const closing = new AbortController();
   const clock = createElapsedClock(timer);
   const documents = createDocuments();
-  const directory = createEndpointDirectory(clock);
   const traffic = createTraffic();
   const log = createLogger('instance');
   const greeting = {
@@ -90,13 +83,30 @@
   const server = createPeerServer({ self: greeting, timer, traffic });
   const routingSubscribers = new Set<(routing: Routing) => void>();
   let routing: Routing | undefined;
-  let dispatcher: Dispatcher | undefined;
-  let directoryFollowing: AbortController | undefined;
-  let stopOwnPulse: (() => void) | undefined;
-  let listedText = '';
   let isStopping = false;
 
-  const leadership = createLeadership({
+  const endpoints = createEndpointFollower({
+    store,
+    source: options.endpoints,
+    documents,
+    timer,
+    clock,
+    random,
+    onEntries: (entries) => {
+      dispatch.follow(entries);
+    },
+  });
+  const dispatch = createShardDispatch({
+    self,
+    network: options.network,
+    timer,
+    clock,
+    random,
+    metrics,
+    shards: () => leadership.shards().length,
+    entries: endpoints.entries,
+  });
+  const leadership = createFleetLeadership({
     self,
     greeting,
     localHost: address.host,
@@ -108,93 +118,31 @@
     random,
     traffic,
     logger: createLogger('leadership'),
-    waiting: () => dispatcher?.waiting() ?? {},
-    onPulse: (gateway) => dispatcher?.noteGateway(gateway),
+    waiting: (shard) => dispatch.of(shard)?.waiting() ?? {},
+    onPulse: (shard, gateway) => dispatch.of(shard)?.noteGateway(gateway),
   });
   const entry = createEntry({
     instance: self.instance,
-    leadership,
-    local: () => dispatcher,
+    shardOf: (job) => {
+      const shards = leadership.shards().length;
+      return shards === 0 ? undefined : chooseShard(job, endpoints.entries(), shards);
+    },
+    routes: () =>
+      leadership.shards().map((leading) => ({ leading, local: dispatch.of(leading.shard) })),
     timer,
     clock,
     logger: createLogger('entry'),
   });
 
-  function takeView(view: View): void {
-    if (leadership.isDispatching()) startDispatching();
-    else stopDispatching();
-    log.info(leadership.isDispatching() ? 'Dispatches.' : 'Follows.', { epoch: view.epoch });
-  }
-
-  function startDispatching(): void {
-    if (dispatcher !== undefined) return;
-    dispatcher = createDispatcher({
-      network: options.network,
-      timer,
-      clock,
-      random,
-      logger: createLogger('dispatch'),
-      metrics,
-      fence: () => fenceOf(leadership.view() ?? { epoch: 0, round: 0, dispatcher: self }),
-      onFenced: () => {
-        leadership.noteFenced();
-      },
+  function takeView(leading: Leadership): void {
+    if (leading.isDispatching()) dispatch.start(leading);
+    else dispatch.stop(leading.shard);
+    if (dispatch.isEmpty()) endpoints.stop();
+    else endpoints.start();
+    log.info(leading.isDispatching() ? 'Dispatches.' : 'Follows.', {
+      shard: leading.shard,
+      epoch: leading.view()?.epoch,
     });
-    dispatcher.follow(directory.entries());
-    stopOwnPulse = timer.onEvery(OWN_PULSE_MS, () => dispatcher?.noteGateway(self.instance));
-    directoryFollowing = new AbortController();
-    void followDirectory(directoryFollowing.signal);
-  }
-
-  function stopDispatching(): void {
-    stopOwnPulse?.();
-    directoryFollowing?.abort();
-    directoryFollowing = undefined;
-    dispatcher?.close();
-    dispatcher = undefined;
-  }
-
-  async function followDirectory(signal: AbortSignal): Promise<void> {
-    const { prefix } = options.endpoints;
-    const idOf = (key: string) => key.slice(prefix.length);
-    let reached = 0;
-    const stopReviews = timer.onEvery(DIRECTORY_REVIEW_MS, () => {
-      publishDirectory(reached);
-    });
-    await followPrefix({
-      store,
-      timer,
-      random,
-      prefix,
-      pauseMs: DIRECTORY_PAUSE_MS,
-      onEntry: (one) => {
-        directory.take(idOf(one.key), options.endpoints.read(one));
-      },
-      onRemoved: (key) => {
-        directory.takeRemoval(idOf(key));
-      },
-      onBatch: (revision) => {
-        reached = revision;
-        publishDirectory(revision);
-      },
-      onContact: () => undefined,
-      signal,
-    });
-    stopReviews();
-  }
-
-  function publishDirectory(revision: number): void {
-    const entries = directory.entries();
-    const text = JSON.stringify(entries);
-    if (text === listedText) return;
-    listedText = text;
-    dispatcher?.follow(entries);
-    log.info('Endpoints have changed.', {
-      endpoints: entries.length,
-      leaving: entries.filter((one) => one.isLeaving).length,
-      revision,
-    });
-    documents.offer(ENDPOINTS_DOCUMENT, { version: revision, text });
   }
 
   function takeRouting(next: Routing): void {
@@ -207,20 +155,21 @@
   documents.onDocument(ROUTING_DOCUMENT, ({ text }) => {
     takeRouting(JSON.parse(text) as Routing);
   });
-  documents.onDocument(ENDPOINTS_DOCUMENT, ({ text }) => {
-    if (leadership.isDispatching()) return;
-    directory.replace(JSON.parse(text) as EndpointEntry[]);
+  leadership.onShards((shards) => {
+    for (const leading of shards) {
+      leading.onView(() => {
+        takeView(leading);
+      });
+    }
   });
-  leadership.onView(takeView);
 
   async function start(): Promise<void> {
-    server.onRequest('dispatch', (ask) =>
-      dispatcher === undefined
-        ? { state: 'moved', reason: 'does not dispatch' }
-        : dispatcher.submit(ask),
-    );
-    server.onRequest('withdraw', ({ job, gateway }) => ({
-      found: dispatcher?.withdraw(job, gateway) ?? false,
+    server.onRequest('dispatch', ({ shard, ...submission }) => {
+      const moved = { state: JobStates.MOVED, reason: 'does not dispatch' };
+      return dispatch.of(shard)?.submit(submission) ?? moved;
+    });
+    server.onRequest('withdraw', ({ shard, job, gateway }) => ({
+      found: dispatch.of(shard)?.withdraw(job, gateway) ?? false,
     }));
     await server.listen(address);
     leadership.start();
@@ -244,7 +193,7 @@
 
   function startWarmUp(): void {
     if (options.openLoopback === undefined) return;
-    const isBusy = () => isStopping || (dispatcher !== undefined && entry.openJobs() > 0);
+    const isBusy = () => isStopping || (!dispatch.isEmpty() && entry.openJobs() > 0);
     const { openLoopback } = options;
     warmUp({ openLoopback, timer, random, logger: log, isBusy }).catch((error: unknown) => {
       log.warn('Warm-up failed.', { reason: describeError(error) });
@@ -272,14 +221,15 @@
     onRouting(subscriber) {
       routingSubscribers.add(subscriber);
     },
-    isReady: () => !isStopping && routing !== undefined && leadership.view() !== undefined,
+    isReady: () => !isStopping && routing !== undefined && leadership.isComplete(),
     start,
     stop,
     async close() {
       isStopping = true;
       closing.abort();
       leadership.close();
-      stopDispatching();
+      endpoints.stop();
+      dispatch.stopAll();
       await server.close();
     },
   };
--- a/packages/leadership/__tests__/takeover.spec.ts
+++ b/packages/leadership/__tests__/takeover.spec.ts
@@ -21,7 +21,7 @@
     isStoreReachable: true,
     isDispatcherListed: true,
     isDispatcherGone: false,
-    epoch: 1,
+    ranking: { epoch: 1, shardsAhead: 0, dispatchedBy: () => 0 },
     suspectedForMs: 5_000,
     standingByForMs: 5_000,
     wasFenced: false,
--- /dev/null
+++ b/packages/leadership/src/agreeOnShards.ts
@@ -0,0 +1,62 @@
+/**
+ * The agreement on the number of shards: the first instance that finds none in the store puts the
+ * number that fits the instances that have enrolled by then; one compare-and-swap decides.
+ */
+import { z } from 'zod';
+import type { TimerService } from '@celerybarrow/timer';
+import type { Entry, Store } from '@celerybarrow/store';
+import type { Logger } from '@celerybarrow/telemetry';
+import { countShards } from './shards.js';
+
+export const SHARDS_KEY = 'celerybarrow/shards';
+
+/** The fleet waits this long for its members to enrol before it settles the number of shards. */
+const GATHERING_MS = 400;
+/** Pause between attempts, while the store does not answer. */
+const RETRY_MS = 150;
+
+const shardsSchema = z.object({ shards: z.number().int().positive() });
+
+export interface AgreementOptions {
+  readonly store: Store;
+  readonly timer: TimerService;
+  readonly logger: Logger;
+  /** Instances that are known to run, this one included. */
+  readonly instances: () => number;
+  /** The number that has arrived by the watch of the store; undefined before. */
+  readonly known: () => number | undefined;
+  readonly signal: AbortSignal;
+}
+
+/** Resolves to the number of shards; undefined when the signal was aborted before. */
+export async function agreeOnShards(options: AgreementOptions): Promise<number | undefined> {
+  const { store, timer, logger, signal } = options;
+  await timer.sleep(GATHERING_MS, signal);
+  while (!signal.aborted) {
+    const known = options.known();
+    if (known !== undefined) return known;
+    const read = await store.get(SHARDS_KEY);
+    if (read.isOk && read.value !== undefined) {
+      const stored = readShards(read.value);
+      if (stored !== undefined) return stored;
+      logger.error('Number of shards cannot be read.', { text: read.value.value });
+    } else if (read.isOk) {
+      const shards = countShards(options.instances());
+      const put = await store.compareAndSwap(SHARDS_KEY, 0, JSON.stringify({ shards }));
+      if (put.isOk) {
+        logger.info('Number of shards is settled.', { shards, instances: options.instances() });
+        return shards;
+      }
+    }
+    await timer.sleep(RETRY_MS, signal);
+  }
+  return undefined;
+}
+
+export function readShards(entry: Entry): number | undefined {
+  try {
+    return shardsSchema.safeParse(JSON.parse(entry.value)).data?.shards;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -0,0 +1,200 @@
+/**
+ * What an instance knows of the fleet: the other instances, the number of shards, and who dispatches
+ * each of them. The shards share the connections, the entry of this instance and the watch of the
+ * store; each has a dispatcher and a fence of its own.
+ */
+import type { Random } from '@celerybarrow/shared';
+import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
+import type { FleetMember, Greeting, PeerServer, Traffic } from '@celerybarrow/protocol';
+import { followPrefix, type Entry, type Store } from '@celerybarrow/store';
+import type { Logger } from '@celerybarrow/telemetry';
+import { agreeOnShards, readShards, SHARDS_KEY } from './agreeOnShards.js';
+import type { Documents } from './documents.js';
+import { keepEnrolled } from './enrolment.js';
+import { createLeadership, dispatcherKey, type Leadership } from './leadership.js';
+import { createMembers } from './members.js';
+import { createPeerLinks } from './peerLinks.js';
+import { createStoreContact } from './storeContact.js';
+
+const MEMBER_PREFIX = 'celerybarrow/instances/';
+const FLEET_PREFIX = 'celerybarrow/';
+/** How long the instances of a new fleet may take to learn of the shards, one after the other. */
+const OPENING_MS = 100;
+
+export interface FleetLeadershipOptions {
+  readonly self: FleetMember;
+  readonly greeting: Greeting;
+  readonly localHost: string;
+  readonly store: Store;
+  readonly server: PeerServer;
+  readonly documents: Documents;
+  readonly timer: TimerService;
+  readonly clock: ElapsedClock;
+  readonly random: Random;
+  readonly traffic: Traffic;
+  readonly logger: Logger;
+  /** Jobs of a shard of which no task has started, by team, while this instance dispatches it. */
+  readonly waiting: (shard: number) => Record<string, number>;
+  /** A sign of life of a gateway to the dispatcher of a shard. */
+  readonly onPulse: (shard: number, gateway: string) => void;
+}
+
+export interface FleetLeadership {
+  start(): void;
+  /** One for each shard; none before their number is agreed. */
+  shards(): readonly Leadership[];
+  /** Told once of the shards, when their number is agreed. */
+  onShards(subscriber: (shards: readonly Leadership[]) => void): void;
+  /** Whether each shard has a dispatcher, as far as this instance knows. */
+  isComplete(): boolean;
+  isDispatching(): boolean;
+  isStoreReachable(): boolean;
+  /** Jobs of which no task has started, by team, as the dispatchers last told. */
+  waiting(): Record<string, number>;
+  /** Hands its shards over to other instances, if there are any; for a planned stop. */
+  cede(): Promise<void>;
+  close(): void;
+}
+
+export function createFleetLeadership(options: FleetLeadershipOptions): FleetLeadership {
+  const { self, store, server, timer, clock, logger } = options;
+  const closing = new AbortController();
+  const members = createMembers(clock, logger);
+  const links = createPeerLinks(options);
+  const contact = createStoreContact(clock, logger);
+  const subscribers: ((shards: readonly Leadership[]) => void)[] = [];
+  /** Entries of dispatchers that arrived before the shards were there. */
+  const early = new Map<string, Entry>();
+  let shards: readonly Leadership[] = [];
+  let agreed: number | undefined;
+
+  function takeEntry(entry: Entry): void {
+    if (entry.key.startsWith(MEMBER_PREFIX)) {
+      members.takeEntry(entry.key.slice(MEMBER_PREFIX.length), entry.value);
+    } else if (entry.key === SHARDS_KEY) {
+      agreed = readShards(entry);
+    } else {
+      const shard = shards.findIndex((_one, index) => dispatcherKey(index) === entry.key);
+      if (shard >= 0) shards[shard]?.takeStored(entry);
+      else early.set(entry.key, entry);
+    }
+  }
+
+  async function openShards(): Promise<void> {
+    const count = await agreeOnShards({
+      store,
+      timer,
+      logger,
+      instances: () => members.others(self.incarnation).length + 1,
+      known: () => agreed,
+      signal: closing.signal,
+    });
+    if (count === undefined) return;
+    shards = Array.from({ length: count }, (_none, shard) => createShard(shard));
+    for (const subscriber of subscribers) subscriber(shards);
+    for (const one of shards) {
+      const entry = early.get(dispatcherKey(one.shard));
+      if (entry !== undefined) one.takeStored(entry);
+    }
+    early.clear();
+    if (!shards.some((one) => one.view() !== undefined))
+      await timer.sleep(OPENING_MS, closing.signal);
+    for (const one of shards) one.start();
+  }
+
+  function createShard(shard: number): Leadership {
+    return createLeadership({
+      ...options,
+      shard,
+      members,
+      links,
+      contact,
+      ranking: () => ({
+        shardsAhead: countUnled(shard),
+        dispatchedBy: (one) => countOf(one, shard),
+      }),
+      waiting: () => options.waiting(shard),
+      onPulse: (gateway) => {
+        options.onPulse(shard, gateway);
+      },
+    });
+  }
+
+  /** Shards before this one that look for a dispatcher as well. */
+  function countUnled(shard: number): number {
+    return shards.slice(0, shard).filter((one) => one.isUnled()).length;
+  }
+
+  function countOf(member: FleetMember, except: number): number {
+    return shards.filter(
+      (one) => one.shard !== except && one.view()?.dispatcher.incarnation === member.incarnation,
+    ).length;
+  }
+
+  /** Closes the connections to instances that are neither known nor dispatch anything. */
+  function pruneLinks(): void {
+    const wanted = new Set(members.others().map((member) => member.incarnation));
+    for (const one of shards) {
+      const view = one.view();
+      if (view !== undefined) wanted.add(view.dispatcher.incarnation);
+    }
+    links.keepOnly(wanted);
+  }
+
+  function answerRequests(): void {
+    server.onRequest('pulse', (ask, peer) => find(ask.shard).answerPulse(ask, peer));
+    server.onRequest('opinion', (ask) => find(ask.shard).answerOpinion(ask));
+    server.onRequest('takeOver', (ask) => ({ accepted: find(ask.shard).answerTakeOver(ask) }));
+  }
+
+  function find(shard: number): Leadership {
+    const found = shards[shard];
+    if (found === undefined) throw new Error(`no shard ${shard} is known here`);
+    return found;
+  }
+
+  return {
+    start() {
+      answerRequests();
+      const common = { store, timer, random: options.random, signal: closing.signal };
+      const onContact = contact.note;
+      void followPrefix({
+        ...common,
+        prefix: FLEET_PREFIX,
+        onEntry: takeEntry,
+        onRemoved: (key) => {
+          if (key.startsWith(MEMBER_PREFIX)) members.takeRemoval(key.slice(MEMBER_PREFIX.length));
+        },
+        onBatch: pruneLinks,
+        onContact,
+      });
+      const key = `${MEMBER_PREFIX}${self.instance}`;
+      void keepEnrolled({ ...common, key, self, logger, onContact });
+      void openShards();
+    },
+    shards: () => shards,
+    onShards(subscriber) {
+      subscribers.push(subscriber);
+    },
+    isComplete: () => shards.length > 0 && shards.every((one) => one.view() !== undefined),
+    isDispatching: () => shards.some((one) => one.isDispatching()),
+    isStoreReachable: contact.isReachable,
+    waiting() {
+      const sums: Record<string, number> = {};
+      for (const one of shards) {
+        for (const [team, count] of Object.entries(one.waiting())) {
+          sums[team] = (sums[team] ?? 0) + count;
+        }
+      }
+      return sums;
+    },
+    async cede() {
+      await Promise.all(shards.map((one) => one.cede()));
+    },
+    close() {
+      closing.abort();
+      for (const one of shards) one.close();
+      links.close();
+    },
+  };
+}
--- a/packages/leadership/src/index.ts
+++ b/packages/leadership/src/index.ts
@@ -1,8 +1,14 @@
+export { chooseAsked, rankMembers, type Ranking } from './candidates.js';
 export { createDocuments, type Documents } from './documents.js';
-export { createLeadership, DISPATCHER_KEY, type Leadership } from './leadership.js';
+export {
+  createFleetLeadership,
+  type FleetLeadership,
+  type FleetLeadershipOptions,
+} from './fleetLeadership.js';
+export { dispatcherKey, type Leadership } from './leadership.js';
+export { countShards, shardOfEndpoint, shardOfJob, type ShardCapacity } from './shards.js';
 export {
   decideTakeover,
-  rankMembers,
   Takeovers,
   type Answered,
   type Suspicion,
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -1,9 +1,9 @@
 /**
- * Which instance dispatches, as this instance sees it. The answer lies in the store under
+ * Which instance dispatches a shard, as this instance sees it. The answer lies in the store under
  * compare-and-swap and reaches everybody by a watch; signs of life to the dispatcher find its loss
  * sooner than any lease would, and work without the store.
  */
-import { describeError, type Random } from '@celerybarrow/shared';
+import { describeError } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import {
   viewSchema,
@@ -12,18 +12,17 @@
   type Greeting,
   type Opinion,
   type PeerLink,
-  type PeerServer,
   type Reply,
-  type Traffic,
   type View,
 } from '@celerybarrow/protocol';
-import { followPrefix, type Entry, type Store } from '@celerybarrow/store';
+import type { Entry, Store } from '@celerybarrow/store';
 import type { Logger } from '@celerybarrow/telemetry';
+import { chooseAsked, rankMembers, type Ranking } from './candidates.js';
 import type { Documents } from './documents.js';
-import { keepEnrolled } from './enrolment.js';
-import { createMembers } from './members.js';
-import { createPeerLinks } from './peerLinks.js';
-import { decideTakeover, rankMembers, Takeovers, type Answered } from './takeover.js';
+import type { Members } from './members.js';
+import type { PeerLinks } from './peerLinks.js';
+import type { StoreContact } from './storeContact.js';
+import { decideTakeover, Takeovers, type Answered } from './takeover.js';
 import { isNewer } from './views.js';
 
 const PULSE_INTERVAL_MS = 150;
@@ -35,33 +34,26 @@
 const OPINION_TIMEOUT_MS = 180;
 /** How long a read of the store may take while the dispatcher is in doubt. */
 const QUICK_READ_MS = 300;
-/** Time without an answer after which the store counts as out of reach; renewals come every second. */
-const STORE_SILENCE_MS = 2_500;
 /** How long the stored dispatcher may take to be reached after a cut has healed. */
 const RETURN_LIMIT_MS = 1_500;
 /** Interval at which dispatchers without the store look for each other. */
 const COMPARE_INTERVAL_MS = 400;
 /** Pause between attempts to raise the fence. */
 const RAISE_INTERVAL_MS = 300;
-/** The fleet waits this long for its members to enrol before it names its first dispatcher. */
-const GATHERING_MS = 400;
-
-export const DISPATCHER_KEY = 'celerybarrow/dispatcher';
-const MEMBER_PREFIX = 'celerybarrow/instances/';
-const FLEET_PREFIX = 'celerybarrow/';
 
 export interface LeadershipOptions {
+  readonly shard: number;
   readonly self: FleetMember;
-  readonly greeting: Greeting;
-  readonly localHost: string;
   readonly store: Store;
-  readonly server: PeerServer;
+  readonly members: Members;
+  readonly links: PeerLinks;
+  readonly contact: StoreContact;
   readonly documents: Documents;
   readonly timer: TimerService;
   readonly clock: ElapsedClock;
-  readonly random: Random;
-  readonly traffic: Traffic;
   readonly logger: Logger;
+  /** What the order of candidates depends on, but for the epoch. */
+  readonly ranking: () => Omit<Ranking, 'epoch'>;
   /** Jobs of which no task has started, by team, while this instance dispatches. */
   readonly waiting: () => Record<string, number>;
   /** A sign of life of a gateway. */
@@ -69,6 +61,7 @@
 }
 
 export interface Leadership {
+  readonly shard: number;
   start(): void;
   view(): View | undefined;
   isDispatching(): boolean;
@@ -80,17 +73,28 @@
   noteFenced(): void;
   /** Jobs of which no task has started, by team, as the dispatcher last told. */
   waiting(): Record<string, number>;
-  isStoreReachable(): boolean;
+  /** Whether no dispatcher is known, or the known one is not heard. */
+  isUnled(): boolean;
   /** Hands over to another instance, if there is one; for a planned stop. */
   cede(): Promise<void>;
+  /** Takes the entry of the store that names the dispatcher. */
+  takeStored(entry: Entry): void;
+  answerPulse(ask: Ask<'pulse'>, peer: Greeting): Reply<'pulse'>;
+  answerOpinion(ask: Ask<'opinion'>): Opinion;
+  answerTakeOver(ask: Ask<'takeOver'>): boolean;
   close(): void;
 }
 
+/** The key under which the store keeps the dispatcher of a shard. */
+export function dispatcherKey(shard: number): string {
+  return `celerybarrow/dispatchers/${shard}`;
+}
+
 export function createLeadership(options: LeadershipOptions): Leadership {
-  const { self, store, server, documents, timer, clock, logger } = options;
+  const { shard, self, store, members, links, contact, documents, timer, clock } = options;
+  const logger = withShard(options.logger, shard);
+  const key = dispatcherKey(shard);
   const closing = new AbortController();
-  const members = createMembers(clock, logger);
-  const links = createPeerLinks(options);
   const subscribers = new Set<(view: View) => void>();
   let view: View | undefined;
   let stored: { readonly view: View | undefined; readonly revision: number } | undefined;
@@ -98,34 +102,25 @@
   let suspectedMs: number | undefined;
   let standingByMs: number | undefined;
   let comparedMs = -Infinity;
-  let storeHeardMs = -Infinity;
-  let hasStoreFailed = true;
   let raisedMs = -Infinity;
   /** Since when the stored dispatcher did not answer after a return of the store. */
   let missedMs: number | undefined;
-  let wasFenced = false;
+  /** When endpoints turned out to obey another dispatcher while this one went on alone. */
+  let fencedMs = -Infinity;
   let isStopping = false;
   let waitingThere: Record<string, number> = {};
-  let startedMs = 0;
 
   function isDispatching(): boolean {
     return view?.dispatcher.incarnation === self.incarnation;
   }
 
-  function isStoreReachable(): boolean {
-    return !hasStoreFailed && clock.nowMs() - storeHeardMs < STORE_SILENCE_MS;
+  function rankingFor(epoch: number): Ranking {
+    return { epoch, ...options.ranking() };
   }
 
-  function noteStore(isReachable: boolean): void {
-    if (isReachable === hasStoreFailed) {
-      const silentMs = Math.round(clock.nowMs() - Math.max(storeHeardMs, startedMs));
-      if (isReachable) logger.info('Store answers.', { silentMs });
-      else logger.warn('Store does not answer.', { silentMs });
-    }
-    hasStoreFailed = !isReachable;
-    if (!isReachable) return;
-    storeHeardMs = clock.nowMs();
-    wasFenced = false;
+  /** Endpoints obeyed another dispatcher, and the store has not answered since. */
+  function wasFenced(): boolean {
+    return fencedMs > contact.answeredMs();
   }
 
   function takeView(next: View, source: string): void {
@@ -144,14 +139,6 @@
     for (const subscriber of subscribers) subscriber(next);
   }
 
-  function takeEntry(entry: Entry): void {
-    if (entry.key.startsWith(MEMBER_PREFIX)) {
-      members.takeEntry(entry.key.slice(MEMBER_PREFIX.length), entry.value);
-      return;
-    }
-    if (entry.key === DISPATCHER_KEY) takeStored(entry);
-  }
-
   function takeStored(entry: Entry): void {
     if (stored !== undefined && entry.revision <= stored.revision) return;
     const parsed = parseView(entry.value);
@@ -160,13 +147,6 @@
     else takeView(parsed, 'store');
   }
 
-  /** Closes the connections to instances that are neither known nor the dispatcher. */
-  function pruneLinks(): void {
-    const wanted = new Set(members.others().map((member) => member.incarnation));
-    if (view !== undefined) wanted.add(view.dispatcher.incarnation);
-    links.keepOnly(wanted);
-  }
-
   async function run(): Promise<void> {
     while (!closing.signal.aborted) {
       try {
@@ -179,12 +159,11 @@
   }
 
   async function step(): Promise<void> {
-    pruneLinks();
     if (isDispatching()) {
       if (view !== undefined && view.round > 0) await seekOthers(view);
     } else if (view !== undefined) {
       await pulse(view);
-    } else if (clock.nowMs() - startedMs > GATHERING_MS) {
+    } else {
       await suspect(undefined);
     }
   }
@@ -196,7 +175,7 @@
       await suspect(of);
       return;
     }
-    const ask = { view: of, versions: documents.versions() };
+    const ask = { shard, view: of, versions: documents.versions() };
     const reply = await link.request('pulse', ask, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: link.failedAttempts() > 0 ? 0 : FIRST_CONNECT_MS,
@@ -231,7 +210,9 @@
         silentMs: heardMs === undefined ? undefined : Math.round(nowMs - heardMs),
       });
     }
-    const others = members.others(self.incarnation, of?.dispatcher.incarnation ?? '');
+    const ranking = rankingFor(of?.epoch ?? 0);
+    const running = members.others(self.incarnation, of?.dispatcher.incarnation ?? '');
+    const others = chooseAsked(self, running, ranking);
     const [isRead, answered] = await Promise.all([readStored(), askOthers(others, of)]);
     for (const { opinion } of answered) {
       if (opinion.view !== undefined) takeView(opinion.view, 'another instance');
@@ -245,10 +226,10 @@
       isStoreReachable: isRead,
       isDispatcherListed: isRead && of !== undefined ? members.isListed(of.dispatcher) : undefined,
       isDispatcherGone: of === undefined || links.to(of.dispatcher).isGone(),
-      epoch: of?.epoch ?? 0,
+      ranking,
       suspectedForMs: clock.nowMs() - (suspectedMs ?? nowMs),
       standingByForMs: standingByMs === undefined ? 0 : clock.nowMs() - standingByMs,
-      wasFenced,
+      wasFenced: wasFenced(),
     });
     logger.info('Loss of the dispatcher was weighed.', {
       decision,
@@ -268,26 +249,27 @@
   }
 
   async function readStored(): Promise<boolean> {
-    const read = await Promise.race([
-      store.get(DISPATCHER_KEY),
-      timer.sleep(QUICK_READ_MS, closing.signal),
-    ]);
+    const read = await Promise.race([store.get(key), timer.sleep(QUICK_READ_MS, closing.signal)]);
     if (read === undefined || read.isErr) {
-      noteStore(false);
+      contact.note(false);
       return false;
     }
-    noteStore(true);
+    contact.note(true);
     if (read.value === undefined) stored = { view: undefined, revision: 0 };
     else takeStored(read.value);
     return true;
   }
 
+  function asked(of: View): readonly FleetMember[] {
+    return chooseAsked(self, members.others(self.incarnation), rankingFor(of.epoch));
+  }
+
   async function askOthers(
     others: readonly FleetMember[],
     of: View | undefined,
   ): Promise<readonly Answered[]> {
     const asked = others.map(async (member): Promise<Answered | undefined> => {
-      const ask: Ask<'opinion'> = of === undefined ? {} : { view: of };
+      const ask: Ask<'opinion'> = of === undefined ? { shard } : { shard, view: of };
       const reply = await links.to(member).request('opinion', ask, {
         timeoutMs: OPINION_TIMEOUT_MS,
         connectWaitMs: OPINION_TIMEOUT_MS,
@@ -304,7 +286,7 @@
     const revision = stored?.revision ?? 0;
     const epoch = Math.max(view?.epoch ?? 0, stored?.view?.epoch ?? 0) + 1;
     const next: View = { epoch, round: 0, dispatcher };
-    const swapped = await store.compareAndSwap(DISPATCHER_KEY, revision, JSON.stringify(next));
+    const swapped = await store.compareAndSwap(key, revision, JSON.stringify(next));
     if (swapped.isErr) {
       logger.warn('Dispatcher could not be named.', { reason: swapped.error.message, epoch });
       await readStored();
@@ -317,14 +299,14 @@
 
   /** A dispatcher without the store goes back to the stored one, or to a newer one it meets. */
   async function seekOthers(of: View): Promise<void> {
-    if (isStoreReachable()) {
+    if (contact.isReachable()) {
       await returnToStore(of);
       return;
     }
     const nowMs = clock.nowMs();
     if (nowMs - comparedMs < COMPARE_INTERVAL_MS) return;
     comparedMs = nowMs;
-    for (const { opinion } of await askOthers(members.others(self.incarnation), of)) {
+    for (const { opinion } of await askOthers(asked(of), of)) {
       if (opinion.view !== undefined) takeView(opinion.view, 'another instance');
     }
   }
@@ -332,7 +314,7 @@
   /** A dispatcher without the store asks the stored one to go on, or takes its place. */
   async function returnToStore(of: View): Promise<void> {
     if (!(await readStored()) || view !== of || stored?.view === undefined) return;
-    const ask = { view: of, versions: documents.versions() };
+    const ask = { shard, view: of, versions: documents.versions() };
     const reply = await links.to(stored.view.dispatcher).request('pulse', ask, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: PULSE_TIMEOUT_MS,
@@ -364,8 +346,8 @@
 
   /** Endpoints obey another dispatcher: whoever goes on apart from it does harm. */
   function giveUpApart(of: View): void {
-    if (!isDispatching() || isStoreReachable() || wasFenced) return;
-    wasFenced = true;
+    if (!isDispatching() || contact.isReachable() || wasFenced()) return;
+    fencedMs = clock.nowMs();
     comparedMs = -Infinity;
     logger.warn('Another dispatcher reaches the endpoints.', { epoch: of.epoch, round: of.round });
   }
@@ -390,7 +372,7 @@
     return {
       ...(view === undefined ? {} : { view }),
       ...(isHeard ? { heardAgoMs: clock.nowMs() - (heardMs ?? 0) } : {}),
-      isStoreReachable: isStoreReachable(),
+      isStoreReachable: contact.isReachable(),
       isStopping,
     };
   }
@@ -403,10 +385,10 @@
     isStopping = true;
     const of = view;
     if (of === undefined || !isDispatching()) return;
-    const others = members.others(self.incarnation);
+    const others = asked(of);
     const answered = await askOthers(others, of);
     const ready = answered.filter(({ opinion }) => !opinion.isStopping).map(({ member }) => member);
-    const [successor] = rankMembers(ready, of.epoch);
+    const [successor] = rankMembers(ready, rankingFor(of.epoch));
     if (successor === undefined) {
       logger.warn('No other instance can dispatch.', { others: others.length });
       return;
@@ -416,37 +398,23 @@
       takeView({ epoch: of.epoch, round: of.round + 1, dispatcher: successor }, 'cession');
     }
     if (view === undefined) return;
-    await links.to(successor).request('takeOver', { view }, { timeoutMs: PULSE_TIMEOUT_MS });
+    await links.to(successor).request('takeOver', { shard, view }, { timeoutMs: PULSE_TIMEOUT_MS });
   }
 
-  function start(): void {
-    startedMs = clock.nowMs();
-    server.onRequest('pulse', answerPulse);
-    server.onRequest('opinion', answerOpinion);
-    server.onRequest('takeOver', (ask) => {
-      if (isStopping) return { accepted: false };
-      takeView(ask.view, 'cession');
-      return { accepted: true };
-    });
-    const common = { store, timer, random: options.random, signal: closing.signal };
-    void followPrefix({
-      ...common,
-      prefix: FLEET_PREFIX,
-      onEntry: takeEntry,
-      onRemoved: (key) => {
-        if (key.startsWith(MEMBER_PREFIX)) members.takeRemoval(key.slice(MEMBER_PREFIX.length));
-      },
-      onContact: noteStore,
-    });
-    const key = `${MEMBER_PREFIX}${self.instance}`;
-    void keepEnrolled({ ...common, key, self, logger, onContact: noteStore });
-    void run();
+  function answerTakeOver(ask: Ask<'takeOver'>): boolean {
+    if (isStopping) return false;
+    takeView(ask.view, 'cession');
+    return true;
   }
 
   return {
-    start,
+    shard,
+    start() {
+      void run();
+    },
     view: () => view,
     isDispatching,
+    isUnled: () => view === undefined || suspectedMs !== undefined,
     onView(subscriber) {
       subscribers.add(subscriber);
     },
@@ -456,11 +424,31 @@
       void raise('an endpoint obeys another dispatcher');
     },
     waiting: () => (isDispatching() ? options.waiting() : waitingThere),
-    isStoreReachable,
     cede,
+    takeStored,
+    answerPulse,
+    answerOpinion,
+    answerTakeOver,
     close() {
       closing.abort();
-      links.close();
+    },
+  };
+}
+
+/** A logger whose lines name the shard. */
+function withShard(logger: Logger, shard: number): Logger {
+  return {
+    debug: (sentence, details) => {
+      logger.debug(sentence, { shard, ...details });
+    },
+    info: (sentence, details) => {
+      logger.info(sentence, { shard, ...details });
+    },
+    warn: (sentence, details) => {
+      logger.warn(sentence, { shard, ...details });
+    },
+    error: (sentence, details) => {
+      logger.error(sentence, { shard, ...details });
     },
   };
 }
--- /dev/null
+++ b/packages/leadership/src/storeContact.ts
@@ -0,0 +1,33 @@
+/** Whether the store is in reach of this instance, from the outcome of each call to it. */
+import type { Logger } from '@celerybarrow/telemetry';
+import type { ElapsedClock } from '@celerybarrow/timer';
+
+/** Time without an answer after which the store counts as out of reach; renewals come every second. */
+const STORE_SILENCE_MS = 2_500;
+
+export interface StoreContact {
+  note(isReachable: boolean): void;
+  isReachable(): boolean;
+  /** When the store last answered. */
+  answeredMs(): number;
+}
+
+export function createStoreContact(clock: ElapsedClock, logger: Logger): StoreContact {
+  const createdMs = clock.nowMs();
+  let answeredMs = -Infinity;
+  let hasFailed = true;
+
+  return {
+    note(isReachable) {
+      if (isReachable === hasFailed) {
+        const silentMs = Math.round(clock.nowMs() - Math.max(answeredMs, createdMs));
+        if (isReachable) logger.info('Store answers.', { silentMs });
+        else logger.warn('Store does not answer.', { silentMs });
+      }
+      hasFailed = !isReachable;
+      if (isReachable) answeredMs = clock.nowMs();
+    },
+    isReachable: () => !hasFailed && clock.nowMs() - answeredMs < STORE_SILENCE_MS,
+    answeredMs: () => answeredMs,
+  };
+}
--- a/packages/leadership/src/takeover.ts
+++ b/packages/leadership/src/takeover.ts
@@ -7,8 +7,8 @@
  * Without the store, the instances of a data centre that still reach each other go on with the
  * endpoints that they reach; the fences of endpoints make two dispatchers harmless.
  */
-import { weigh } from '@celerybarrow/shared';
 import type { FleetMember, Opinion } from '@celerybarrow/protocol';
+import { rankMembers, type Ranking } from './candidates.js';
 
 /** How much later each further candidate acts than the one before it; longer than one inquiry. */
 const PATIENCE_PER_RANK_MS = 700;
@@ -38,7 +38,7 @@
 
 export interface Suspicion {
   readonly self: FleetMember;
-  /** All other instances that may be running, without the suspected dispatcher. */
+  /** The other instances that were asked, without the suspected dispatcher. */
   readonly others: readonly FleetMember[];
   /** Those of them that answered. */
   readonly answered: readonly Answered[];
@@ -49,7 +49,7 @@
   readonly isDispatcherListed: boolean | undefined;
   /** Whether the dispatcher's process has certainly ended. */
   readonly isDispatcherGone: boolean;
-  readonly epoch: number;
+  readonly ranking: Ranking;
   readonly suspectedForMs: number;
   /** How long another candidate has had its turn. */
   readonly standingByForMs: number;
@@ -98,14 +98,8 @@
 function isTurnOf(
   self: FleetMember,
   candidates: readonly FleetMember[],
-  { epoch, standingByForMs }: Suspicion,
+  { ranking, standingByForMs }: Suspicion,
 ): boolean {
-  const rank = rankMembers([self, ...candidates], epoch).indexOf(self);
+  const rank = rankMembers([self, ...candidates], ranking).indexOf(self);
   return standingByForMs >= rank * PATIENCE_PER_RANK_MS;
 }
-
-/** Members in the order in which they should dispatch: the largest first, then by hash. */
-export function rankMembers(members: readonly FleetMember[], epoch: number): FleetMember[] {
-  const hash = (member: FleetMember) => weigh(String(epoch), member.incarnation);
-  return [...members].sort((a, b) => b.weight - a.weight || hash(b) - hash(a));
-}
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -86,7 +86,7 @@
   weight: z.number().nonnegative(),
 });
 
-/** Who dispatches. Views are ordered by epoch, then by round. */
+/** Who dispatches a shard. Views are ordered by epoch, then by round. */
 export const viewSchema = z.object({
   /** Rises with each change of the dispatcher that the store has recorded. */
   epoch: count,
@@ -99,6 +99,8 @@
 export const documentSchema = z.object({ version: count, text: z.string() });
 
 export const pulseSchema = z.object({
+  /** Number of the shard of the fleet whose dispatcher is meant, from 0. */
+  shard: count,
   view: viewSchema,
   /** Documents that the sender has, by name, with their versions. */
   versions: z.record(count),
@@ -126,6 +128,7 @@
   /** Answered when the job has ended. `gateway` renews the right of its jobs to run. */
   dispatch: {
     ask: z.object({
+      shard: count,
       job: leasedJobSchema,
       gateway: z.string(),
       /** How often this gateway has handed the job to a dispatcher before. */
@@ -137,15 +140,18 @@
   },
   /** Ends a job, if it is still the gateway's; whoever submitted it, when none is named. */
   withdraw: {
-    ask: z.object({ job: z.string(), gateway: z.string().optional() }),
+    ask: z.object({ shard: count, job: z.string(), gateway: z.string().optional() }),
     reply: z.object({ found: z.boolean() }),
   },
   /** Sign of life of a gateway to its dispatcher. */
   pulse: { ask: pulseSchema, reply: pulseReplySchema },
   /** Asks whether the dispatcher of a view still answers others. */
-  opinion: { ask: z.object({ view: viewSchema.optional() }), reply: opinionSchema },
+  opinion: { ask: z.object({ shard: count, view: viewSchema.optional() }), reply: opinionSchema },
   /** A dispatcher that stops names its successor. */
-  takeOver: { ask: z.object({ view: viewSchema }), reply: z.object({ accepted: z.boolean() }) },
+  takeOver: {
+    ask: z.object({ shard: count, view: viewSchema }),
+    reply: z.object({ accepted: z.boolean() }),
+  },
 } as const;
 
 export type Resources = z.infer<typeof resourcesSchema>;
--- a/packages/protocol/src/keyMap.ts
+++ b/packages/protocol/src/keyMap.ts
@@ -51,4 +51,5 @@
   ranMs: 49,
   runnerPeer: 50,
   hops: 51,
+  shard: 52,
 } as const;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod';
 import { dispatchRequests } from './dispatchMessages.js';
 
-export const PROTOCOL_VERSION = 1;
+export const PROTOCOL_VERSION = 2;
 
 const count = z.number().int().nonnegative();
 const moment = z.number().nonnegative();
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -237,7 +237,7 @@
     const giveUp = () => {
       settled.resolve(Result.err(new ProtocolError(ErrorCodes.PEER_SILENT, 'timed out')));
     };
-    const cancelTimer = timer.onAfter(timeoutMs, giveUp);
+    const cancelTimer = timer.onTimeout(timeoutMs, giveUp);
     signal?.addEventListener('abort', giveUp, { once: true });
     try {
       return (await settled.promise) as Result<Reply<T>, ProtocolError>;
--- a/packages/timer/src/manualTimer.ts
+++ b/packages/timer/src/manualTimer.ts
@@ -59,6 +59,7 @@
     nowMs: () => elapsedMs,
     onEvery: (everyMs, subscriber) => add({ dueMs: elapsedMs + everyMs, everyMs, subscriber }),
     onAfter,
+    onTimeout: onAfter,
     sleep: (delayMs, signal) => sleepOn(onAfter, delayMs, signal),
     advance,
   };
--- a/packages/timer/src/timerService.ts
+++ b/packages/timer/src/timerService.ts
@@ -13,6 +13,11 @@
   onEvery(everyMs: number, subscriber: () => void): Unsubscribe;
   /** Calls the subscriber once, after `delayMs`. */
   onAfter(delayMs: number, subscriber: () => void): Unsubscribe;
+  /**
+   * Like `onAfter`, but input that arrived before is read first: a process that was busy itself must
+   * not take its own delay for the silence of another.
+   */
+  onTimeout(delayMs: number, subscriber: () => void): Unsubscribe;
   /** Resolves after `delayMs`, or at once when the signal is aborted. */
   sleep(delayMs: number, signal?: AbortSignal): Promise<void>;
 }
@@ -26,6 +31,20 @@
     };
   }
 
+  function onTimeout(delayMs: number, subscriber: () => void): Unsubscribe {
+    let isCancelled = false;
+    const cancel = onAfter(delayMs, () => {
+      // The loop reads what has arrived between its timers and its immediates.
+      setImmediate(() => {
+        if (!isCancelled) subscriber();
+      });
+    });
+    return () => {
+      isCancelled = true;
+      cancel();
+    };
+  }
+
   return {
     wallMs: () => Date.now(),
     nowMs: () => performance.now(),
@@ -36,6 +55,7 @@
       };
     },
     onAfter,
+    onTimeout,
     sleep: (delayMs, signal) => sleepOn(onAfter, delayMs, signal),
   };
 }
