--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -1,12 +1,15 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createElapsedClock, createManualTimer, type TimerService } from '@celerybarrow/timer';
+import type { LeasedJob } from '@celerybarrow/protocol';
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import { createArrivalRates } from '../src/arrivalRates.js';
 import { choosePlace, type Placing } from '../src/choosePlace.js';
 import { createEndpointVerdict } from '../src/endpointVerdict.js';
 import { createGatewayLeases } from '../src/gatewayLeases.js';
 import { compareJobs, type OrderedJob } from '../src/jobOrder.js';
+import { lengthOfOthers, noteLength, objectiveFor } from '../src/jobLength.js';
+import { createJobRecord } from '../src/jobRecord.js';
 import { isLate, isWorthMoving } from '../src/overdueRun.js';
 import { isRefused, retryAfterMs } from '../src/refusal.js';
 import { createRunTimes } from '../src/runTimes.js';
@@ -174,6 +177,23 @@
   });
 });
 
+function createLongJob(): LeasedJob {
+  const demand = { cores: 14_000, memoryMb: 64, accelerators: 0 };
+  return {
+    id: 'j',
+    team: 't',
+    service: 's',
+    priority: 2,
+    maxAttempts: 3,
+    objectiveStretch: 1.6,
+    objectiveAllowanceMs: 60,
+    payload: '',
+    steps: [{ tasks: 2, demand, estimateMs: 600, after: [] }],
+    ageMs: 0,
+    remainingMs: 1_500,
+  };
+}
+
 describe('overdue runs', () => {
   const run = {
     nowMs: 400,
@@ -198,6 +218,43 @@
     );
   });
 
+  // Recorded on a grown deployment: a task of 1.6 s, expected at 0.64 s, was moved twice and expired.
+  it('leaves a run where it is when other runs of the job are as slow', () => {
+    const long = { ...run, nowMs: 145, percentAtMs: 145, seenMs: 145, percent: 9, expectedMs: 625 };
+    const late = { ...long, objectiveMs: 1_060, deadlineMs: 1_500 };
+    expect(isLate(late)).toEqual(true);
+    expect(isWorthMoving(late, 580)).toEqual(true);
+    expect(isWorthMoving({ ...late, lengthFactor: 2.5 }, 580)).toEqual(false);
+  });
+
+  it('takes a run back at once when other runs of the job are as long as expected', () => {
+    const slow = { ...run, expectedMs: 200, percent: 20, objectiveMs: 800 };
+    expect(isWorthMoving({ ...slow, lengthFactor: 1 }, 200)).toEqual(true);
+  });
+
+  it('knows the length of a job from its other runs, and gives it more time for that', () => {
+    const timer = createManualTimer();
+    const record = createJobRecord(
+      createLongJob(),
+      'g',
+      { arrivedMs: timer.nowMs(), longestMs: 600, firstRun: 1, mayHaveRun: false },
+      () => undefined,
+    );
+    const [first, second] = record.tasks;
+    if (first === undefined || second === undefined) throw new Error('too few tasks');
+    first.endpoint = 'e1';
+    second.endpoint = 'e2';
+    expect(lengthOfOthers(record, second)).toEqual(undefined);
+    noteLength(record, first, 1_500, 600);
+    expect(lengthOfOthers(record, second)).toEqual(2.5);
+    expect(lengthOfOthers(record, first)).toEqual(undefined);
+    second.endpoint = 'e1';
+    expect(lengthOfOthers(record, second)).toEqual(undefined);
+    first.endpoint = 'e3';
+    expect(lengthOfOthers(record, first)).toEqual(2.5);
+    expect(objectiveFor(record, 2.5) - objectiveFor(record)).toEqual(1.6 * 600 * 1.5);
+  });
+
   it('does not judge before a report has listed the run', () => {
     const unseen = { ...run, percent: 0, percentAtMs: 0, seenMs: 0, nowMs: 190 };
     expect(isLate(unseen)).toEqual(false);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -26,6 +26,7 @@
 import { createEndpointVerdict } from './endpointVerdict.js';
 import { createGatewayLeases } from './gatewayLeases.js';
 import { createJobRecord, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { noteLength } from './jobLength.js';
 import { createOutcomeMemory } from './outcomeMemory.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
@@ -348,7 +349,9 @@
     verdict.noteDone(endpoint);
     const { estimateMs } = record.job.steps[task.ref.step] ?? { estimateMs: 1 };
     const nowMs = clock.nowMs();
-    times.learn({ team: record.job.team, estimateMs, endpoint, ranMs: nowMs - run.sentMs }, nowMs);
+    const ranMs = nowMs - run.sentMs;
+    noteLength(record, task, ranMs, placer.expectedMs(record, task));
+    times.learn({ team: record.job.team, estimateMs, endpoint, ranMs }, nowMs);
     task.isDone = true;
     completeIfDone(record);
   }
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -1,6 +1,7 @@
 /** What the dispatcher knows of one job until all its runs have certainly ended. */
 import type { Run, TaskRef } from '@celerybarrow/endpoints';
 import type { JobOutcome, LeasedJob, Step } from '@celerybarrow/protocol';
+import type { LengthReading } from './jobLength.js';
 
 export interface TaskRecord {
   readonly ref: TaskRef;
@@ -24,6 +25,10 @@
   readonly arrivedMs: number;
   readonly deadlineMs: number;
   readonly objectiveMs: number;
+  /** Expected time of its longest chain of steps, from estimates and what the team has run. */
+  readonly longestMs: number;
+  /** What the runs have shown of the length of its tasks. */
+  readonly lengths: Map<string, LengthReading>;
   readonly tasks: readonly TaskRecord[];
   /** Tasks that are neither done nor running. */
   waiting: number;
@@ -59,6 +64,8 @@
     arrivedMs: origin.arrivedMs,
     deadlineMs: origin.arrivedMs + job.remainingMs,
     objectiveMs: createdMs + job.objectiveStretch * origin.longestMs + job.objectiveAllowanceMs,
+    longestMs: origin.longestMs,
+    lengths: new Map(),
     tasks,
     waiting: tasks.length,
     hasStarted: false,
--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -33,6 +33,8 @@
   readonly objectiveMs: number;
   readonly deadlineMs: number;
   readonly moves: number;
+  /** Factor on the expected time that other runs of the job have shown; undefined if none has. */
+  readonly lengthFactor?: number | undefined;
 }
 
 /** Whether the run, as it goes on, would miss the objective or the caller's time. */
@@ -51,20 +53,35 @@
 
 /** Expected time of a fresh run, corrected by what the progress says of the job's length. */
 function correctedMs(run: RunProgress, freshMs: number): number {
-  const totalMs = run.nowMs - run.startedMs + remainingMs(run);
-  const factor = totalMs / Math.max(1, run.expectedMs);
+  const factor = projectedMs(run) / Math.max(1, run.expectedMs);
+  if (run.lengthFactor !== undefined) {
+    return freshMs * Math.max(1, Math.min(factor, run.lengthFactor));
+  }
   return freshMs * (factor <= LARGEST_ESTIMATE_ERROR ? Math.max(1, factor) : 1);
 }
 
+/** Expected time of the whole run. */
+function projectedMs(run: RunProgress): number {
+  return run.nowMs - run.startedMs + remainingMs(run);
+}
+
+/** Expected time of the whole run as its progress tells; undefined while that says too little. */
+export function toldMs(run: RunProgress): number | undefined {
+  return isTelling(run) ? projectedMs(run) : undefined;
+}
+
 /** Expected time until the run ends. */
 export function remainingMs(run: RunProgress): number {
   const elapsedMs = run.nowMs - run.startedMs;
   const stillMs = run.seenMs - run.percentAtMs;
   const standsStill = stillMs > Math.max(SHORTEST_STILL_MS, STILL_RUNS * run.expectedMs);
   if (standsStill && elapsedMs > run.expectedMs) return Infinity;
-  const untilPercentMs = run.percentAtMs - run.startedMs;
-  if (run.percent >= TELLING_PERCENT && untilPercentMs >= TELLING_MS) {
-    return Math.max(0, (untilPercentMs * 100) / run.percent - elapsedMs);
+  if (isTelling(run)) {
+    return Math.max(0, ((run.percentAtMs - run.startedMs) * 100) / run.percent - elapsedMs);
   }
   return Math.max(0, run.expectedMs - elapsedMs);
 }
+
+function isTelling({ percent, percentAtMs, startedMs }: RunProgress): boolean {
+  return percent >= TELLING_PERCENT && percentAtMs - startedMs >= TELLING_MS;
+}
--- a/packages/dispatch/src/overdueTasks.ts
+++ b/packages/dispatch/src/overdueTasks.ts
@@ -2,7 +2,8 @@
 import { RunStates, type Run, type Steward } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
 import type { JobRecord, TaskRecord } from './jobRecord.js';
-import { isLate, isWorthMoving } from './overdueRun.js';
+import { lengthOfOthers, noteLength, objectiveFor } from './jobLength.js';
+import { isLate, isWorthMoving, toldMs, type RunProgress } from './overdueRun.js';
 import type { Placer } from './placer.js';
 
 export interface FoundTask {
@@ -44,17 +45,21 @@
 ): OverdueTask | undefined {
   const { record, task } = found;
   const expectedMs = placer.expectedMs(record, task);
-  const progress = {
+  const lengthFactor = lengthOfOthers(record, task);
+  const progress: RunProgress = {
     nowMs,
     startedMs: run.sentMs,
     percent: run.percent,
     percentAtMs: run.percentAtMs,
     seenMs: run.seenMs,
     expectedMs,
-    objectiveMs: record.objectiveMs,
+    objectiveMs: objectiveFor(record, lengthFactor),
     deadlineMs: record.deadlineMs,
     moves: task.moves,
+    lengthFactor,
   };
+  const told = toldMs(progress);
+  if (told !== undefined) noteLength(record, task, told, expectedMs);
   if (!isLate(progress)) return undefined;
   const freshMs = placer.freshMs(record, task);
   if (freshMs === undefined || !isWorthMoving(progress, freshMs)) return undefined;
@@ -65,6 +70,7 @@
     ranMs: Math.round(nowMs - run.sentMs),
     expectedMs: Math.round(expectedMs),
     freshMs: Math.round(freshMs),
+    lengthFactor,
   });
   return { ...found, standsStill: run.seenMs - run.percentAtMs > expectedMs };
 }
