fix(dispatch,leadership): no false rate after a takeover, no deposing right after a cut

(2) 39.85 to 40.65 s, right after the cut of dub-c, its two instances had no connections yet, were answered by two of five, and deposed the dispatcher that the others heard; the cold successor then refused 45 more. Ruled out: capacity (30 endpoints listed and free), the store (reachable all the time). Change: work counts from when its caller sent it; with under half of the others answering, an instance waits 0.9 s before it deposes a dispatcher that is listed and not known to have ended.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -285,11 +285,19 @@
 });
 
 describe('work that goes on arriving', () => {
+  // Recorded after the loss of all instances: an idle pool was expected to be full for 17 s.
+  it('takes what waited for a dispatcher, and comes at once, for the rate at which it was sent', () => {
+    const rates = createArrivalRates();
+    for (let sentMs = -700; sentMs < 0; sentMs += 10) rates.note(0, 100, sentMs, 0);
+    const rate = rates.before(undefined, 0);
+    expect(rate > 4 && rate <= 10).toEqual(true);
+  });
+
   it('counts what goes before a priority, and fades when nothing arrives', () => {
     const rates = createArrivalRates();
     for (let nowMs = 0; nowMs < 4_000; nowMs += 10) {
-      rates.note(0, 100, nowMs);
-      rates.note(1, 300, nowMs);
+      rates.note(0, 100, nowMs, nowMs);
+      rates.note(1, 300, nowMs, nowMs);
     }
     const before = rates.before(1, 4_000);
     const all = rates.before(undefined, 4_000);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -172,7 +172,7 @@
       const record = createJobRecord(job, gateway, origin, resolve);
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
-      rates.note(job.priority, placer.workLeft(record), arrivedMs);
+      rates.note(job.priority, placer.workLeft(record), arrivedMs - job.ageMs, arrivedMs);
       claimEarlierRuns(record, resubmissions > 0, heldOn);
       if (record.outcome !== undefined) return;
       if (!placer.isRunnable(record)) {
--- a/packages/leadership/__tests__/takeover.spec.ts
+++ b/packages/leadership/__tests__/takeover.spec.ts
@@ -41,6 +41,35 @@
       { answered: answered(['b', 'c'], { ...silent, heardAgoMs: 50 }) },
       Takeovers.WAIT,
     ],
+    // Recorded after a cut of a data centre: its two instances deposed the dispatcher of all others.
+    [
+      'most others do not answer yet, right after a cut',
+      {
+        others: ['b', 'c', 'd', 'e', 'f'].map((name) => member(name)),
+        answered: answered(['b', 'c'], silent),
+        suspectedForMs: 300,
+      },
+      Takeovers.WAIT,
+    ],
+    [
+      'most others do not answer for longer than connections take',
+      {
+        others: ['b', 'c', 'd', 'e', 'f'].map((name) => member(name)),
+        answered: answered(['b', 'c'], silent),
+        suspectedForMs: 1_000,
+      },
+      Takeovers.TAKE,
+    ],
+    [
+      'most others do not answer, but its process has ended',
+      {
+        others: ['b', 'c', 'd', 'e', 'f'].map((name) => member(name)),
+        answered: answered(['b', 'c'], silent),
+        suspectedForMs: 100,
+        isDispatcherGone: true,
+      },
+      Takeovers.TAKE,
+    ],
     ['nobody answers, and it is listed', {}, Takeovers.WAIT],
     ['nobody answers, and its entry has lapsed', { isDispatcherListed: false }, Takeovers.TAKE],
     [
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -170,8 +170,7 @@
 
   async function pulse(of: View): Promise<void> {
     const link = links.to(of.dispatcher);
-    if (of.dispatcher.instance === self.instance) {
-      // An earlier life of this instance; it has certainly ended.
+    if (isEarlierLife(of)) {
       await suspect(of);
       return;
     }
@@ -191,6 +190,11 @@
     if (isSilent || !link.isConnected() || reply.isOk) await suspect(of);
   }
 
+  /** An earlier life of this instance has certainly ended. */
+  function isEarlierLife(of: View): boolean {
+    return of.dispatcher.instance === self.instance && !isDispatching();
+  }
+
   function takePulseReply(reply: Reply<'pulse'>): void {
     for (const [name, document] of Object.entries(reply.documents)) documents.offer(name, document);
     if (reply.view !== undefined) takeView(reply.view, 'dispatcher');
@@ -225,7 +229,7 @@
       silenceMs: SILENCE_MS,
       isStoreReachable: isRead,
       isDispatcherListed: isRead && of !== undefined ? members.isListed(of.dispatcher) : undefined,
-      isDispatcherGone: of === undefined || links.to(of.dispatcher).isGone(),
+      isDispatcherGone: of === undefined || isEarlierLife(of) || links.to(of.dispatcher).isGone(),
       ranking,
       suspectedForMs: clock.nowMs() - (suspectedMs ?? nowMs),
       standingByForMs: standingByMs === undefined ? 0 : clock.nowMs() - standingByMs,
--- a/packages/leadership/src/takeover.ts
+++ b/packages/leadership/src/takeover.ts
@@ -20,6 +20,9 @@
  */
 const ALONE_AFTER_MS = 1_200;
 
+/** Within this time an instance whose cut has healed reaches the others again. */
+const RECONNECT_MS = 900;
+
 export const Takeovers = {
   WAIT: 'wait',
   /** Another candidate comes first; its turn is now. */
@@ -64,6 +67,7 @@
   if (hearing.length > silent.length + 1) return Takeovers.WAIT;
   if (!suspicion.isStoreReachable) return decideApart(suspicion, silent);
   if (answered.length === 0 && !isCertain(suspicion)) return Takeovers.WAIT;
+  if (isReconnecting(suspicion)) return Takeovers.WAIT;
   const candidates = silent
     .filter(({ opinion }) => opinion.isStoreReachable)
     .map(({ member }) => member);
@@ -80,6 +84,16 @@
   return others.length === 0 && isDispatcherGone;
 }
 
+/**
+ * Most others do not answer either, and may be about to: right after a cut has healed, connections
+ * are opened anew, and the dispatcher that the others hear must not be deposed meanwhile.
+ */
+function isReconnecting(suspicion: Suspicion): boolean {
+  if (suspicion.answered.length * 2 >= suspicion.others.length) return false;
+  if (suspicion.isDispatcherGone || suspicion.isDispatcherListed === false) return false;
+  return suspicion.suspectedForMs < RECONNECT_MS;
+}
+
 function decideApart(suspicion: Suspicion, silent: readonly Answered[]): Takeover {
   const { self, others } = suspicion;
   if (suspicion.answered.some(({ opinion }) => opinion.isStoreReachable)) return Takeovers.WAIT;
