fix(membership): the home of an id follows from the id alone

Change: the creation time counts only if the id carries it; other ids belong to the first data centre unless the submission names a home. Test: keeps the home of an id without a creation time (could not be asked before: the function took the caller's time). Ruled out: keeping createdAt with the claim, which another data centre never sees.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -87,9 +87,7 @@
       else response.destroy();
       return;
     }
-    const submission = readSubmission(body.value, (id, createdAt) =>
-      router.findHome(id, createdAt),
-    );
+    const submission = readSubmission(body.value, (id) => router.findHome(id));
     if (submission.isErr) {
       metrics.increment('gateway.bad-input');
       sendProblem(response, submission.error);
--- a/packages/gateway/src/readSubmission.ts
+++ b/packages/gateway/src/readSubmission.ts
@@ -8,7 +8,7 @@
 /** Characters of the digest; 16 of base64 are 96 bits. */
 const DIGEST_LENGTH = 16;
 
-export type HomeFinder = (id: string, createdAt: number) => string | undefined;
+export type HomeFinder = (id: string) => string | undefined;
 
 /** Parses and validates a body; `findHome` chooses the home of a submission that names none. */
 export function readSubmission(text: string, findHome: HomeFinder): Result<Submission, Problem> {
@@ -26,7 +26,7 @@
 
 function toSubmission(caller: CallerSubmission, findHome: HomeFinder): Result<Submission, Problem> {
   const createdAt = readCreationTime(caller.id) ?? caller.createdAt ?? 0;
-  const home = caller.home ?? findHome(caller.id, createdAt);
+  const home = caller.home ?? findHome(caller.id);
   if (home === undefined) {
     return Result.err({
       status: 503,
--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -39,7 +39,7 @@
 
 export interface Router {
   /** The home of a submission that names none; undefined while no data centre is known. */
-  findHome(id: string, createdAt: number): string | undefined;
+  findHome(id: string): string | undefined;
   submit(submission: Submission): Promise<Answer>;
   /** Takes a submission that a peer passed on. */
   receive(ask: Ask<'submit'>, peer: Greeting): Promise<Reply<'submit'>>;
@@ -169,7 +169,7 @@
   }
 
   return {
-    findHome: (id, createdAt) => findHome(rosters.directory(), id, createdAt),
+    findHome: (id) => findHome(rosters.directory(), id),
     submit: (submission) => submit(submission),
     receive,
     async lookup(id) {
--- a/packages/membership/__tests__/rosters.spec.ts
+++ b/packages/membership/__tests__/rosters.spec.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import fc from 'fast-check';
 import type { Member, Roster } from '@celerybarrow/protocol';
+import { createUuidV7 } from '@celerybarrow/shared';
 import { createLogger } from '@celerybarrow/telemetry';
 import {
   createFirstRoster,
@@ -113,13 +114,19 @@
     const before = { dataCentres: [{ name: 'dub1', since: 0 }] };
     const after = { dataCentres: [...before.dataCentres, { name: 'dub2', since: NOW_MS }] };
     for (let index = 0; index < 50; index += 1) {
-      expect(findHome(after, `id${index}`, NOW_MS - 1)).toEqual('dub1');
+      expect(findHome(after, createUuidV7(NOW_MS - 1))).toEqual('dub1');
     }
-    const homes = new Set(
-      Array.from({ length: 50 }, (_, index) => findHome(after, `id${index}`, NOW_MS)),
-    );
+    const homes = new Set(Array.from({ length: 50 }, () => findHome(after, createUuidV7(NOW_MS))));
     expect(homes.size).toEqual(2);
   });
+
+  it('keeps the home of an id without a creation time, whatever time its caller gives', () => {
+    const before = { dataCentres: [{ name: 'dub1', since: 0 }] };
+    const after = { dataCentres: [...before.dataCentres, { name: 'dub2', since: NOW_MS }] };
+    for (let index = 0; index < 50; index += 1) {
+      expect(findHome(after, `id${index}`)).toEqual(findHome(before, `id${index}`));
+    }
+  });
 });
 
 describe('the roster keeper', () => {
--- a/packages/membership/src/directory.ts
+++ b/packages/membership/src/directory.ts
@@ -4,7 +4,7 @@
  */
 import { z } from 'zod';
 import type { Store } from '@celerybarrow/store';
-import { rankByRendezvous } from '@celerybarrow/shared';
+import { rankByRendezvous, readCreationTime } from '@celerybarrow/shared';
 
 export const DIRECTORY_KEY = 'celerybarrow/directory';
 
@@ -35,8 +35,13 @@
   return { dataCentres: [...directory.dataCentres, { name, since }] };
 }
 
-/** The home of an id that names none; undefined while no data centre is known. */
-export function findHome(directory: Directory, id: string, createdAt: number): string | undefined {
+/**
+ * The home of an id whose submission names none; undefined while no data centre is known. It follows
+ * from the id alone: an id that carries no creation time belongs to the first data centre for ever,
+ * because a time that its caller gives may differ from one submission to the next.
+ */
+export function findHome(directory: Directory, id: string): string | undefined {
+  const createdAt = readCreationTime(id) ?? 0;
   const candidates = directory.dataCentres.filter((one) => one.since <= createdAt);
   return rankByRendezvous(id, candidates, (one) => one.name)[0]?.name;
 }
