perf(leadership): fewer signs of life where a gateway has several dispatchers

Change: every 220 ms in place of 150 with several shards, silence after 460 ms; one shard as before.

--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -11,7 +11,7 @@
 import { agreeOnShards, readShards, SHARDS_KEY } from './agreeOnShards.js';
 import type { Documents } from './documents.js';
 import { keepEnrolled } from './enrolment.js';
-import { createLeadership, dispatcherKey, type Leadership } from './leadership.js';
+import { createLeadership, dispatcherKey, type Leadership, type PulsePace } from './leadership.js';
 import { createMembers } from './members.js';
 import { createPeerLinks } from './peerLinks.js';
 import { createStoreContact } from './storeContact.js';
@@ -23,6 +23,10 @@
 /** Instances that a shard may fall to: its dispatcher and the next two, if both are lost. */
 const CANDIDATES_PER_SHARD = 3;
 
+const ONE_SHARD_PACE: PulsePace = { intervalMs: 150, silenceMs: 330 };
+/** A gateway speaks to several dispatchers; still twice within the lease of its jobs. */
+const MANY_SHARDS_PACE: PulsePace = { intervalMs: 220, silenceMs: 460 };
+
 export interface FleetLeadershipOptions {
   readonly self: FleetMember;
   readonly greeting: Greeting;
@@ -94,7 +98,7 @@
       signal: closing.signal,
     });
     if (count === undefined) return;
-    shards = Array.from({ length: count }, (_none, shard) => createShard(shard));
+    shards = Array.from({ length: count }, (_none, shard) => createShard(shard, count));
     for (const subscriber of subscribers) subscriber(shards);
     for (const one of shards) {
       const entry = early.get(dispatcherKey(one.shard));
@@ -106,10 +110,11 @@
     for (const one of shards) one.start();
   }
 
-  function createShard(shard: number): Leadership {
+  function createShard(shard: number, shards: number): Leadership {
     return createLeadership({
       ...options,
       shard,
+      pace: shards > 1 ? MANY_SHARDS_PACE : ONE_SHARD_PACE,
       members,
       links,
       contact,
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -25,12 +25,9 @@
 import { decideTakeover, Takeovers, type Answered } from './takeover.js';
 import { isNewer } from './views.js';
 
-const PULSE_INTERVAL_MS = 150;
 const PULSE_TIMEOUT_MS = 250;
 /** How long the first connection to a dispatcher may take before others are asked about it. */
 const FIRST_CONNECT_MS = 60;
-/** Silence of the dispatcher after which others are asked about it. */
-const SILENCE_MS = 330;
 const OPINION_TIMEOUT_MS = 180;
 /** How long a read of the store may take while the dispatcher is in doubt. */
 const QUICK_READ_MS = 300;
@@ -41,8 +38,16 @@
 /** Pause between attempts to raise the fence. */
 const RAISE_INTERVAL_MS = 300;
 
+export interface PulsePace {
+  /** Interval of the signs of life to a dispatcher. */
+  readonly intervalMs: number;
+  /** Silence of the dispatcher after which others are asked about it. */
+  readonly silenceMs: number;
+}
+
 export interface LeadershipOptions {
   readonly shard: number;
+  readonly pace: PulsePace;
   readonly self: FleetMember;
   readonly store: Store;
   readonly members: Members;
@@ -91,7 +96,7 @@
 }
 
 export function createLeadership(options: LeadershipOptions): Leadership {
-  const { shard, self, store, members, links, contact, documents, timer, clock } = options;
+  const { shard, pace, self, store, members, links, contact, documents, timer, clock } = options;
   const logger = withShard(options.logger, shard);
   const key = dispatcherKey(shard);
   const closing = new AbortController();
@@ -154,7 +159,7 @@
       } catch (error) {
         logger.error('Step of leadership failed.', { reason: describeError(error) });
       }
-      await timer.sleep(PULSE_INTERVAL_MS, closing.signal);
+      await timer.sleep(pace.intervalMs, closing.signal);
     }
   }
 
@@ -186,7 +191,7 @@
     }
     const nowMs = clock.nowMs();
     heardMs ??= nowMs;
-    const isSilent = nowMs - heardMs > SILENCE_MS;
+    const isSilent = nowMs - heardMs > pace.silenceMs;
     if (isSilent || !link.isConnected() || reply.isOk) await suspect(of);
   }
 
@@ -226,7 +231,7 @@
       self,
       others,
       answered,
-      silenceMs: SILENCE_MS,
+      silenceMs: pace.silenceMs,
       isStoreReachable: isRead,
       isDispatcherListed: isRead && of !== undefined ? members.isListed(of.dispatcher) : undefined,
       isDispatcherGone: of === undefined || isEarlierLife(of) || links.to(of.dispatcher).isGone(),
