fix(jobs): say not-run for ids whose owner has ended while the platform is silent

Change: after 4 s, and at the end, the other members are asked to pledge that they accept no claim of the id in this epoch. All of them pledging, the owner's process certainly ended (its address refuses), the roster settled and the id newer than any lost memory, nothing ran and nothing will. Ruled out: pledging against an owner that is only silent (it could wake in a later epoch with the old submission); counting ceded members as harmless (they may hold copies that are on their way). Not mended: with two members, the survivor's own ids stay may-have-run (docs/guarantees.md).

--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -20,6 +20,7 @@
 import type { TimerService } from '@celerybarrow/timer';
 import { ClaimError } from './claimError.js';
 import type { ClaimStore } from './claimStore.js';
+import { createPledges } from './pledges.js';
 
 const CLAIM_TIMEOUT_MS = 1_000;
 const REGISTER_PATIENCE_MS = 5_000;
@@ -40,6 +41,8 @@
   confirm(id: string): Promise<boolean>;
   /** Answers the claims of another member. */
   witness(ask: Ask<'claim'>, peer: Greeting): Reply<'claim'>;
+  /** Promises to accept no claim of an id in an epoch; `false` if one is held or being made here. */
+  pledge(ask: Ask<'pledge'>): Reply<'pledge'>;
   /** Registers no more claims in this epoch. */
   cede(): void;
   hasCeded(): boolean;
@@ -65,12 +68,27 @@
 export function createClaimRegistry(options: ClaimRegistryOptions): ClaimRegistry {
   const { self, store, rosters, peers, heartbeat, soleLock, timer } = options;
   const batches = new Map<string, PendingBatch>();
+  const pledges = createPledges(timer);
+  /** Ids whose claims this instance is registering now. */
+  const registering = new Set<string>();
   let isCeded = false;
 
   async function register(
     claim: Claim,
     patienceMs = REGISTER_PATIENCE_MS,
   ): Promise<Result<Claim, ClaimError>> {
+    const epoch = rosters.own()?.roster.epoch ?? 0;
+    if (pledges.has(claim.id, epoch))
+      return Result.err(new ClaimError(ErrorCodes.CLAIM_REFUSED, claim.id));
+    registering.add(claim.id);
+    try {
+      return await findWitness(claim, patienceMs);
+    } finally {
+      registering.delete(claim.id);
+    }
+  }
+
+  async function findWitness(claim: Claim, patienceMs: number): Promise<Result<Claim, ClaimError>> {
     const giveUpMs = timer.nowMs() + patienceMs;
     const tried = new Set<string>();
     const epoch = rosters.own()?.roster.epoch;
@@ -177,15 +195,24 @@
     }
     for (const incarnation of message.ceded) rosters.addCeded(epoch, incarnation);
     const refused = message.claims.filter(
-      (claim) => !store.add(toClaim(claim, peer, message.runnerPeer)),
+      (claim) =>
+        pledges.has(claim.id, epoch) || !store.add(toClaim(claim, peer, message.runnerPeer)),
     );
     return { accepted: true, epoch, refused: refused.map((claim) => claim.id) };
   }
 
+  function pledge({ epoch, id }: Ask<'pledge'>): Reply<'pledge'> {
+    const isHeld = store.find(id) !== undefined || registering.has(id);
+    if (isCeded || isHeld || rosters.own()?.roster.epoch !== epoch) return { pledged: false };
+    pledges.add(id, epoch);
+    return { pledged: true };
+  }
+
   return {
     register,
     confirm,
     witness,
+    pledge,
     cede() {
       isCeded = true;
     },
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -182,6 +182,7 @@
     timer,
     random,
     readDirectory: () => readDirectory(platform),
+    pledge: (ask) => claimRegistry.pledge(ask),
     findTrace: (id) => traces.find(id),
   });
   const gateway = createGateway({ router, logger: createLogger('gateway'), metrics });
--- a/packages/daemon/src/peerHandlers.ts
+++ b/packages/daemon/src/peerHandlers.ts
@@ -34,6 +34,7 @@
     return current.version > newerThan ? { document: JSON.stringify(current) } : {};
   });
   server.onRequest('claim', (ask, peer) => claimRegistry.witness(ask, peer));
+  server.onRequest('pledge', (ask) => claimRegistry.pledge(ask));
   server.onRequest('transfer', (ask, peer) => handover.receive(ask, peer));
   server.onRequest('cede', (ask) => handover.onCession(ask));
   server.onRequest('settled', ({ epoch }) => ({ settled: handover.hasSettled(epoch) }));
--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -2,7 +2,7 @@
  * Takes submissions to the owner of their id in their home, from any instance. Since an id runs at
  * most once, a submission whose connection broke is sent again until it is answered.
  */
-import { Outcomes, spreadDelay, type Random } from '@celerybarrow/shared';
+import { Outcomes, spreadDelay, type Outcome, type Random } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
 import type {
   Answer,
@@ -15,6 +15,7 @@
 } from '@celerybarrow/protocol';
 import {
   findHome,
+  isSettled,
   rankMembers,
   type Directory,
   type Peers,
@@ -26,6 +27,11 @@
 
 /** How long a submission looks for an instance that takes it. */
 const ROUTE_PATIENCE_MS = 8_000;
+/**
+ * How long an id without a reachable owner waits for a change of its roster before the other members
+ * are asked to rule a run out; longer than the takeover from a frozen owner takes.
+ */
+const PLEDGE_AFTER_MS = 4_000;
 const RETRY_PAUSE_MS = 50;
 /** Time after which an instance that did not answer must have taken a submission. */
 const TAKEN_AFTER_MS = 5_000;
@@ -57,6 +63,8 @@
   readonly random: Random;
   /** Reads the directory of data centres from the platform; undefined when it does not answer. */
   readonly readDirectory: () => Promise<Directory | undefined>;
+  /** Promises, as a member of the own data centre, to accept no claim of an id in an epoch. */
+  readonly pledge: (ask: Ask<'pledge'>) => Reply<'pledge'>;
   readonly findTrace: (id: string) => readonly string[];
 }
 
@@ -69,6 +77,7 @@
     const limitMs = submission.deadlineMs ?? LONGEST_JOB_MS;
     const endMs = timer.nowMs() + limitMs + ANSWER_GRACE_MS;
     let giveUpMs = timer.nowMs() + Math.min(ROUTE_PATIENCE_MS, limitMs);
+    let pledgeMs = timer.nowMs() + Math.min(PLEDGE_AFTER_MS, limitMs);
     for (let attempt = 0; timer.nowMs() < giveUpMs; attempt += 1) {
       const target = chooseTarget(submission, attempt);
       const startedMs = timer.nowMs();
@@ -79,10 +88,43 @@
       // An instance that held the submission for long had taken it; the search starts anew.
       const hadTaken = timer.nowMs() - startedMs > TAKEN_AFTER_MS;
       if (hadTaken) giveUpMs = Math.min(endMs, timer.nowMs() + ROUTE_PATIENCE_MS);
+      if (timer.nowMs() >= pledgeMs) {
+        if (await isPledged(submission)) return refuseUnowned(submission, Outcomes.NOT_RUN);
+        pledgeMs = timer.nowMs() + PLEDGE_AFTER_MS;
+      }
       await timer.sleep(spreadDelay(RETRY_PAUSE_MS, random));
     }
-    const cause = problems.homeUnreachable(submission.home, Outcomes.MAY_HAVE_RUN);
-    return problems.toAnswer(submission.id, cause);
+    const hasNotRun = await isPledged(submission);
+    return refuseUnowned(submission, hasNotRun ? Outcomes.NOT_RUN : Outcomes.MAY_HAVE_RUN);
+  }
+
+  function refuseUnowned({ id, home }: Submission, outcome: Outcome): Answer {
+    return problems.toAnswer(id, problems.homeUnreachable(home, outcome));
+  }
+
+  /**
+   * Whether nothing ran behind a submission and nothing will: the process of its owner has ended, and
+   * all other members hold no claim of the id and accept none. A claim of a settled roster is held by
+   * two members, so none can be with the owner alone.
+   */
+  async function isPledged({ home, id, createdAt }: Submission): Promise<boolean> {
+    const view = rosters.view(home);
+    const [owner] = view === undefined ? [] : rankMembers(view, id);
+    if (view === undefined || owner === undefined) return false;
+    const { roster } = view;
+    if (!isSettled(roster) || createdAt < roster.memoryLostBefore) return false;
+    if (owner.incarnation === self.incarnation || !peers.linkTo(owner).isGone()) return false;
+    const ask = { epoch: roster.epoch, id };
+    const wait = { timeoutMs: LOOKUP_TIMEOUT_MS, connectWaitMs: MEMBER_CHECK_MS };
+    const others = roster.members.filter((member) => member !== owner);
+    const pledges = await Promise.all(
+      others.map(async (member) => {
+        if (member.incarnation === self.incarnation) return options.pledge(ask).pledged;
+        const reply = await peers.request(member, 'pledge', ask, wait);
+        return reply.isOk && reply.value.pledged;
+      }),
+    );
+    return pledges.length > 0 && pledges.every((pledged) => pledged);
   }
 
   /** The owner first; then, while it cannot be reached, others that may reach it. */
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -208,6 +208,11 @@
     /** `refused` names the ids that the witness would not accept. */
     reply: z.object({ accepted: z.boolean(), epoch: count, refused: z.array(z.string()) }),
   },
+  /** Asks a member to accept no claim of an id in an epoch, if it holds none. */
+  pledge: {
+    ask: z.object({ epoch: count, id: z.string() }),
+    reply: z.object({ pledged: z.boolean() }),
+  },
   transfer: {
     ask: z.object({
       epoch: count,
