fix(claims): a leaving member witnesses the last active one until it is gone

Ruled out: the sole lock (held by then), conflicts on the roster (none logged). Change: a ceded member accepts claims of the only active member; its check of the epoch is what the witness is for, and the owner holds its claim itself. Two active members witness each other as before.

--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -1,7 +1,8 @@
 /**
  * Registers claims with a witness before any task starts. A claim counts once another active member
  * of the same epoch holds it: the owner of the id when that is not this instance, and otherwise
- * any member, the second in rendezvous order by preference. Claims for one witness that arise in
+ * any member, the second in rendezvous order by preference. While all others leave, the last active
+ * member is witnessed by one of them, until it is alone and holds the sole lock. Claims for one witness that arise in
  * one turn of the event loop travel in one message.
  */
 import { Result } from 'true-myth';
@@ -140,7 +141,7 @@
   ): [Member | undefined, boolean] {
     const ranked = rankMembers(view, id);
     const others = ranked.filter((member) => member.incarnation !== self.incarnation);
-    if (others.length === 0) return [undefined, view.roster.members.length === 1];
+    if (others.length === 0) return [chooseCeded(view, tried), view.roster.members.length === 1];
     const owner = ranked[0];
     if (owner !== undefined && owner.incarnation !== self.incarnation) return [owner, false];
     const untried = others.filter((member) => !tried.has(member.incarnation));
@@ -148,6 +149,16 @@
     return [reachable ?? untried[0], false];
   }
 
+  /** The last active member is witnessed by one that leaves, for as long as that takes. */
+  function chooseCeded(view: View, tried: ReadonlySet<string>): Member | undefined {
+    return view.roster.members.find(
+      ({ incarnation }) =>
+        incarnation !== self.incarnation &&
+        !tried.has(incarnation) &&
+        heartbeat.isReachable(incarnation),
+    );
+  }
+
   async function ask(view: View, witness: Member, claim: Claim): Promise<Verdict> {
     const reply = await sendTogether(view, witness, claim);
     if (reply === undefined) return 'retry';
@@ -190,10 +201,13 @@
   function witness(message: Ask<'claim'>, peer: Greeting): Reply<'claim'> {
     const view = rosters.own();
     const epoch = view?.roster.epoch ?? 0;
-    if (view === undefined || isCeded || epoch !== message.epoch || !isActive(view, peer)) {
+    if (view === undefined || epoch !== message.epoch || !isActive(view, peer)) {
       return { accepted: false, epoch, refused: [] };
     }
     for (const incarnation of message.ceded) rosters.addCeded(epoch, incarnation);
+    if (isCeded && !isLastActive(rosters.own(), peer)) {
+      return { accepted: false, epoch, refused: [] };
+    }
     const refused = message.claims.filter(
       (claim) =>
         pledges.has(claim.id, epoch) || !store.add(toClaim(claim, peer, message.runnerPeer)),
@@ -245,3 +259,9 @@
 function isActive(view: View, peer: Greeting): boolean {
   return activeMembers(view).some((member) => member.incarnation === peer.incarnation);
 }
+
+function isLastActive(view: View | undefined, peer: Greeting): boolean {
+  if (view === undefined) return false;
+  const active = activeMembers(view);
+  return active.every((member) => member.incarnation === peer.incarnation);
+}
