test(scenarios): a seeded fault soak over real processes

Six faults in series that overlap, drawn from a seed, on two data centres under load; the promises are checked while it runs, and each data centre has to serve again within 60 s.

--- /dev/null
+++ b/packages/scenarios/__tests__/soak.spec.ts
@@ -0,0 +1,25 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { runScenario } from '../src/index.js';
+import { drawScenario } from '../src/soak/drawScenario.js';
+
+/** Seeds that have failed once, each with its cause; none so far. */
+const REGRESSIONS: readonly number[] = [];
+const SEEDS_A_DAY = 24 * 60 * 60;
+/** Scenarios that run at the same time need numbers of their own; files use the lower ones. */
+const FIRST_NUMBER = 200;
+
+describe('the fault soak', () => {
+  it('draws the same faults for the same seed', () => {
+    expect(drawScenario(7)).toEqual(drawScenario(7));
+    expect(JSON.stringify(drawScenario(7)) === JSON.stringify(drawScenario(8))).toEqual(false);
+  });
+
+  const fresh = Math.floor(Date.now() / 1_000) % SEEDS_A_DAY;
+  for (const [index, seed] of [1, ...REGRESSIONS, fresh].entries()) {
+    it(`holds with seed ${seed}`, async (context) => {
+      const report = await runScenario(drawScenario(seed), { number: FIRST_NUMBER + index });
+      context.diagnostic(`${JSON.stringify(report.outcomes)}`);
+    });
+  }
+});
--- a/packages/scenarios/src/runScenario.ts
+++ b/packages/scenarios/src/runScenario.ts
@@ -109,6 +109,7 @@
     else if ('stop' in step) await Promise.all(step.stop.map(stop));
     else if ('beginStop' in step)
       for (const name of step.beginStop) instance(name).signal('SIGTERM');
+    else if ('awaitEnd' in step) await Promise.all(step.awaitEnd.map(awaitEnd));
     else if ('kill' in step) await Promise.all(step.kill.map(kill));
     else if ('freeze' in step) for (const name of step.freeze) instance(name).signal('SIGSTOP');
     else if ('thaw' in step) for (const name of step.thaw) instance(name).signal('SIGCONT');
@@ -131,6 +132,10 @@
 
   async function stop(name: string): Promise<void> {
     instance(name).signal('SIGTERM');
+    await awaitEnd(name);
+  }
+
+  async function awaitEnd(name: string): Promise<void> {
     const status = await Promise.race([instance(name).ended(), delay(STOP_PATIENCE_MS)]);
     if (status !== 0) throw new Error(`${name} ended with ${String(status)} after SIGTERM`);
   }
--- a/packages/scenarios/src/scenarioSchema.ts
+++ b/packages/scenarios/src/scenarioSchema.ts
@@ -54,6 +54,8 @@
   z.object({ stop: names }).strict(),
   /** Sends SIGTERM and goes on. */
   z.object({ beginStop: names }).strict(),
+  /** Waits until a process that was told to stop has ended with status 0. */
+  z.object({ awaitEnd: names }).strict(),
   z.object({ kill: names }).strict(),
   z.object({ freeze: names }).strict(),
   z.object({ thaw: names }).strict(),
--- /dev/null
+++ b/packages/scenarios/src/soak/drawScenario.ts
@@ -0,0 +1,149 @@
+/**
+ * Draws a scenario of the fault soak from a seed: two data centres under load, faults in series that
+ * overlap, resubmissions at other instances in between; at the end all faults are mended and every
+ * data centre has to serve again. What the runner always checks (no second start, true refusals,
+ * whole answers) is checked all along.
+ */
+import { createRandom, type Random } from '@celerybarrow/shared';
+import type { Scenario, Step } from '../scenarioSchema.js';
+
+const HOMES: Readonly<Record<string, readonly string[]>> = {
+  dub1: ['e1', 'e2', 'e3'],
+  dub2: ['e4', 'e5'],
+};
+const INSTANCES = Object.values(HOMES).flat();
+const FAULTS = 6;
+/** Pause after each fault, at most; shorter ones make faults overlap. */
+const LARGEST_PAUSE_MS = 2_500;
+const LOAD_PER_SECOND = 8;
+const RECOVERY_LIMIT_MS = 60_000;
+
+interface Fault {
+  readonly begin: readonly Step[];
+  readonly end: readonly Step[];
+  /** Instances that another fault must leave alone meanwhile. */
+  readonly busy: readonly string[];
+}
+
+export function drawScenario(seed: number): Scenario {
+  const random = createRandom(seed);
+  const steps: Step[] = Object.keys(HOMES).map(loadOf);
+  const open: Fault[] = [];
+  const busy = new Set<string>();
+  for (let number = 0; number < FAULTS; number += 1) {
+    const fault = drawFault(random, busy);
+    steps.push(...drawResubmission(random, number), ...fault.begin);
+    steps.push({ pause: Math.round(random.next() * LARGEST_PAUSE_MS) });
+    open.push(fault);
+    for (const name of fault.busy) busy.add(name);
+    // Now and then an earlier fault ends while this one goes on.
+    if (random.next() < 0.6) endFirst(open, busy, steps);
+  }
+  while (open.length > 0) endFirst(open, busy, steps);
+  steps.push(...Object.entries(HOMES).flatMap(([home, names]) => recoveryOf(home, names)));
+  return { name: `soak ${seed}`, property: 1, fleet: fleetOf(), steps };
+}
+
+function fleetOf(): Scenario['fleet'] {
+  const endpoint = { slots: 8, speed: 1, failRatio: 0 };
+  const entries = Object.entries(HOMES).map(([home, instances]) => [
+    home,
+    { instances: [...instances], spare: [], endpoints: [endpoint, endpoint, endpoint] },
+  ]);
+  return Object.fromEntries(entries) as Scenario['fleet'];
+}
+
+function loadOf(home: string): Step {
+  return { load: { as: home, home, perSecond: LOAD_PER_SECOND, tasks: 3, workMs: 120 } };
+}
+
+function endFirst(open: Fault[], busy: Set<string>, steps: Step[]): void {
+  const fault = open.shift();
+  if (fault === undefined) return;
+  steps.push(...fault.end);
+  for (const name of fault.busy) busy.delete(name);
+}
+
+/** A job that is sent again at another instance while faults go on. */
+function drawResubmission(random: Random, number: number): Step[] {
+  const home = draw(random, Object.keys(HOMES));
+  const [at, elsewhere] = [draw(random, INSTANCES), draw(random, INSTANCES)];
+  const as = `job${number}`;
+  return [
+    { submit: { as, at, home, tasks: 4, workMs: 300, kind: 'stamp' } },
+    { pause: Math.round(random.next() * 400) },
+    { resubmit: { job: as, at: elsewhere, as: `${as}again` } },
+  ];
+}
+
+function drawFault(random: Random, busy: ReadonlySet<string>): Fault {
+  const free = INSTANCES.filter((name) => !busy.has(name));
+  const kinds =
+    free.length === 0
+      ? storeFaults(random)
+      : [...storeFaults(random), ...instanceFaults(random, free)];
+  return draw(random, kinds);
+}
+
+function storeFaults(random: Random): Fault[] {
+  const slowMs = 50 + Math.round(random.next() * 400);
+  const platform = (step: Extract<Step, { platform: unknown }>['platform']): Step => ({
+    platform: step,
+  });
+  return [
+    { begin: [platform({ down: true })], end: [platform({ down: false })], busy: [] },
+    { begin: [platform({ slowMs })], end: [platform({ slowMs: 0 })], busy: [] },
+    { begin: [platform({ loseAnswers: 3 })], end: [], busy: [] },
+    { begin: [{ lapseLeases: true }], end: [], busy: [] },
+  ];
+}
+
+function instanceFaults(random: Random, free: readonly string[]): Fault[] {
+  const name = draw(random, free);
+  const other = draw(random, free);
+  const between = (right: string): [string, string] => [name, right];
+  const faults: Fault[] = [
+    { begin: [{ kill: [name] }], end: [{ start: [name] }], busy: [name] },
+    { begin: [{ freeze: [name] }], end: [{ thaw: [name] }], busy: [name] },
+    {
+      begin: [{ beginStop: [name] }],
+      end: [{ awaitEnd: [name] }, { start: [name] }],
+      busy: [name],
+    },
+    {
+      begin: [{ cut: { between: between('platform') } }],
+      end: [{ heal: { between: between('platform') } }],
+      busy: [],
+    },
+    {
+      begin: [{ cut: { between: ['dub1', 'dub2'] } }],
+      end: [{ heal: { between: ['dub1', 'dub2'] } }],
+      busy: [],
+    },
+  ];
+  if (other === name) return faults;
+  const cut: Fault = {
+    begin: [{ cut: { between: between(other) } }],
+    end: [{ heal: { between: between(other) } }],
+    busy: [],
+  };
+  return [...faults, cut];
+}
+
+function recoveryOf(home: string, names: readonly string[]): Step[] {
+  const [at = ''] = names;
+  const as = `${home}last`;
+  return [
+    { wait: { members: { dataCentre: home, are: [...names] }, withinMs: RECOVERY_LIMIT_MS } },
+    { submit: { as, at, home, tasks: 3, workMs: 100, kind: 'stamp' } },
+    { wait: { answered: [as], withinMs: RECOVERY_LIMIT_MS } },
+    { expect: { answer: as, outcome: ['complete'] } },
+    { endLoad: home },
+  ];
+}
+
+function draw<T>(random: Random, items: readonly T[]): T {
+  const found = items[Math.floor(random.next() * items.length)];
+  if (found === undefined) throw new RangeError('nothing to draw from');
+  return found;
+}
--- /dev/null
+++ b/packages/scenarios/src/soak/main.ts
@@ -0,0 +1,37 @@
+/** Runs the fault soak by hand: `npm run soak -- [--from SEED] [--seeds COUNT] [--logs FOLDER]`. */
+import { mkdir } from 'node:fs/promises';
+import { cac } from 'cac';
+import { describeError } from '@celerybarrow/shared';
+import { runScenario } from '../runScenario.js';
+import { drawScenario } from './drawScenario.js';
+
+const DEFAULT_SEEDS = 5;
+
+const cli = cac('soak');
+cli.option('--from <SEED>', 'First seed; drawn from the clock by default');
+cli.option('--seeds <COUNT>', `How many seeds, one after the other; ${DEFAULT_SEEDS} by default`);
+cli.option('--logs <FOLDER>', 'Keep the logs of the instances in a folder');
+cli.help();
+const { options } = cli.parse(process.argv, { run: false });
+const first = Number(options['from'] ?? Date.now() % 1_000_000);
+const count = Number(options['seeds'] ?? DEFAULT_SEEDS);
+const logFolder = options['logs'] as string | undefined;
+if (logFolder !== undefined) await mkdir(logFolder, { recursive: true });
+
+let failures = 0;
+for (let seed = first; seed < first + count; seed += 1) {
+  const startedMs = performance.now();
+  const seconds = () => `${((performance.now() - startedMs) / 1_000).toFixed(1)} s`;
+  try {
+    const report = await runScenario(drawScenario(seed), { number: (seed % 250) + 1, logFolder });
+    const doubts = `needless doubts: ${report.needlessDoubts}`;
+    process.stdout.write(
+      `held    seed ${seed} (${seconds()}) ${JSON.stringify(report.outcomes)} ${doubts}\n`,
+    );
+  } catch (error) {
+    failures += 1;
+    process.stdout.write(`FAILED  seed ${seed} (${seconds()}): ${describeError(error)}\n`);
+  }
+}
+process.stdout.write(`${count - failures} of ${count} seeds held\n`);
+process.exitCode = failures === 0 ? 0 : 1;
