fix(entry): tell the shard and the epoch of the dispatcher in the gateway's line

Cause: with shards the line 'Request is answered' had lost its epoch, by which docs/OPERATIONS.md goes from a request to its dispatcher. The outcome now carries the view under which the job was sent last.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -47,9 +47,15 @@
   readonly logger: Logger;
 }
 
+/** How a job ended, and which dispatcher had it last; none if it was never handed over. */
+export interface EntryOutcome extends JobOutcome {
+  readonly shard: number | undefined;
+  readonly epoch: number | undefined;
+}
+
 export interface Entry {
   /** Resolves when the job has ended; the signal is aborted when the caller leaves. */
-  submit(job: LeasedJob, signal: AbortSignal): Promise<JobOutcome>;
+  submit(job: LeasedJob, signal: AbortSignal): Promise<EntryOutcome>;
   /** Cancels a running job; false if it is not known. */
   cancel(job: string): Promise<boolean>;
   isKnown(job: string): boolean;
@@ -76,7 +82,7 @@
   const { instance, shardOf, routes, timer, clock, logger } = options;
   const open = new Map<string, OpenJob>();
 
-  async function submit(job: LeasedJob, signal: AbortSignal): Promise<JobOutcome> {
+  async function submit(job: LeasedJob, signal: AbortSignal): Promise<EntryOutcome> {
     const one: OpenJob = {
       job,
       signal,
@@ -91,7 +97,8 @@
     };
     signal.addEventListener('abort', onLeave, { once: true });
     try {
-      return await carry(one);
+      const outcome = await carry(one);
+      return { ...outcome, shard: one.shard, epoch: one.sentUnder?.epoch };
     } finally {
       signal.removeEventListener('abort', onLeave);
       if (open.get(job.id) === one) open.delete(job.id);
