fix(membership): note every cession, so that the last active member takes the lock at once

Cause: the former holder's cession was read from the view at a look every 100 ms. When the cession and the roster without the member arrive between two looks, the later view no longer names it, so the survivor waits for the lease of 10 s to lapse, without a witness and without the lock. Now every change of the view is noted. soleLock.spec.ts replays it without processes: before, the lock was asked for with [] as ended holders; after, with e1's incarnation.

--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -10,7 +10,8 @@
 import type { Logger } from '@celerybarrow/telemetry';
 import { addDataCentre, DIRECTORY_KEY, emptyDirectory, parseDirectory } from './directory.js';
 import type { Heartbeat } from './heartbeat.js';
-import { activeMembers, type View } from './ownership.js';
+import { followEndedHolders } from './endedHolders.js';
+import { activeMembers } from './ownership.js';
 import type { Peers } from './peers.js';
 import {
   createFirstRoster,
@@ -66,7 +67,7 @@
   const writer = createRosterWriter(options);
   const closing = new AbortController();
   const suspectedSince = new Map<string, number>();
-  const ended = new Set<string>();
+  const endedHolders = followEndedHolders(rosters);
   let hasAnnouncedDataCentre = false;
   let silentSinceMs: number | undefined;
 
@@ -86,7 +87,7 @@
     if (!hasAnnouncedDataCentre) return false;
     const view = rosters.own();
     if (view === undefined || !hasMember(view.roster, self.incarnation)) return join();
-    if (activeMembers(view).length <= 1) await soleLock.acquire(formerHolders(view));
+    if (activeMembers(view).length <= 1) await soleLock.acquire(endedHolders);
     const left = view.roster.members.find((member) => hasLeft(member, view.ceded));
     if (left !== undefined) return removeCeded(left);
     const failed = view.roster.members.find((member) => isDue(member, view.roster));
@@ -281,14 +282,6 @@
 
   void tend();
 
-  /** Incarnations that register no more claims: they have ended, or have ceded their ids. */
-  function formerHolders({ roster, ceded }: View): ReadonlySet<string> {
-    const proven = roster.lost.filter((loss) => loss.isProven);
-    for (const loss of proven) ended.add(loss.incarnation);
-    for (const incarnation of ceded) ended.add(incarnation);
-    return ended;
-  }
-
   return {
     isMember() {
       const view = rosters.own();
