fix(protocol): dial again after an attempt to connect that nobody answered

Cause: an attempt that outlasts its time limit was destroyed without an error. Such a socket only closes, and the wait for 'connect' ends by 'connect' or 'error' alone, so the link never dialled again. After the heal the instances of the cut data centre reached nobody for good, and deposed one sound dispatcher after another (epochs 2 to 5 in 3 s in the log). Ruled out: retransmission of the opening packet (an attempt is given up after 300 ms); the silence limit (those links were not connected); the store (it answered 0.4 s after the heal). peers.spec.ts replays it with a socket that never connects: before, no second attempt; now the second one carries the request.

--- a/packages/protocol/__tests__/peers.spec.ts
+++ b/packages/protocol/__tests__/peers.spec.ts
@@ -1,4 +1,4 @@
-import { connect, type Socket } from 'node:net';
+import { connect, Socket } from 'node:net';
 import { once } from 'node:events';
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
@@ -58,6 +58,30 @@
 const OPTIONS = { timeoutMs: 1_000, connectWaitMs: 1_000 };
 
 describe('peer links', () => {
+  it('connect again after an attempt that nobody answered', async () => {
+    const [, address] = await startServer();
+    const attempts: Socket[] = [];
+    const link = createPeerLink({
+      address: formatAddress(address),
+      self: greetingOf('a'),
+      timer,
+      random: createRandom(1),
+      traffic: createTraffic(),
+      connectTimeoutMs: 50,
+      openSocket: ({ host, port }) => {
+        // A cut network drops the opening packet: neither a connection nor a refusal comes.
+        const socket = attempts.length === 0 ? new Socket() : connect(port, host);
+        attempts.push(socket);
+        return socket;
+      },
+    });
+    opened.push(link);
+
+    const reply = await link.request('alive', {}, OPTIONS);
+    expect(attempts.length).toEqual(2);
+    expect(reply.isOk).toEqual(true);
+  });
+
   it('give crossed and late replies to their own requests', async () => {
     const [server, address] = await startServer();
     server.onRequest('lookup', async ({ id }) => {
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -11,6 +11,7 @@
   ErrorCodes,
   parseAddress,
   spreadDelay,
+  type Address,
   type Deferred,
   type ErrorCode,
   type Random,
@@ -57,6 +58,8 @@
   /** Longest pause between attempts to connect, and how long one may take; 2 s and 1 s by default. */
   readonly largestReconnectMs?: number;
   readonly connectTimeoutMs?: number;
+  /** Starts a connection; over TCP by default. */
+  readonly openSocket?: (address: Address, localHost: string | undefined) => Socket;
 }
 
 export interface PeerLink {
@@ -117,11 +120,10 @@
 
   async function open() {
     const candidate = dial(options);
-    const abandon = timer.onAfter(options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, () =>
-      candidate.destroy(),
-    );
-    const onClosing = () => candidate.destroy();
-    closing.signal.addEventListener('abort', onClosing, { once: true });
+    // Only an error ends the wait for the connection; a socket destroyed without one just closes.
+    const giveUp = () => candidate.destroy(new ProtocolError(ErrorCodes.PEER_UNREACHABLE));
+    const abandon = timer.onAfter(options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS, giveUp);
+    closing.signal.addEventListener('abort', giveUp, { once: true });
     try {
       await once(candidate, 'connect');
       candidate.write(encodeFrame(options.self));
@@ -137,7 +139,7 @@
       return undefined;
     } finally {
       abandon();
-      closing.signal.removeEventListener('abort', onClosing);
+      closing.signal.removeEventListener('abort', giveUp);
     }
   }
 
@@ -274,17 +276,17 @@
   if (address === undefined) {
     throw new ProtocolError(ErrorCodes.PEER_UNREACHABLE, `bad address ${options.address}`);
   }
-  const socket = connect({
-    host: address.host,
-    port: address.port,
-    noDelay: true,
-    ...(options.localHost === undefined ? {} : { localAddress: options.localHost }),
-  });
+  const socket = (options.openSocket ?? openTcp)(address, options.localHost);
   // Errors reach the task through the stream's reads; this keeps late ones from being unhandled.
   socket.on('error', () => undefined);
   return socket;
 }
 
+function openTcp({ host, port }: Address, localHost: string | undefined): Socket {
+  const local = localHost === undefined ? {} : { localAddress: localHost };
+  return connect({ host, port, noDelay: true, ...local });
+}
+
 /** Writes a frame; all frames of one turn of the event loop leave in one segment. */
 export function writeTogether(socket: Socket, frame: Buffer): void {
   if (socket.writableCorked === 0) {
