fix(leadership): a cut-off data centre deposes no dispatcher that the others hear

Change: if only the own data centre answers and the dispatcher is still listed, its instances go on apart, with their endpoints, and leave the stored view alone; the same when the store returns to an instance that went on apart. Once endpoints have obeyed another dispatcher they wait until they hear one. An instance that has not heard a dispatcher for 1.5 s tells the balancer that it is not ready. Ruled out: refusing to depose in any minority (after a loss of power of most instances the rest would wait 3 s for the lease). Three new rows in takeover.spec.ts; the former rows are unchanged.

--- a/packages/leadership/__tests__/takeover.spec.ts
+++ b/packages/leadership/__tests__/takeover.spec.ts
@@ -83,6 +83,35 @@
       },
       Takeovers.WAIT,
     ],
+    // A data centre cut off from the others but not from the store, and the other side of that cut.
+    [
+      'only the own data centre answers, and the dispatcher is listed',
+      {
+        others: [member('b'), ...['c', 'd', 'e', 'f'].map((name) => member(name, 'z'))],
+        answered: answered(['b'], silent),
+        suspectedForMs: 1_000,
+      },
+      Takeovers.TAKE_APART,
+    ],
+    [
+      'only the own data centre answers, and the entry of the dispatcher has lapsed',
+      {
+        others: [member('b'), ...['c', 'd', 'e', 'f'].map((name) => member(name, 'z'))],
+        answered: answered(['b'], silent),
+        isDispatcherListed: false,
+      },
+      Takeovers.TAKE,
+    ],
+    [
+      'only the own data centre answers, and endpoints obeyed another one',
+      {
+        others: [member('b'), ...['c', 'd', 'e', 'f'].map((name) => member(name, 'z'))],
+        answered: answered(['b'], silent),
+        suspectedForMs: 1_000,
+        wasFenced: true,
+      },
+      Takeovers.WAIT,
+    ],
     ['nobody answers, and it is listed', {}, Takeovers.WAIT],
     ['nobody answers, and its entry has lapsed', { isDispatcherListed: false }, Takeovers.TAKE],
     [
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -51,7 +51,7 @@
   shards(): readonly Leadership[];
   /** Told once of the shards, when their number is agreed. */
   onShards(subscriber: (shards: readonly Leadership[]) => void): void;
-  /** Whether each shard has a dispatcher, as far as this instance knows. */
+  /** Whether each shard has a dispatcher that this instance hears, or heard a moment ago. */
   isComplete(): boolean;
   isDispatching(): boolean;
   /** Whether few enough instances are larger than this one. */
@@ -185,7 +185,7 @@
     onShards(subscriber) {
       subscribers.push(subscriber);
     },
-    isComplete: () => shards.length > 0 && shards.every((one) => one.view() !== undefined),
+    isComplete: () => shards.length > 0 && shards.every((one) => one.canServe()),
     isDispatching: () => shards.some((one) => one.isDispatching()),
     isLikelyToDispatch() {
       const larger = members.others(self.incarnation).filter((one) => one.weight > self.weight);
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -35,6 +35,8 @@
 const RETURN_LIMIT_MS = 1_500;
 /** Interval at which dispatchers without the store look for each other. */
 const COMPARE_INTERVAL_MS = 400;
+/** How long a dispatcher may be out of hearing before callers are better served elsewhere. */
+const UNLED_LIMIT_MS = 1_500;
 /** Pause between attempts to raise the fence. */
 const RAISE_INTERVAL_MS = 300;
 
@@ -80,6 +82,8 @@
   waiting(): Record<string, number>;
   /** Whether no dispatcher is known, or the known one is not heard. */
   isUnled(): boolean;
+  /** Whether a dispatcher is known, and has not been out of hearing for long. */
+  canServe(): boolean;
   /** Hands over to another instance, if there is one; for a planned stop. */
   cede(): Promise<void>;
   /** Takes the entry of the store that names the dispatcher. */
@@ -110,8 +114,8 @@
   let raisedMs = -Infinity;
   /** Since when the stored dispatcher did not answer after a return of the store. */
   let missedMs: number | undefined;
-  /** When endpoints turned out to obey another dispatcher while this one went on alone. */
-  let fencedMs = -Infinity;
+  /** Whether endpoints obeyed another dispatcher while this one went on apart, and none was heard since. */
+  let wasFenced = false;
   let isStopping = false;
   let waitingThere: Record<string, number> = {};
 
@@ -123,11 +127,6 @@
     return { epoch, ...options.ranking() };
   }
 
-  /** Endpoints obeyed another dispatcher, and the store has not answered since. */
-  function wasFenced(): boolean {
-    return fencedMs > contact.answeredMs();
-  }
-
   function takeView(next: View, source: string): void {
     if (!isNewer(next, view)) return;
     view = next;
@@ -206,6 +205,7 @@
     if (!reply.isDispatching) return;
     heardMs = clock.nowMs();
     suspectedMs = undefined;
+    wasFenced = false;
     waitingThere = reply.waiting;
   }
 
@@ -239,7 +239,7 @@
       ranking,
       suspectedForMs: clock.nowMs() - (suspectedMs ?? nowMs),
       standingByForMs: standingByMs === undefined ? 0 : clock.nowMs() - standingByMs,
-      wasFenced: wasFenced(),
+      wasFenced,
     });
     logger.info('Loss of the dispatcher was weighed.', {
       decision,
@@ -321,7 +321,7 @@
     }
   }
 
-  /** A dispatcher without the store asks the stored one to go on, or takes its place. */
+  /** A dispatcher apart asks the stored one to go on, or takes its place once it is not listed. */
   async function returnToStore(of: View): Promise<void> {
     if (!(await readStored()) || view !== of || stored?.view === undefined) return;
     const ask = { shard, view: of, versions: documents.versions() };
@@ -330,7 +330,8 @@
       connectWaitMs: PULSE_TIMEOUT_MS,
     });
     if (view !== of) return;
-    if (reply.isOk && reply.value.isDispatching) {
+    const mayBeRunning = members.isListed(stored.view.dispatcher);
+    if (mayBeRunning || (reply.isOk && reply.value.isDispatching)) {
       missedMs = undefined;
       return;
     }
@@ -356,8 +357,8 @@
 
   /** Endpoints obey another dispatcher: whoever goes on apart from it does harm. */
   function giveUpApart(of: View): void {
-    if (!isDispatching() || contact.isReachable() || wasFenced()) return;
-    fencedMs = clock.nowMs();
+    if (!isDispatching() || wasFenced) return;
+    wasFenced = true;
     comparedMs = -Infinity;
     logger.warn('Another dispatcher reaches the endpoints.', { epoch: of.epoch, round: of.round });
   }
@@ -417,8 +418,14 @@
     return true;
   }
 
+  function canServe(): boolean {
+    if (view === undefined) return false;
+    return suspectedMs === undefined || clock.nowMs() - suspectedMs < UNLED_LIMIT_MS;
+  }
+
   return {
     shard,
+    canServe,
     start() {
       void run();
     },
--- a/packages/leadership/src/takeover.ts
+++ b/packages/leadership/src/takeover.ts
@@ -58,7 +58,7 @@
   readonly suspectedForMs: number;
   /** How long another candidate has had its turn. */
   readonly standingByForMs: number;
-  /** Whether endpoints obeyed another dispatcher when this instance last went on alone. */
+  /** Whether endpoints obeyed another dispatcher when this instance last went on apart. */
   readonly wasFenced: boolean;
 }
 
@@ -70,6 +70,9 @@
   if (!suspicion.isStoreReachable) return decideApart(suspicion, silent);
   if (answered.length === 0 && !isCertain(suspicion)) return Takeovers.WAIT;
   if (isReconnecting(suspicion)) return Takeovers.WAIT;
+  if (isDataCentreCutOff(suspicion, silent)) {
+    return suspicion.wasFenced ? Takeovers.WAIT : goOnApart(suspicion, silent);
+  }
   const candidates = silent
     .filter(({ opinion }) => opinion.isStoreReachable)
     .map(({ member }) => member);
@@ -92,25 +95,52 @@
  * first dispatcher the others are still starting, and one of them may be the better candidate.
  */
 function isReconnecting(suspicion: Suspicion): boolean {
-  if (suspicion.answered.length * 2 >= suspicion.others.length) return false;
-  if (suspicion.suspectedForMs >= RECONNECT_MS) return false;
-  if (suspicion.isFirst) return true;
-  return !suspicion.isDispatcherGone && suspicion.isDispatcherListed !== false;
+  if (!isMinority(suspicion) || suspicion.suspectedForMs >= RECONNECT_MS) return false;
+  return suspicion.isFirst || mayBeRunning(suspicion);
+}
+
+function isMinority({ answered, others }: Suspicion): boolean {
+  return answered.length * 2 < others.length;
+}
+
+function mayBeRunning({ isDispatcherGone, isDispatcherListed }: Suspicion): boolean {
+  return !isDispatcherGone && isDispatcherListed !== false;
+}
+
+/**
+ * The own data centre agrees, most others do not answer, and the dispatcher is still listed: it is
+ * this data centre that is cut off, though not from the store. Naming a new dispatcher there would
+ * depose the one that the others hear, and they would take it back, by turns for as long as the cut.
+ */
+function isDataCentreCutOff(suspicion: Suspicion, silent: readonly Answered[]): boolean {
+  if (suspicion.isFirst || !isMinority(suspicion) || !mayBeRunning(suspicion)) return false;
+  const near = suspicion.others.filter((member) => isNear(suspicion.self, member));
+  return near.length > 0 && hasNearMajority(suspicion, silent);
+}
+
+function isNear(self: FleetMember, member: FleetMember): boolean {
+  return member.dataCentre === self.dataCentre;
+}
+
+function hasNearMajority({ self, others }: Suspicion, silent: readonly Answered[]): boolean {
+  const near = others.filter((member) => isNear(self, member)).length;
+  return silent.filter(({ member }) => isNear(self, member)).length * 2 >= near;
 }
 
 function decideApart(suspicion: Suspicion, silent: readonly Answered[]): Takeover {
-  const { self, others } = suspicion;
   if (suspicion.answered.some(({ opinion }) => opinion.isStoreReachable)) return Takeovers.WAIT;
   if (suspicion.answered.length === 0) {
     const mayBeAlone = !suspicion.wasFenced && suspicion.suspectedForMs >= ALONE_AFTER_MS;
     return mayBeAlone ? Takeovers.TAKE_APART : Takeovers.WAIT;
   }
-  const isNear = (member: FleetMember) => member.dataCentre === self.dataCentre;
-  const near = others.filter(isNear).length;
-  const nearAnswered = silent.filter(({ member }) => isNear(member)).length;
-  if (nearAnswered * 2 < near) return Takeovers.WAIT;
+  return hasNearMajority(suspicion, silent) ? goOnApart(suspicion, silent) : Takeovers.WAIT;
+}
+
+function goOnApart(suspicion: Suspicion, silent: readonly Answered[]): Takeover {
   const candidates = silent.map(({ member }) => member);
-  return isTurnOf(self, candidates, suspicion) ? Takeovers.TAKE_APART : Takeovers.STAND_BY;
+  return isTurnOf(suspicion.self, candidates, suspicion)
+    ? Takeovers.TAKE_APART
+    : Takeovers.STAND_BY;
 }
 
 function isTurnOf(
