fix(leadership): give a dispatcher that was just named time for its first connections

Pattern: loss of all instances. Change: a dispatcher that has not been heard under its view is in doubt after the usual silence, or at once when its address refuses.

--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -108,6 +108,8 @@
   let view: View | undefined;
   let stored: { readonly view: View | undefined; readonly revision: number } | undefined;
   let heardMs: number | undefined;
+  /** When the view was learned; its dispatcher may be busy opening connections then. */
+  let learnedMs = -Infinity;
   let suspectedMs: number | undefined;
   let standingByMs: number | undefined;
   let comparedMs = -Infinity;
@@ -130,6 +132,7 @@
   function takeView(next: View, source: string): void {
     if (!isNewer(next, view)) return;
     view = next;
+    learnedMs = clock.nowMs();
     heardMs = undefined;
     suspectedMs = undefined;
     standingByMs = undefined;
@@ -188,10 +191,14 @@
       takePulseReply(reply.value);
       if (reply.value.isDispatching) return;
     }
-    const nowMs = clock.nowMs();
-    heardMs ??= nowMs;
-    const isSilent = nowMs - heardMs > pace.silenceMs;
-    if (isSilent || !link.isConnected() || reply.isOk) await suspect(of);
+    if (reply.isOk || isLost(link)) await suspect(of);
+  }
+
+  /** A dispatcher that was just named gets time for its first connections, unless it refuses them. */
+  function isLost(link: PeerLink): boolean {
+    const isSilent = clock.nowMs() - (heardMs ?? learnedMs) > pace.silenceMs;
+    const hasBrokenOff = heardMs !== undefined && !link.isConnected();
+    return isSilent || hasBrokenOff || link.isRefused();
   }
 
   /** An earlier life of this instance has certainly ended. */
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -67,6 +67,8 @@
   isConnected(): boolean;
   /** Consecutive attempts to connect that failed in any way. */
   failedAttempts(): number;
+  /** Whether the newest attempt to connect found no such process at the address. */
+  isRefused(): boolean;
   /** Whether the process has certainly ended: its address refuses, or answers as another. */
   isGone(): boolean;
   /**
@@ -256,6 +258,7 @@
     address: options.address,
     isConnected: () => socket !== undefined,
     failedAttempts: () => failures,
+    isRefused: () => refusals > 0 || lastFault === ErrorCodes.PEER_REPLACED,
     isGone: () =>
       refusals >= REFUSALS_OF_AN_ENDED_PROCESS || lastFault === ErrorCodes.PEER_REPLACED,
     request,
