fix(leadership,endpoints): sooner after a cut or the loss of all

Causes: the first weighing hears that the store is still in reach of the others, who notice only then; the next one came 0.4 to 0.6 s later. A start without an answer left the endpoint usable. An earlier life of the own instance was treated as any lost dispatcher. Changes: weighs a second time at once; an endpoint whose start got no answer is asked, and gets no start until it reports; the successor of an own earlier life asks nobody (compare-and-swap still decides). Three tests fail on the code before (takeover twice, steward once).

--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -82,6 +82,18 @@
     expect(endpoint.running()).toEqual([]);
   });
 
+  it('gets no further task after a start without an answer, until it reports again', async () => {
+    const { timer, endpoint, steward } = await open();
+    expect(steward.isUsable()).toEqual(true);
+    endpoint.isSilent = true;
+    startOne(steward);
+    await timer.advance(110);
+    expect(steward.isUsable()).toEqual(false);
+    endpoint.isSilent = false;
+    await timer.advance(200);
+    expect(steward.isUsable()).toEqual(true);
+  });
+
   it('stops a run that was carried out although its start got no answer', async () => {
     const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
     startOne(steward);
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -4,7 +4,7 @@
  *
  * Fault patterns that it answers: orders that get no answer and are carried out late (the run stays
  * in doubt until a stop was answered or the order's lease has passed, and a later report does not
- * list it), endpoints that go silent (their runs lapse when the endpoint's clock has certainly passed
+ * list it; no further start goes there before the endpoint has reported again), endpoints that go silent (their runs lapse when the endpoint's clock has certainly passed
  * the last lease), endpoints that start again at the same address, and a change of dispatcher (what
  * runs is listed first, may be claimed by resubmitted jobs, and is stopped otherwise).
  */
@@ -144,6 +144,8 @@
   let isRefreshing = false;
   let unanswered = 0;
   let pausedUntilMs = 0;
+  /** When an order last got no answer; only a report that was asked for later clears it. */
+  let questionedMs = -Infinity;
   let isReplaced = false;
   /** Whether the endpoint obeys another dispatcher, as far as is known. */
   let isFenced = false;
@@ -253,6 +255,7 @@
     }
     bornMs = report.bornMs ?? bornMs;
     endpointClock.read(report.clockMs, nowMs);
+    const wasInQuestion = isInQuestion();
     reportedMs = Math.max(reportedMs ?? sentMs, sentMs);
     const isFirst = surveyedAtMs === undefined;
     surveyedAtMs ??= nowMs;
@@ -268,7 +271,7 @@
     // Leases that the earlier dispatcher gave ended its reach when this fence arrived.
     if (!foreign.isEmpty()) lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
     newestReportMs = Math.max(newestReportMs, report.clockMs);
-    if (isFirst) events.onChange();
+    if (isFirst || (wasInQuestion && !isInQuestion())) events.onChange();
     events.onReport();
     stopUnclaimed(nowMs);
   }
@@ -392,6 +395,8 @@
         reason: answer.error.message,
       });
       run.state = RunStates.IN_DOUBT;
+      questionedMs = clock.nowMs();
+      refresh();
       void settleDoubt(run);
       return;
     }
@@ -428,6 +433,11 @@
     }
   }
 
+  /** Its machine may be cut off or gone; further starts there would only be in doubt as well. */
+  function isInQuestion(): boolean {
+    return (reportedMs ?? 0) < questionedMs;
+  }
+
   function stop(run: Run): void {
     if (runs.get(run.key) !== run || run.state === RunStates.STOPPING) return;
     const isBeingSettled = run.state === RunStates.IN_DOUBT;
@@ -481,6 +491,7 @@
       isServing() &&
       !entry.isLeaving &&
       unanswered < SILENT_CALLS &&
+      !isInQuestion() &&
       !isReplaced &&
       !isFenced &&
       clock.nowMs() >= pausedUntilMs,
--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -2,7 +2,17 @@
 import { expect } from 'earl';
 import { Result } from 'true-myth';
 import { ErrorCodes } from '@celerybarrow/shared';
-import { ProtocolError, type FleetMember, type PeerLink, type View } from '@celerybarrow/protocol';
+import {
+  ProtocolError,
+  type Ask,
+  type FleetMember,
+  type Opinion,
+  type PeerLink,
+  type Reply,
+  type RequestOptions,
+  type RequestType,
+  type View,
+} from '@celerybarrow/protocol';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
 import type { Logger } from '@celerybarrow/telemetry';
 import { createDocuments } from '../src/documents.js';
@@ -15,42 +25,59 @@
 const ignore = () => undefined;
 const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
 
-function member(name: string): FleetMember {
-  return {
-    instance: name,
-    incarnation: `${name}-1`,
-    peer: '127.0.0.1:1',
-    dataCentre: 'd',
-    weight: 1,
-  };
+function member(name: string, life = 1): FleetMember {
+  const incarnation = `${name}-${life}`;
+  return { instance: name, incarnation, peer: '127.0.0.1:1', dataCentre: 'd', weight: 1 };
 }
 
-/** An instance with a connection to the dispatcher `b` that is still being opened, or refused. */
-function startLeadership(link: { isRefused: boolean }) {
+interface Surroundings {
+  readonly dispatcher: FleetMember;
+  readonly isRefused?: boolean;
+  /** What the instance `c` says, if it answers, each time it is asked. */
+  readonly opinions?: readonly Opinion[];
+  readonly isStoreAway?: boolean;
+}
+
+/** The instance `a`, whose connection to the dispatcher is still being opened, or refused. */
+async function startLeadership(surroundings: Surroundings) {
   const timer = createManualTimer();
   const clock = createElapsedClock(timer);
   const members = createMembers(clock, logger);
+  const store = createFakeStore();
   const asked: string[] = [];
-  const peer: PeerLink = {
-    address: '',
-    isConnected: () => false,
-    failedAttempts: () => 0,
-    isRefused: () => link.isRefused,
-    isGone: () => link.isRefused,
-    request: async (type, _ask, { connectWaitMs }) => {
-      asked.push(type);
-      await timer.sleep(connectWaitMs ?? 0);
-      return Result.err(new ProtocolError(ErrorCodes.PEER_UNREACHABLE));
-    },
-    close: ignore,
-  };
+  const { dispatcher, isRefused = false, opinions = [] } = surroundings;
+
+  function openLink(to: FleetMember): PeerLink {
+    return {
+      address: '',
+      isConnected: () => false,
+      failedAttempts: () => 0,
+      isRefused: () => isRefused,
+      isGone: () => isRefused,
+      request: async <T extends RequestType>(
+        type: T,
+        _ask: Ask<T>,
+        { connectWaitMs }: RequestOptions,
+      ): Promise<Result<Reply<T>, ProtocolError>> => {
+        asked.push(type);
+        const opinion = opinions[asked.filter((one) => one === 'opinion').length - 1];
+        if (type === 'opinion' && to.instance === 'c' && opinion !== undefined) {
+          return Result.ok(opinion as Reply<T>);
+        }
+        await timer.sleep(connectWaitMs ?? 0);
+        return Result.err(new ProtocolError(ErrorCodes.PEER_UNREACHABLE));
+      },
+      close: ignore,
+    };
+  }
+
   const leadership = createLeadership({
     shard: 0,
     pace: PACE,
     self: member('a'),
-    store: createFakeStore(),
+    store,
     members,
-    links: { to: () => peer, isConnected: () => false, keepOnly: ignore, close: ignore },
+    links: { to: openLink, isConnected: () => false, keepOnly: ignore, close: ignore },
     contact: createStoreContact(clock, logger),
     documents: createDocuments(),
     timer,
@@ -61,8 +88,11 @@
     onPulse: ignore,
   });
   members.note(member('c'));
-  const view: View = { epoch: 3, round: 0, dispatcher: member('b') };
-  leadership.takeStored({ key: dispatcherKey(0), value: JSON.stringify(view), revision: 7 });
+  const view: View = { epoch: 3, round: 0, dispatcher };
+  const key = dispatcherKey(0);
+  await store.compareAndSwap(key, 0, JSON.stringify(view));
+  leadership.takeStored({ key, value: JSON.stringify(view), revision: 1 });
+  store.isAway = surroundings.isStoreAway ?? false;
   leadership.start();
   return { timer, asked, leadership };
 }
@@ -71,7 +101,7 @@
   // Recorded after the loss of all instances: the first dispatcher was deposed 0.3 s after it was
   // named, while it opened its connections to the endpoints.
   it('is given time for its first connections', async () => {
-    const { timer, asked, leadership } = startLeadership({ isRefused: false });
+    const { timer, asked, leadership } = await startLeadership({ dispatcher: member('b') });
     await timer.advance(320);
     expect(asked.includes('opinion')).toEqual(false);
     await timer.advance(300);
@@ -80,9 +110,39 @@
   });
 
   it('is in doubt at once when its address refuses', async () => {
-    const { timer, asked, leadership } = startLeadership({ isRefused: true });
+    const dispatcher = member('b');
+    const { timer, asked, leadership } = await startLeadership({ dispatcher, isRefused: true });
     await timer.advance(100);
     leadership.close();
     expect(asked.includes('opinion')).toEqual(true);
   });
 });
+
+describe('a takeover', () => {
+  // After the loss of all instances nobody answers yet, and asking took 0.2 s.
+  it('asks nobody when the dispatcher was an earlier life of this instance', async () => {
+    const dispatcher = member('a', 0);
+    const { timer, asked, leadership } = await startLeadership({ dispatcher });
+    await timer.advance(20);
+    leadership.close();
+    expect(asked.includes('opinion')).toEqual(false);
+    expect(leadership.isDispatching()).toEqual(true);
+    expect(leadership.view()?.epoch).toEqual(4);
+  });
+
+  // After a cut of a data centre: 0.5 s passed until the others were asked once more.
+  it('asks again at once when this instance has just found the store out of reach', async () => {
+    const { timer, leadership } = await startLeadership({
+      dispatcher: member('b'),
+      isStoreAway: true,
+      opinions: [
+        { isStoreReachable: true, isStopping: false },
+        { isStoreReachable: false, isStopping: false },
+      ],
+      isRefused: true,
+    });
+    await timer.advance(100);
+    leadership.close();
+    expect(leadership.view()?.round).toEqual(1);
+  });
+});
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -22,7 +22,7 @@
 import type { Members } from './members.js';
 import type { PeerLinks } from './peerLinks.js';
 import type { StoreContact } from './storeContact.js';
-import { decideTakeover, Takeovers, type Answered } from './takeover.js';
+import { decideTakeover, Takeovers, type Answered, type Takeover } from './takeover.js';
 import { isNewer } from './views.js';
 
 const PULSE_TIMEOUT_MS = 250;
@@ -216,7 +216,7 @@
     waitingThere = reply.waiting;
   }
 
-  /** Asks the store and the others about a dispatcher that is not heard, and acts on it. */
+  /** Weighs what to do about a dispatcher that is not heard. */
   async function suspect(of: View | undefined): Promise<void> {
     const nowMs = clock.nowMs();
     if (suspectedMs === undefined) {
@@ -226,14 +226,33 @@
         silentMs: heardMs === undefined ? undefined : Math.round(nowMs - heardMs),
       });
     }
+    if (of !== undefined && isEarlierLife(of) && (await takeOverEarlierLife())) return;
+    const decision = await weigh(of, readStored());
+    // The others of a data centre that was cut off find out at the same moment that the store is
+    // out of reach, and said otherwise when they were asked.
+    if (decision === Takeovers.WAIT && view === of && !contact.isReachable()) {
+      await weigh(of, Promise.resolve(false));
+    }
+  }
+
+  /** The stored dispatcher was an earlier life of this instance, so nobody has taken its place. */
+  async function takeOverEarlierLife(): Promise<boolean> {
+    if (isStopping || !(await readStored())) return false;
+    if (stored?.view === undefined || !isEarlierLife(stored.view)) return false;
+    return takeByStore(self, 'earlier life');
+  }
+
+  /** Asks the others about a dispatcher that is not heard, and acts on what they say. */
+  async function weigh(of: View | undefined, reading: Promise<boolean>): Promise<Takeover> {
+    const nowMs = clock.nowMs();
     const ranking = rankingFor(of?.epoch ?? 0);
     const running = members.others(self.incarnation, of?.dispatcher.incarnation ?? '');
     const others = chooseAsked(self, running, ranking);
-    const [isRead, answered] = await Promise.all([readStored(), askOthers(others, of)]);
+    const [isRead, answered] = await Promise.all([reading, askOthers(others, of)]);
     for (const { opinion } of answered) {
       if (opinion.view !== undefined) takeView(opinion.view, 'another instance');
     }
-    if (view !== of || isStopping) return;
+    if (view !== of || isStopping) return Takeovers.WAIT;
     const decision = decideTakeover({
       self,
       others,
@@ -263,6 +282,7 @@
         'takeover without store',
       );
     }
+    return decision;
   }
 
   async function readStored(): Promise<boolean> {
