fix(entry,leadership): hand nothing over to a dispatcher that owes an answer, refuse what cannot end in time

Patterns: a cut of a data centre (jobs written to a dead connection for 0.4 s were lost, as nobody knew whether they had arrived), and the loss of all instances (callers come back 1.3 s later with 0.2 s left, and were held to their end). Changes: a dispatcher that owes the answer to a sign of life for over 100 ms gets no new jobs until it answers or another is named; a job that was not handed over is refused once no run can end in its time. Ruled out: an acknowledgement a job (a message each, and its absence would prove nothing). Tests in leadership.spec.ts and entry.spec.ts; both fail before (no such answer; held for 0.9 s).

--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -7,7 +7,7 @@
 
 const dispatcher = { instance: 'a', incarnation: 'a-1', peer: '', dataCentre: 'd', weight: 1 };
 
-function createJob(): LeasedJob {
+function createJob(change: Partial<LeasedJob> = {}): LeasedJob {
   return {
     id: 'j',
     team: 't',
@@ -20,6 +20,7 @@
     steps: [],
     ageMs: 0,
     remainingMs: 1_500,
+    ...change,
   };
 }
 
@@ -35,6 +36,7 @@
     shard: 0,
     view: () => state.view,
     isDispatching: () => state.view !== undefined,
+    isInReach: () => state.view !== undefined,
     link: () => undefined,
   } as unknown as Leadership;
   const local: LocalDispatch = {
@@ -84,6 +86,19 @@
     expect(submissions).toEqual([]);
   });
 
+  // After the loss of all instances callers come back with little of their time left.
+  it('is refused at once when no run of it could end in its time', async () => {
+    const { timer, entry, state } = open([]);
+    state.view = undefined;
+    const demand = { cores: 1, memoryMb: 1, accelerators: 0 };
+    const steps = [{ tasks: 1, demand, estimateMs: 900, after: [] }];
+    const job = createJob({ steps, remainingMs: 200 });
+    let outcome: JobOutcome | undefined;
+    void entry.submit(job, new AbortController().signal).then((one) => (outcome = one));
+    await timer.advance(5);
+    expect(outcome?.state).toEqual(JobStates.REFUSED);
+  });
+
   it('is lost, and not refused, once it was handed over', async () => {
     const { timer, entry, state } = open([{ state: JobStates.MOVED, reason: '' }]);
     const outcome = entry.submit(createJob(), new AbortController().signal);
--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -36,6 +36,8 @@
   /** What the instance `c` says, if it answers, each time it is asked. */
   readonly opinions?: readonly Opinion[];
   readonly isStoreAway?: boolean;
+  /** How many signs of life the dispatcher answers before it falls silent. */
+  readonly pulsesAnswered?: number;
 }
 
 /** The instance `a`, whose connection to the dispatcher is still being opened, or refused. */
@@ -50,21 +52,28 @@
   function openLink(to: FleetMember): PeerLink {
     return {
       address: '',
-      isConnected: () => false,
+      isConnected: () => surroundings.pulsesAnswered !== undefined,
       failedAttempts: () => 0,
       isRefused: () => isRefused,
       isGone: () => isRefused,
       request: async <T extends RequestType>(
         type: T,
         _ask: Ask<T>,
-        { connectWaitMs }: RequestOptions,
+        { connectWaitMs, timeoutMs }: RequestOptions,
       ): Promise<Result<Reply<T>, ProtocolError>> => {
         asked.push(type);
         const opinion = opinions[asked.filter((one) => one === 'opinion').length - 1];
         if (type === 'opinion' && to.instance === 'c' && opinion !== undefined) {
           return Result.ok(opinion as Reply<T>);
         }
-        await timer.sleep(connectWaitMs ?? 0);
+        const pulses = asked.filter((one) => one === 'pulse').length;
+        if (type === 'pulse' && pulses <= (surroundings.pulsesAnswered ?? 0)) {
+          const reply = { isDispatching: true, documents: {}, waiting: {} };
+          return Result.ok(reply as unknown as Reply<T>);
+        }
+        await timer.sleep(
+          surroundings.pulsesAnswered === undefined ? (connectWaitMs ?? 0) : timeoutMs,
+        );
         return Result.err(new ProtocolError(ErrorCodes.PEER_UNREACHABLE));
       },
       close: ignore,
@@ -118,6 +127,20 @@
   });
 });
 
+describe('a dispatcher that is cut off', () => {
+  // What was handed over after the cut had to be given up: nobody knew whether it had arrived.
+  it('gets no more jobs as soon as it owes an answer, long before it is in doubt', async () => {
+    const surroundings = { dispatcher: member('b'), pulsesAnswered: 2 };
+    const { timer, asked, leadership } = await startLeadership(surroundings);
+    await timer.advance(200);
+    expect(leadership.isInReach()).toEqual(true);
+    await timer.advance(210);
+    expect(leadership.isInReach()).toEqual(false);
+    leadership.close();
+    expect(asked.includes('opinion')).toEqual(false);
+  });
+});
+
 describe('a takeover', () => {
   // After the loss of all instances nobody answers yet, and asking took 0.2 s.
   it('asks nobody when the dispatcher was an earlier life of this instance', async () => {
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -26,6 +26,8 @@
 import { isNewer } from './views.js';
 
 const PULSE_TIMEOUT_MS = 250;
+/** Answers to signs of life come within milliseconds; a dispatcher that owes one may be cut off. */
+const PULSE_OVERDUE_MS = 100;
 /** How long the first connection to a dispatcher may take before others are asked about it. */
 const FIRST_CONNECT_MS = 60;
 const OPINION_TIMEOUT_MS = 180;
@@ -76,6 +78,8 @@
   onView(subscriber: (view: View) => void): void;
   /** The connection to the dispatcher; undefined if it is this instance, or none is known. */
   link(): PeerLink | undefined;
+  /** Whether jobs can be handed to the dispatcher now: it is connected and owes no answer for long. */
+  isInReach(): boolean;
   /** An endpoint obeys a higher fence than that of the own view. */
   noteFenced(): void;
   /** Jobs of which no task has started, by team, as the dispatcher last told. */
@@ -111,6 +115,8 @@
   /** When the view was learned; its dispatcher may be busy opening connections then. */
   let learnedMs = -Infinity;
   let suspectedMs: number | undefined;
+  /** Since when the dispatcher owes an answer to a sign of life. */
+  let askedMs: number | undefined;
   let standingByMs: number | undefined;
   let comparedMs = -Infinity;
   let raisedMs = -Infinity;
@@ -134,6 +140,7 @@
     view = next;
     learnedMs = clock.nowMs();
     heardMs = undefined;
+    askedMs = undefined;
     suspectedMs = undefined;
     standingByMs = undefined;
     members.note(next.dispatcher);
@@ -182,6 +189,7 @@
       return;
     }
     const ask = { shard, view: of, versions: documents.versions() };
+    if (heardMs !== undefined) askedMs ??= clock.nowMs();
     const reply = await link.request('pulse', ask, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: link.failedAttempts() > 0 ? 0 : FIRST_CONNECT_MS,
@@ -211,6 +219,7 @@
     if (reply.view !== undefined) takeView(reply.view, 'dispatcher');
     if (!reply.isDispatching) return;
     heardMs = clock.nowMs();
+    askedMs = undefined;
     suspectedMs = undefined;
     wasFenced = false;
     waitingThere = reply.waiting;
@@ -445,6 +454,12 @@
     return true;
   }
 
+  function isInReach(): boolean {
+    if (view === undefined || isDispatching()) return view !== undefined;
+    const isOverdue = askedMs !== undefined && clock.nowMs() - askedMs > PULSE_OVERDUE_MS;
+    return !isOverdue && links.to(view.dispatcher).isConnected();
+  }
+
   function canServe(): boolean {
     if (view === undefined) return false;
     return suspectedMs === undefined || clock.nowMs() - suspectedMs < UNLED_LIMIT_MS;
@@ -453,6 +468,7 @@
   return {
     shard,
     canServe,
+    isInReach,
     start() {
       void run();
     },
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -22,6 +22,20 @@
   },
 };
 
+// Parts that the libraries load and this product never uses: HTTP/2, and a native reader of strings
+// whose absence its user expects (its binary is not found from a bundle).
+const unused = {
+  name: 'unused',
+  setup(build) {
+    const contents = { './client-h2.js': '', 'cbor-extract': 'throw new Error("not bundled");' };
+    const filter = /^(\.\/client-h2\.js|cbor-extract)$/;
+    build.onResolve({ filter }, ({ path }) => ({ path, namespace: 'unused' }));
+    build.onLoad({ filter: /.*/, namespace: 'unused' }, ({ path }) => ({
+      contents: contents[path],
+    }));
+  },
+};
+
 await build({
   entryPoints: ['platform/src/main.ts'],
   outfile: 'target/celerybarrow.cjs',
@@ -32,6 +46,6 @@
   minifySyntax: true,
   minifyWhitespace: true,
   tsconfig: 'platform/tsconfig.bundle.json',
-  plugins: [poolOnly],
+  plugins: [poolOnly, unused],
   logLevel: 'warning',
 });
