perf(dispatch): place all that arrives in one turn of the event loop together

Pattern: after a takeover a hundred jobs are handed over in one read, and each was planned against all that waited.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -179,7 +179,7 @@
         finish(record, { state: refusalOf(record), reason: 'no endpoint can run it' });
         return;
       }
-      pass();
+      schedulePass();
     });
   }
 
@@ -251,6 +251,7 @@
     }
   }
 
+  /** All that arrives or ends in one turn of the event loop is placed together. */
   function schedulePass(): void {
     if (isPassDue || isClosed) return;
     isPassDue = true;
