--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -16,9 +16,10 @@
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
 import type { Logger } from '@celerybarrow/telemetry';
 import { createDocuments } from '../src/documents.js';
-import { createLeadership, dispatcherKey } from '../src/leadership.js';
+import { createLeadership } from '../src/leadership.js';
 import { createMembers } from '../src/members.js';
 import { createStoreContact } from '../src/storeContact.js';
+import { dispatcherKey } from '../src/storedView.js';
 import { createFakeStore } from './fakeStore.js';
 
 const PACE = { intervalMs: 150, silenceMs: 330 };
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -11,10 +11,11 @@
 import { agreeOnShards, readShards, SHARDS_KEY } from './agreeOnShards.js';
 import type { Documents } from './documents.js';
 import { keepEnrolled } from './enrolment.js';
-import { createLeadership, dispatcherKey, type Leadership, type PulsePace } from './leadership.js';
+import { createLeadership, type Leadership, type PulsePace } from './leadership.js';
 import { createMembers } from './members.js';
 import { createPeerLinks } from './peerLinks.js';
 import { createStoreContact } from './storeContact.js';
+import { dispatcherKey } from './storedView.js';
 
 const MEMBER_PREFIX = 'celerybarrow/instances/';
 const FLEET_PREFIX = 'celerybarrow/';
--- a/packages/leadership/src/index.ts
+++ b/packages/leadership/src/index.ts
@@ -5,8 +5,9 @@
   type FleetLeadership,
   type FleetLeadershipOptions,
 } from './fleetLeadership.js';
-export { dispatcherKey, type Leadership } from './leadership.js';
+export type { Leadership } from './leadership.js';
 export { countShards, shardOfEndpoint, shardOfJob, type ShardCapacity } from './shards.js';
+export { dispatcherKey } from './storedView.js';
 export {
   decideTakeover,
   Takeovers,
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -6,7 +6,6 @@
 import { describeError } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import {
-  viewSchema,
   type Ask,
   type FleetMember,
   type Greeting,
@@ -19,26 +18,22 @@
 import type { Logger } from '@celerybarrow/telemetry';
 import { chooseAsked, rankMembers, type Ranking } from './candidates.js';
 import type { Documents } from './documents.js';
+import { createHearing } from './hearing.js';
 import type { Members } from './members.js';
 import type { PeerLinks } from './peerLinks.js';
 import type { StoreContact } from './storeContact.js';
+import { createStoredView } from './storedView.js';
 import { decideTakeover, Takeovers, type Answered, type Takeover } from './takeover.js';
 import { isNewer } from './views.js';
 
 const PULSE_TIMEOUT_MS = 250;
-/** Answers to signs of life come within milliseconds; a dispatcher that owes one may be cut off. */
-const PULSE_OVERDUE_MS = 100;
 /** How long the first connection to a dispatcher may take before others are asked about it. */
 const FIRST_CONNECT_MS = 60;
 const OPINION_TIMEOUT_MS = 180;
-/** How long a read of the store may take while the dispatcher is in doubt. */
-const QUICK_READ_MS = 300;
 /** How long the stored dispatcher may take to be reached after a cut has healed. */
 const RETURN_LIMIT_MS = 1_500;
 /** Interval at which dispatchers without the store look for each other. */
 const COMPARE_INTERVAL_MS = 400;
-/** How long a dispatcher may be out of hearing before callers are better served elsewhere. */
-const UNLED_LIMIT_MS = 1_500;
 /** Pause between attempts to raise the fence. */
 const RAISE_INTERVAL_MS = 300;
 
@@ -98,25 +93,21 @@
   close(): void;
 }
 
-/** The key under which the store keeps the dispatcher of a shard. */
-export function dispatcherKey(shard: number): string {
-  return `celerybarrow/dispatchers/${shard}`;
-}
-
 export function createLeadership(options: LeadershipOptions): Leadership {
-  const { shard, pace, self, store, members, links, contact, documents, timer, clock } = options;
+  const { shard, pace, self, members, links, contact, documents, timer, clock } = options;
   const logger = withShard(options.logger, shard);
-  const key = dispatcherKey(shard);
   const closing = new AbortController();
   const subscribers = new Set<(view: View) => void>();
   let view: View | undefined;
-  let stored: { readonly view: View | undefined; readonly revision: number } | undefined;
-  let heardMs: number | undefined;
-  /** When the view was learned; its dispatcher may be busy opening connections then. */
-  let learnedMs = -Infinity;
-  let suspectedMs: number | undefined;
-  /** Since when the dispatcher owes an answer to a sign of life. */
-  let askedMs: number | undefined;
+  const hearing = createHearing(clock, pace.silenceMs);
+  const stored = createStoredView({
+    ...options,
+    logger,
+    signal: closing.signal,
+    onView: (one) => {
+      takeView(one, 'store');
+    },
+  });
   let standingByMs: number | undefined;
   let comparedMs = -Infinity;
   let raisedMs = -Infinity;
@@ -138,10 +129,7 @@
   function takeView(next: View, source: string): void {
     if (!isNewer(next, view)) return;
     view = next;
-    learnedMs = clock.nowMs();
-    heardMs = undefined;
-    askedMs = undefined;
-    suspectedMs = undefined;
+    hearing.restart();
     standingByMs = undefined;
     members.note(next.dispatcher);
     logger.info('Dispatcher is known.', {
@@ -153,14 +141,6 @@
     for (const subscriber of subscribers) subscriber(next);
   }
 
-  function takeStored(entry: Entry): void {
-    if (stored !== undefined && entry.revision <= stored.revision) return;
-    const parsed = parseView(entry.value);
-    stored = { view: parsed, revision: entry.revision };
-    if (parsed === undefined) logger.error('Entry of the dispatcher cannot be read.');
-    else takeView(parsed, 'store');
-  }
-
   async function run(): Promise<void> {
     while (!closing.signal.aborted) {
       try {
@@ -189,7 +169,7 @@
       return;
     }
     const ask = { shard, view: of, versions: documents.versions() };
-    if (heardMs !== undefined) askedMs ??= clock.nowMs();
+    hearing.noteAsked();
     const reply = await link.request('pulse', ask, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: link.failedAttempts() > 0 ? 0 : FIRST_CONNECT_MS,
@@ -199,14 +179,7 @@
       takePulseReply(reply.value);
       if (reply.value.isDispatching) return;
     }
-    if (reply.isOk || isLost(link)) await suspect(of);
-  }
-
-  /** A dispatcher that was just named gets time for its first connections, unless it refuses them. */
-  function isLost(link: PeerLink): boolean {
-    const isSilent = clock.nowMs() - (heardMs ?? learnedMs) > pace.silenceMs;
-    const hasBrokenOff = heardMs !== undefined && !link.isConnected();
-    return isSilent || hasBrokenOff || link.isRefused();
+    if (reply.isOk || hearing.isLost(link)) await suspect(of);
   }
 
   /** An earlier life of this instance has certainly ended. */
@@ -218,25 +191,22 @@
     for (const [name, document] of Object.entries(reply.documents)) documents.offer(name, document);
     if (reply.view !== undefined) takeView(reply.view, 'dispatcher');
     if (!reply.isDispatching) return;
-    heardMs = clock.nowMs();
-    askedMs = undefined;
-    suspectedMs = undefined;
+    hearing.noteHeard();
     wasFenced = false;
     waitingThere = reply.waiting;
   }
 
   /** Weighs what to do about a dispatcher that is not heard. */
   async function suspect(of: View | undefined): Promise<void> {
-    const nowMs = clock.nowMs();
-    if (suspectedMs === undefined) {
-      suspectedMs = nowMs;
+    const silentMs = hearing.silentMs();
+    if (hearing.doubt()) {
       logger.warn('Dispatcher is not heard.', {
         dispatcher: of?.dispatcher.instance,
-        silentMs: heardMs === undefined ? undefined : Math.round(nowMs - heardMs),
+        silentMs: silentMs === undefined ? undefined : Math.round(silentMs),
       });
     }
     if (of !== undefined && isEarlierLife(of) && (await takeOverEarlierLife())) return;
-    const decision = await weigh(of, readStored());
+    const decision = await weigh(of, stored.read());
     // The others of a data centre that was cut off find out at the same moment that the store is
     // out of reach, and said otherwise when they were asked.
     if (decision === Takeovers.WAIT && view === of && !contact.isReachable()) {
@@ -246,14 +216,14 @@
 
   /** The stored dispatcher was an earlier life of this instance, so nobody has taken its place. */
   async function takeOverEarlierLife(): Promise<boolean> {
-    if (isStopping || !(await readStored())) return false;
-    if (stored?.view === undefined || !isEarlierLife(stored.view)) return false;
+    if (isStopping || !(await stored.read())) return false;
+    const last = stored.view();
+    if (last === undefined || !isEarlierLife(last)) return false;
     return takeByStore(self, 'earlier life');
   }
 
   /** Asks the others about a dispatcher that is not heard, and acts on what they say. */
   async function weigh(of: View | undefined, reading: Promise<boolean>): Promise<Takeover> {
-    const nowMs = clock.nowMs();
     const ranking = rankingFor(of?.epoch ?? 0);
     const running = members.others(self.incarnation, of?.dispatcher.incarnation ?? '');
     const others = chooseAsked(self, running, ranking);
@@ -272,7 +242,7 @@
       isDispatcherListed: isRead && of !== undefined ? members.isListed(of.dispatcher) : undefined,
       isDispatcherGone: of === undefined || isEarlierLife(of) || links.to(of.dispatcher).isGone(),
       ranking,
-      suspectedForMs: clock.nowMs() - (suspectedMs ?? nowMs),
+      suspectedForMs: hearing.doubtedForMs(),
       standingByForMs: standingByMs === undefined ? 0 : clock.nowMs() - standingByMs,
       wasFenced,
     });
@@ -294,18 +264,6 @@
     return decision;
   }
 
-  async function readStored(): Promise<boolean> {
-    const read = await Promise.race([store.get(key), timer.sleep(QUICK_READ_MS, closing.signal)]);
-    if (read === undefined || read.isErr) {
-      contact.note(false);
-      return false;
-    }
-    contact.note(true);
-    if (read.value === undefined) stored = { view: undefined, revision: 0 };
-    else takeStored(read.value);
-    return true;
-  }
-
   function asked(of: View): readonly FleetMember[] {
     return chooseAsked(self, members.others(self.incarnation), rankingFor(of.epoch));
   }
@@ -328,19 +286,9 @@
 
   /** Names a dispatcher in the store; whoever writes first decides. */
   async function takeByStore(dispatcher: FleetMember, source: string): Promise<boolean> {
-    if (stored === undefined && !(await readStored())) return false;
-    const revision = stored?.revision ?? 0;
-    const epoch = Math.max(view?.epoch ?? 0, stored?.view?.epoch ?? 0) + 1;
-    const next: View = { epoch, round: 0, dispatcher };
-    const swapped = await store.compareAndSwap(key, revision, JSON.stringify(next));
-    if (swapped.isErr) {
-      logger.warn('Dispatcher could not be named.', { reason: swapped.error.message, epoch });
-      await readStored();
-      return false;
-    }
-    stored = { view: next, revision: swapped.value.revision };
-    takeView(next, source);
-    return true;
+    const named = await stored.name(dispatcher, view?.epoch ?? 0);
+    if (named !== undefined) takeView(named, source);
+    return named !== undefined;
   }
 
   /** A dispatcher without the store goes back to the stored one, or to a newer one it meets. */
@@ -359,14 +307,16 @@
 
   /** A dispatcher apart asks the stored one to go on, or takes its place once it is not listed. */
   async function returnToStore(of: View): Promise<void> {
-    if (!(await readStored()) || view !== of || stored?.view === undefined) return;
+    if (!(await stored.read()) || view !== of) return;
+    const last = stored.view();
+    if (last === undefined) return;
     const ask = { shard, view: of, versions: documents.versions() };
-    const reply = await links.to(stored.view.dispatcher).request('pulse', ask, {
+    const reply = await links.to(last.dispatcher).request('pulse', ask, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: PULSE_TIMEOUT_MS,
     });
     if (view !== of) return;
-    const mayBeRunning = members.isListed(stored.view.dispatcher);
+    const mayBeRunning = members.isListed(last.dispatcher);
     if (mayBeRunning || (reply.isOk && reply.value.isDispatching)) {
       missedMs = undefined;
       return;
@@ -386,7 +336,7 @@
       await returnToStore(of);
       return;
     }
-    if (!(await readStored()) || view !== of) return;
+    if (!(await stored.read()) || view !== of) return;
     logger.warn('Fence is raised.', { reason, epoch: of?.epoch });
     await takeByStore(self, 'raised fence');
   }
@@ -415,10 +365,10 @@
 
   function answerOpinion(ask: Ask<'opinion'>): Opinion {
     const isSameView = ask.view !== undefined && view !== undefined && !isNewer(view, ask.view);
-    const isHeard = isSameView && heardMs !== undefined && isDispatcherConnected();
+    const heardAgoMs = isSameView && isDispatcherConnected() ? hearing.silentMs() : undefined;
     return {
       ...(view === undefined ? {} : { view }),
-      ...(isHeard ? { heardAgoMs: clock.nowMs() - (heardMs ?? 0) } : {}),
+      ...(heardAgoMs === undefined ? {} : { heardAgoMs }),
       isStoreReachable: contact.isReachable(),
       isStopping,
     };
@@ -440,7 +390,7 @@
       logger.warn('No other instance can dispatch.', { others: others.length });
       return;
     }
-    const isNamed = (await readStored()) && (await takeByStore(successor, 'cession'));
+    const isNamed = (await stored.read()) && (await takeByStore(successor, 'cession'));
     if (!isNamed && view === of) {
       takeView({ epoch: of.epoch, round: of.round + 1, dispatcher: successor }, 'cession');
     }
@@ -456,25 +406,19 @@
 
   function isInReach(): boolean {
     if (view === undefined || isDispatching()) return view !== undefined;
-    const isOverdue = askedMs !== undefined && clock.nowMs() - askedMs > PULSE_OVERDUE_MS;
-    return !isOverdue && links.to(view.dispatcher).isConnected();
-  }
-
-  function canServe(): boolean {
-    if (view === undefined) return false;
-    return suspectedMs === undefined || clock.nowMs() - suspectedMs < UNLED_LIMIT_MS;
+    return !hearing.isOverdue() && links.to(view.dispatcher).isConnected();
   }
 
   return {
     shard,
-    canServe,
+    canServe: () => view !== undefined && !hearing.isUnheardForLong(),
     isInReach,
     start() {
       void run();
     },
     view: () => view,
     isDispatching,
-    isUnled: () => view === undefined || suspectedMs !== undefined,
+    isUnled: () => view === undefined || hearing.isDoubted(),
     onView(subscriber) {
       subscribers.add(subscriber);
     },
@@ -485,7 +429,7 @@
     },
     waiting: () => (isDispatching() ? options.waiting() : waitingThere),
     cede,
-    takeStored,
+    takeStored: stored.take,
     answerPulse,
     answerOpinion,
     answerTakeOver,
@@ -512,11 +456,3 @@
     },
   };
 }
-
-function parseView(text: string): View | undefined {
-  try {
-    return viewSchema.safeParse(JSON.parse(text)).data;
-  } catch {
-    return undefined;
-  }
-}
--- a/packages/leadership/src/views.ts
+++ b/packages/leadership/src/views.ts
@@ -4,7 +4,7 @@
  * other get different fences, so that an endpoint obeys one of them only.
  */
 import { weigh } from '@celerybarrow/shared';
-import type { View } from '@celerybarrow/protocol';
+import { viewSchema, type View } from '@celerybarrow/protocol';
 
 const ROUNDS_PER_EPOCH = 1_024;
 const FENCES_PER_ROUND = 1_024;
@@ -21,3 +21,12 @@
 export function isNewer(view: View, than: View | undefined): boolean {
   return than === undefined || fenceOf(view) > fenceOf(than);
 }
+
+/** A view as it is stored; undefined for a text that is none. */
+export function parseView(text: string): View | undefined {
+  try {
+    return viewSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
