--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -22,6 +22,7 @@
 import type { Logger, Metrics } from '@celerybarrow/telemetry';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import { createArrivalRates } from './arrivalRates.js';
+import { createEarlierRuns, SURVEY_LIMIT_MS } from './earlierRuns.js';
 import { createEndpointPool } from './endpointPool.js';
 import { createEndpointVerdict } from './endpointVerdict.js';
 import { createGatewayLeases } from './gatewayLeases.js';
@@ -35,13 +36,6 @@
 
 /** Interval at which waiting jobs, deadlines and progress are looked at without any event. */
 const REVIEW_INTERVAL_MS = 20;
-/**
- * How long the endpoints may take to say what runs there: a resubmitted job waits that long before it
- * is given up, and a dispatcher that has just begun refuses nothing before.
- */
-const SURVEY_LIMIT_MS = 300;
-/** After this time without renewal no run of an earlier dispatcher can be left anywhere. */
-const EARLIER_RUNS_GONE_MS = 1_700;
 /** Runs of one gateway's submission are numbered from a multiple of this. */
 const RUNS_PER_SUBMISSION = 100;
 
@@ -112,6 +106,16 @@
   const verdict = createEndpointVerdict(() => pool.size());
   const rates = createArrivalRates();
   const placer = createPlacer({ pool, times, verdict, rates, clock });
+  const earlierRuns = createEarlierRuns({
+    pool,
+    clock,
+    logger,
+    onDone: completeIfDone,
+    onLost: (record, reason) => {
+      finish(record, { state: JobStates.LOST, reason });
+    },
+    onSettled: schedulePass,
+  });
   const createdMs = clock.nowMs();
   let isPassDue = false;
   let isClosed = false;
@@ -173,7 +177,7 @@
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
       rates.note(job.priority, placer.workLeft(record), arrivedMs - job.ageMs, arrivedMs);
-      claimEarlierRuns(record, resubmissions > 0, heldOn);
+      earlierRuns.claim(record, resubmissions > 0, heldOn);
       if (record.outcome !== undefined) return;
       if (!placer.isRunnable(record)) {
         finish(record, { state: refusalOf(record), reason: 'no endpoint can run it' });
@@ -183,74 +187,6 @@
     });
   }
 
-  /**
-   * Takes over what an earlier dispatcher started for the job. A job that may have been with one just
-   * now starts nothing new before every endpoint has said, when asked after the job came, what runs
-   * there.
-   */
-  function claimEarlierRuns(
-    record: JobRecord,
-    isResubmitted: boolean,
-    heldOn: readonly string[],
-  ): void {
-    const nowMs = clock.nowMs();
-    if (heldOn.some((endpoint) => pool.find(endpoint) === undefined)) {
-      finish(record, { state: JobStates.LOST, reason: 'an endpoint with its runs is not listed' });
-      return;
-    }
-    if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
-    for (const task of record.tasks) claimTask(record, task);
-    if (!isResubmitted || record.waiting === 0) return;
-    record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
-    for (const steward of pool.stewards()) steward.refresh();
-  }
-
-  function claimTask(record: JobRecord, task: TaskRecord): void {
-    if (task.isDone || task.run !== undefined) return;
-    const demand = record.job.steps[task.ref.step]?.demand;
-    if (demand === undefined) return;
-    for (const steward of pool.stewards()) {
-      const claimed = steward.claim(task.ref, demand);
-      if (claimed === undefined) continue;
-      record.hasStarted = true;
-      record.waiting -= 1;
-      if (claimed === RunEnds.DONE) {
-        task.isDone = true;
-        completeIfDone(record);
-      } else {
-        task.run = claimed;
-        task.endpoint = steward.id;
-        task.nextRun = Math.max(task.nextRun, claimed.number + 1);
-      }
-      return;
-    }
-  }
-
-  function hasAllReportedSince(sinceMs: number): boolean {
-    const stewards = [...pool.stewards()];
-    return stewards.length > 0 && stewards.every((one) => (one.reportedMs() ?? -1) >= sinceMs);
-  }
-
-  /** Goes on with jobs that waited for the reports; gives them up when it takes too long. */
-  function settleClaims(nowMs: number): void {
-    for (const record of jobs.values()) {
-      if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
-      for (const task of record.tasks) claimTask(record, task);
-      if (record.waiting === 0 || hasAllReportedSince(record.arrivedMs)) {
-        record.claimUntilMs = undefined;
-        logger.info('Earlier runs were looked for.', {
-          job: record.job.id,
-          found: record.tasks.length - record.waiting,
-          missing: record.waiting,
-          tookMs: Math.round(nowMs - record.arrivedMs),
-        });
-        schedulePass();
-      } else if (nowMs > record.claimUntilMs) {
-        finish(record, { state: JobStates.LOST, reason: 'earlier runs are out of sight' });
-      }
-    }
-  }
-
   /** All that arrives or ends in one turn of the event loop is placed together. */
   function schedulePass(): void {
     if (isPassDue || isClosed) return;
@@ -452,7 +388,7 @@
   /** Looks at what no event announces: deadlines, silent gateways, claims, waiting jobs. */
   function review(): void {
     const nowMs = clock.nowMs();
-    settleClaims(nowMs);
+    earlierRuns.settle(jobs.values(), nowMs);
     for (const record of [...jobs.values()]) {
       if (record.outcome !== undefined) continue;
       if (nowMs >= record.deadlineMs) {
--- /dev/null
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -0,0 +1,104 @@
+/**
+ * Takes over what an earlier dispatcher started for a job.
+ *
+ * Fault pattern: the dispatcher was lost or named anew while jobs ran, and their gateways hand them
+ * over to the next one. A job that may have been with a dispatcher just now starts nothing new before
+ * every endpoint has said, when asked after the job came, what runs there; if that takes too long the
+ * job is given up, since a second run could overlap the first.
+ */
+import { RunEnds } from '@celerybarrow/endpoints';
+import type { Logger } from '@celerybarrow/telemetry';
+import type { ElapsedClock } from '@celerybarrow/timer';
+import type { EndpointPool } from './endpointPool.js';
+import type { JobRecord, TaskRecord } from './jobRecord.js';
+
+/**
+ * How long the endpoints may take to say what runs there: a resubmitted job waits that long before it
+ * is given up, and a dispatcher that has just begun refuses nothing before.
+ */
+export const SURVEY_LIMIT_MS = 300;
+/** After this time without renewal no run of an earlier dispatcher can be left anywhere. */
+const EARLIER_RUNS_GONE_MS = 1_700;
+
+export interface EarlierRuns {
+  /** Claims the runs of a job that has just come. */
+  claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void;
+  /** Goes on with jobs that waited for the reports, and gives them up when that takes too long. */
+  settle(records: Iterable<JobRecord>, nowMs: number): void;
+}
+
+export interface EarlierRunsOptions {
+  readonly pool: EndpointPool;
+  readonly clock: ElapsedClock;
+  readonly logger: Logger;
+  /** A task turned out to have ended. */
+  readonly onDone: (record: JobRecord) => void;
+  readonly onLost: (record: JobRecord, reason: string) => void;
+  /** What is left of a job may start now. */
+  readonly onSettled: () => void;
+}
+
+export function createEarlierRuns(options: EarlierRunsOptions): EarlierRuns {
+  const { pool, clock, logger } = options;
+  const createdMs = clock.nowMs();
+
+  function claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void {
+    const nowMs = clock.nowMs();
+    if (heldOn.some((endpoint) => pool.find(endpoint) === undefined)) {
+      options.onLost(record, 'an endpoint with its runs is not listed');
+      return;
+    }
+    if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
+    for (const task of record.tasks) claimTask(record, task);
+    if (!isResubmitted || record.waiting === 0) return;
+    record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
+    for (const steward of pool.stewards()) steward.refresh();
+  }
+
+  function claimTask(record: JobRecord, task: TaskRecord): void {
+    if (task.isDone || task.run !== undefined) return;
+    const demand = record.job.steps[task.ref.step]?.demand;
+    if (demand === undefined) return;
+    for (const steward of pool.stewards()) {
+      const claimed = steward.claim(task.ref, demand);
+      if (claimed === undefined) continue;
+      record.hasStarted = true;
+      record.waiting -= 1;
+      if (claimed === RunEnds.DONE) {
+        task.isDone = true;
+        options.onDone(record);
+      } else {
+        task.run = claimed;
+        task.endpoint = steward.id;
+        task.nextRun = Math.max(task.nextRun, claimed.number + 1);
+      }
+      return;
+    }
+  }
+
+  function hasAllReportedSince(sinceMs: number): boolean {
+    const stewards = [...pool.stewards()];
+    return stewards.length > 0 && stewards.every((one) => (one.reportedMs() ?? -1) >= sinceMs);
+  }
+
+  function settle(records: Iterable<JobRecord>, nowMs: number): void {
+    for (const record of records) {
+      if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
+      for (const task of record.tasks) claimTask(record, task);
+      if (record.waiting === 0 || hasAllReportedSince(record.arrivedMs)) {
+        record.claimUntilMs = undefined;
+        logger.info('Earlier runs were looked for.', {
+          job: record.job.id,
+          found: record.tasks.length - record.waiting,
+          missing: record.waiting,
+          tookMs: Math.round(nowMs - record.arrivedMs),
+        });
+        options.onSettled();
+      } else if (nowMs > record.claimUntilMs) {
+        options.onLost(record, 'earlier runs are out of sight');
+      }
+    }
+  }
+
+  return { claim, settle };
+}
