--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -18,12 +18,5 @@
   type StartOrder,
   type TaskRef,
 } from './leasedEndpoint.js';
-export {
-  createSteward,
-  RunStates,
-  type Run,
-  type RunRequest,
-  type RunState,
-  type Steward,
-  type StewardEvents,
-} from './steward.js';
+export { RunStates, type Run, type RunRequest, type RunState } from './run.js';
+export { createSteward, type Steward, type StewardEvents } from './steward.js';
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -27,6 +27,8 @@
   type RunEnd,
   type TaskRef,
 } from './leasedEndpoint.js';
+import { RunStates, type Run, type RunRequest } from './run.js';
+import { provenEnd } from './unlistedRun.js';
 
 /** Longest lease that endpoints grant, and how far ahead the own ones reach. */
 const LONGEST_LEASE_MS = 1_000;
@@ -51,36 +53,6 @@
 /** How long an endpoint without room, or not healthy, gets no new tasks if no end is seen. */
 const REFUSAL_PAUSE_MS = 120;
 
-export const RunStates = {
-  /** The start was sent and not answered yet. */
-  STARTING: 'starting',
-  RUNNING: 'running',
-  /** The start got no answer; whether it runs is open. */
-  IN_DOUBT: 'in-doubt',
-  STOPPING: 'stopping',
-} as const;
-export type RunState = (typeof RunStates)[keyof typeof RunStates];
-
-export interface Run {
-  readonly task: TaskRef;
-  readonly key: string;
-  readonly number: number;
-  readonly demand: Resources;
-  readonly sentMs: number;
-  state: RunState;
-  percent: number;
-  /** When the progress was last seen to change, and when it was last seen at all. */
-  percentAtMs: number;
-  seenMs: number;
-}
-
-export interface RunRequest {
-  readonly task: TaskRef;
-  readonly number: number;
-  readonly demand: Resources;
-  readonly payload: string;
-}
-
 export interface StewardEvents {
   onEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void;
   /** The endpoint obeys a dispatcher with a higher fence. */
@@ -301,22 +273,17 @@
     if (foreign.retain((key) => listed.has(`foreign ${key}`))) events.onChange();
   }
 
-  /** A report that was asked for after the last doubt, and does not list the run, is proof. */
   function settleUnlisted(run: Run, report: EndpointReport, sentMs: number): void {
-    const answeredMs = stopAnswered.get(run);
-    if (answeredMs !== undefined && sentMs >= answeredMs) {
-      end(run, RunEnds.NOT_STARTED);
-      return;
-    }
-    if (sentMs > (startAnswered.get(run) ?? Infinity)) {
-      end(run, RunEnds.LAPSED);
-      return;
-    }
-    const orderEndMs = orderEnds.get(run) ?? Infinity;
-    if (run.state === RunStates.IN_DOUBT && report.clockMs > orderEndMs) {
-      const wasAskedAfter = (endpointClock.reachedMs(sentMs) ?? 0) > orderEndMs;
-      if (wasAskedAfter) end(run, RunEnds.NOT_STARTED);
-    }
+    const how = provenEnd({
+      askedMs: sentMs,
+      askedAtEndpointMs: endpointClock.reachedMs(sentMs),
+      reportedAtEndpointMs: report.clockMs,
+      stopAnsweredMs: stopAnswered.get(run),
+      startAnsweredMs: startAnswered.get(run),
+      isInDoubt: run.state === RunStates.IN_DOUBT,
+      orderEndMs: orderEnds.get(run),
+    });
+    if (how !== undefined) end(run, how);
   }
 
   function stopUnclaimed(nowMs: number): void {
