--- a/packages/scenarios/src/runScenario.ts
+++ b/packages/scenarios/src/runScenario.ts
@@ -53,6 +53,7 @@
     }
     return await stage.conclude();
   } finally {
+    stage.stopLoads();
     await callers.close();
     await fleet.close();
   }
@@ -206,6 +207,11 @@
     await load.ended;
   }
 
+  /** Lets the loads that a scenario left running send nothing more. */
+  function stopLoads(): void {
+    for (const load of loads.values()) load.isRunning = false;
+  }
+
   async function changeEndpoint({ id, state }: { id: string; state: string }): Promise<void> {
     const endpoint = find(fleet.endpoints, id);
     if (state === 'leaving') endpoint.setState('leaving');
@@ -339,7 +345,7 @@
     return find(jobs, name);
   }
 
-  return { prepare, take, conclude };
+  return { prepare, take, stopLoads, conclude };
 }
 
 function find<T>(map: ReadonlyMap<string, T>, name: string): T {
