fix(endpoints): tell once that another endpoint has taken over an address

Logs are bounded by dropping, so this could have hidden others. steward.spec.ts: 30 or more lines before in 4 s, one after.

--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -28,6 +28,8 @@
   isSilent: boolean;
   /** Whether starts get no answer, and are not carried out until told. */
   areStartsLost: boolean;
+  /** Whether another endpoint answers at the address. */
+  isReplaced: boolean;
   bornMs: number;
   carryOut(order: RunOrder): void;
   end(order: RunOrder, how: RunEnd): void;
@@ -50,6 +52,7 @@
     renewals: [],
     isSilent: false,
     areStartsLost: false,
+    isReplaced: false,
     bornMs: 1,
     carryOut({ task, run }) {
       if ((stopped.get(taskKey(task)) ?? 0) < run) {
@@ -88,6 +91,7 @@
     },
     async renew(order): Promise<Result<RenewalAnswer, EndpointError>> {
       fake.renewals.push(order);
+      if (fake.isReplaced) return Result.ok({ answer: OrderAnswers.REPLACED });
       const seen = order.endsSeen ?? 0;
       await timer.sleep(1);
       for (let waited = 0; waited < order.waitMs && !fake.isSilent; waited += 5) {
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -18,6 +18,7 @@
   const endpoint = createFakeEndpoint(timer);
   prepare?.(endpoint);
   const ends: { run: Run; end: RunEnd; atMs: number }[] = [];
+  const notes: string[] = [];
   const steward = createSteward({
     entry: {
       id: 'i-1',
@@ -37,12 +38,12 @@
       onFenced: () => undefined,
       onChange: () => undefined,
       onReport: () => undefined,
-      onNote: () => undefined,
+      onNote: (sentence) => notes.push(sentence),
     },
   });
   opened.push(steward);
   await timer.advance(20);
-  return { timer, endpoint, steward, ends };
+  return { timer, endpoint, steward, ends, notes };
 }
 
 function startOne(steward: Steward): Run {
@@ -94,6 +95,14 @@
     expect(steward.isUsable()).toEqual(true);
   });
 
+  // Recorded: a line at every look, ten a second for each address, for as long as the entry stood.
+  it('tells once that another endpoint has taken over the address', async () => {
+    const { timer, endpoint, notes } = await open();
+    endpoint.isReplaced = true;
+    await timer.advance(4_000);
+    expect(notes.filter((one) => one === 'Endpoint began a new life.').length).toEqual(1);
+  });
+
   it('stops a run that was carried out although its start got no answer', async () => {
     const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
     startOne(steward);
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -296,8 +296,12 @@
 
   /** A new life of the endpoint runs nothing of before; orders to the old one may still arrive. */
   function loseLife(reason: string): void {
+    const wasReplaced = isReplaced;
     isReplaced = reason === 'replaced';
-    events.onNote('Endpoint began a new life.', { endpoint: entry.id, reason, runs: runs.size });
+    // Every call to an address that another endpoint has taken over tells so again.
+    if (!wasReplaced || !isReplaced) {
+      events.onNote('Endpoint began a new life.', { endpoint: entry.id, reason, runs: runs.size });
+    }
     endpointClock.reset();
     endsSeen = 0;
     lastLeaseMs = -Infinity;
