fix(dispatch,entry): give up a moved job whose runs may be on an endpoint that left the directory

An endpoint that leaves took its report with it: the survey was over without it. The same hole at the gateway: a dispatcher apart that is lost without a word leaves runs that the next one may not list; such a job is lost as well. Ruled out: reports that overtake each other (the later clock wins), the first start arriving late (it was on the endpoint 0.2 s before). Both tests fail before: the task is started while the endpoint with its run has left. Log lines of a hand-over name the round and the endpoints held.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -195,6 +195,17 @@
     expect(started).toEqual([]);
   });
 
+  // Seen once: right after a cut had healed, a task ran twice for 50 ms (lrd-notes trouble-1, seed
+  // 537302560943). An endpoint that a dispatcher apart had used left the directory in the survey.
+  it('is lost when an endpoint leaves the directory before it has said what runs there', async () => {
+    const { dispatcher, outcomes, submit, advance, started } = await open(200, { a: 1, b: 1 });
+    submit(job('moved'), 1, ['b']);
+    dispatcher.follow([entry('a')]);
+    await advance(400);
+    expect(started).toEqual([]);
+    expect(outcomes['moved']?.state).toEqual(JobStates.LOST);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -52,7 +52,11 @@
     for (const task of record.tasks) claimTask(record, task);
     if (!isResubmitted || record.waiting === 0) return;
     record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
-    for (const steward of pool.stewards()) steward.refresh();
+    record.surveyed = new Set();
+    for (const steward of pool.stewards()) {
+      record.surveyed.add(steward.id);
+      steward.refresh();
+    }
   }
 
   function claimTask(record: JobRecord, task: TaskRecord): void {
@@ -76,16 +80,22 @@
     }
   }
 
-  function hasAllReportedSince(sinceMs: number): boolean {
-    const stewards = [...pool.stewards()];
-    return stewards.length > 0 && stewards.every((one) => (one.reportedMs() ?? -1) >= sinceMs);
+  /**
+   * Whether every endpoint that was there since the job came has reported since. One that has left the
+   * directory meanwhile may still run a task of the job, and has not said so.
+   */
+  function isSurveyed({ surveyed, arrivedMs }: JobRecord): boolean {
+    if (surveyed === undefined) return true;
+    for (const steward of pool.stewards()) surveyed.add(steward.id);
+    const hasReported = (id: string) => (pool.find(id)?.reportedMs() ?? -1) >= arrivedMs;
+    return surveyed.size > 0 && [...surveyed].every(hasReported);
   }
 
   function settle(records: Iterable<JobRecord>, nowMs: number): void {
     for (const record of records) {
       if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
       for (const task of record.tasks) claimTask(record, task);
-      if (record.waiting === 0 || hasAllReportedSince(record.arrivedMs)) {
+      if (record.waiting === 0 || isSurveyed(record)) {
         record.claimUntilMs = undefined;
         logger.info('Earlier runs were looked for.', {
           job: record.job.id,
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -39,6 +39,8 @@
   outcome?: JobOutcome;
   /** Until when tasks of an earlier dispatcher's runs may be found; no new runs before. */
   claimUntilMs?: number | undefined;
+  /** Endpoints that have to say until then what runs there, listed or not. */
+  surveyed?: Set<string>;
   answer: (outcome: JobOutcome) => void;
 }
 
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -1,7 +1,16 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
-import { JobStates, type JobOutcome, type LeasedJob, type View } from '@celerybarrow/protocol';
+import { Result } from 'true-myth';
+import { ErrorCodes } from '@celerybarrow/shared';
+import {
+  JobStates,
+  ProtocolError,
+  type JobOutcome,
+  type LeasedJob,
+  type PeerLink,
+  type View,
+} from '@celerybarrow/protocol';
 import type { Leadership } from '@celerybarrow/leadership';
 import { createEntry, type LocalDispatch } from '../src/index.js';
 
@@ -31,13 +40,23 @@
   const timer = createManualTimer();
   const submissions: Submission[] = [];
   const withdrawn: string[] = [];
-  const state: { view: View | undefined } = { view: { epoch: 1, round: 0, dispatcher } };
+  const state: { view: View | undefined; isLinkLost: boolean } = {
+    view: { epoch: 1, round: 0, dispatcher },
+    isLinkLost: false,
+  };
+  /** A connection to another instance that is lost with every request. */
+  const link = {
+    request: async () => {
+      await timer.sleep(10);
+      return Result.err(new ProtocolError(ErrorCodes.PEER_SILENT));
+    },
+  } as unknown as PeerLink;
   const leading = {
     shard: 0,
     view: () => state.view,
-    isDispatching: () => state.view !== undefined,
+    isDispatching: () => state.view?.dispatcher.instance === 'a',
     isInReach: () => state.view !== undefined,
-    link: () => undefined,
+    link: () => (state.isLinkLost ? link : undefined),
   } as unknown as Leadership;
   const local: LocalDispatch = {
     async submit(submission) {
@@ -108,6 +127,19 @@
     expect((await outcome).state).toEqual(JobStates.LOST);
   });
 
+  // An endpoint that only the dispatcher apart has used may run it, and the next one would not ask.
+  it('is lost when a dispatcher apart from the others is lost with it', async () => {
+    const { timer, entry, state, submissions } = open([]);
+    state.view = { epoch: 1, round: 1, dispatcher: { ...dispatcher, instance: 'b' } };
+    state.isLinkLost = true;
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(5);
+    state.view = { epoch: 2, round: 0, dispatcher };
+    await timer.advance(100);
+    expect((await outcome).state).toEqual(JobStates.LOST);
+    expect(submissions).toEqual([]);
+  });
+
   it('ends when its caller leaves', async () => {
     const { timer, entry, withdrawn } = open([]);
     const leaving = new AbortController();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -80,6 +80,8 @@
   resubmissions: number;
   /** The view under which it was handed over last. */
   sentUnder?: View;
+  /** A dispatcher apart from the others was lost with the job; endpoints of its may run it. */
+  isOutOfSight: boolean;
   /** Endpoints on which runs of the job were left by the dispatchers it moved away from. */
   readonly heldOn: Set<string>;
 }
@@ -97,6 +99,7 @@
       signal,
       startedMs: clock.nowMs(),
       resubmissions: 0,
+      isOutOfSight: false,
       heldOn: new Set(),
     };
     open.set(job.id, one);
@@ -120,6 +123,7 @@
       if (remainingMs(one) <= 0) return overtime(one);
       const view = await findDispatcher(one);
       if (view === undefined) return withoutDispatcher(one);
+      if (one.isOutOfSight && view !== one.sentUnder) return outOfSight();
       const outcome = await attempt(one, view);
       if (outcome !== undefined) return outcome;
       one.resubmissions += 1;
@@ -127,7 +131,9 @@
       logger.warn('Job is handed over again.', {
         job: one.job.id,
         epoch: view.epoch,
+        round: view.round,
         resubmissions: one.resubmissions,
+        heldOn: [...one.heldOn].join(' '),
       });
     }
   }
@@ -193,6 +199,8 @@
     }
     one.sentUnder = view;
     if (reply.isOk) return settle(one, reply.value);
+    // The next dispatcher may not list the endpoints that one apart from the others has used.
+    one.isOutOfSight ||= view.round > 0;
     return undefined;
   }
 
@@ -202,6 +210,10 @@
     return undefined;
   }
 
+  function outOfSight(): JobOutcome {
+    return { state: JobStates.LOST, reason: 'its dispatcher was lost apart from the others' };
+  }
+
   function overtime(one: OpenJob): JobOutcome {
     const reason = "the caller's time is over";
     if (one.sentUnder !== undefined) return { state: JobStates.EXPIRED, reason };
