--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -7,6 +7,7 @@
 import { JobStates, type JobOutcome, type LeasedJob, type View } from '@celerybarrow/protocol';
 import type { Leadership } from '@celerybarrow/leadership';
 import type { Logger } from '@celerybarrow/telemetry';
+import { isTooLate } from './leastRun.js';
 
 /** How long a job that no dispatcher has seen waits for one. */
 const UNSENT_WAIT_MS = 900;
@@ -19,9 +20,6 @@
 /** The dispatcher is usually found again within this time. */
 const RETRY_AFTER_MS = 1_000;
 
-/** Estimates are up to 1.6 times too long, and the fastest endpoints take 0.6 of the usual time. */
-const LEAST_ESTIMATE_SHARE = 0.35;
-
 export interface LocalDispatch {
   submit(submission: {
     job: LeasedJob;
@@ -32,12 +30,6 @@
   withdraw(job: string, gateway?: string): boolean;
 }
 
-/** Shortest time in which the tasks of a job can end, by their estimates. */
-export function leastRunMs(job: LeasedJob): number {
-  const longest = Math.max(0, ...job.steps.map((step) => step.estimateMs));
-  return longest * LEAST_ESTIMATE_SHARE;
-}
-
 /** The way of a job to the dispatcher of its shard. */
 export interface Route {
   readonly leading: Leadership;
@@ -156,16 +148,12 @@
       const route = routeOf(one);
       const view = route?.leading.view();
       if (route !== undefined && view !== undefined && isReady(route)) return view;
-      if (one.signal.aborted || clock.nowMs() >= untilMs || isTooLate(one)) return undefined;
+      if (one.signal.aborted || clock.nowMs() >= untilMs) return undefined;
+      if (one.sentUnder === undefined && isTooLate(one.job, remainingMs(one))) return undefined;
       await timer.sleep(LOOK_INTERVAL_MS);
     }
   }
 
-  /** A job that has not been handed over is refused as soon as no run of it can end in time. */
-  function isTooLate(one: OpenJob): boolean {
-    return one.sentUnder === undefined && remainingMs(one) < leastRunMs(one.job);
-  }
-
   function isReady({ leading, local }: Route): boolean {
     return leading.isDispatching() ? local !== undefined : leading.isInReach();
   }
