refactor(telemetry): a logger with a context, so that the dispatcher's lines name the shard too

The leadership had a copy of its own for that; an instance with two shards wrote dispatch lines that did not tell which.

--- a/packages/instance/src/shardDispatch.ts
+++ b/packages/instance/src/shardDispatch.ts
@@ -6,7 +6,7 @@
 import { fenceOf, shardOfEndpoint, type Leadership } from '@celerybarrow/leadership';
 import type { FleetMember } from '@celerybarrow/protocol';
 import type { Random } from '@celerybarrow/shared';
-import { createLogger, type Metrics } from '@celerybarrow/telemetry';
+import { createLogger, withContext, type Metrics } from '@celerybarrow/telemetry';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 
 /** Interval at which the own gateway's right is renewed; below a third of the lease. */
@@ -52,7 +52,7 @@
       timer,
       clock,
       random,
-      logger: createLogger('dispatch'),
+      logger: withContext(createLogger('dispatch'), { shard }),
       metrics,
       fence: () => fenceOf(leadership.view() ?? { epoch: 0, round: 0, dispatcher: self }),
       onFenced: () => {
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -15,7 +15,7 @@
   type View,
 } from '@celerybarrow/protocol';
 import type { Entry, Store } from '@celerybarrow/store';
-import type { Logger } from '@celerybarrow/telemetry';
+import { withContext, type Logger } from '@celerybarrow/telemetry';
 import { chooseAsked, rankMembers, type Ranking } from './candidates.js';
 import type { Documents } from './documents.js';
 import { createHearing } from './hearing.js';
@@ -95,7 +95,7 @@
 
 export function createLeadership(options: LeadershipOptions): Leadership {
   const { shard, pace, self, members, links, contact, documents, timer, clock } = options;
-  const logger = withShard(options.logger, shard);
+  const logger = withContext(options.logger, { shard });
   const closing = new AbortController();
   const subscribers = new Set<(view: View) => void>();
   let view: View | undefined;
@@ -438,21 +438,3 @@
     },
   };
 }
-
-/** A logger whose lines name the shard. */
-function withShard(logger: Logger, shard: number): Logger {
-  return {
-    debug: (sentence, details) => {
-      logger.debug(sentence, { shard, ...details });
-    },
-    info: (sentence, details) => {
-      logger.info(sentence, { shard, ...details });
-    },
-    warn: (sentence, details) => {
-      logger.warn(sentence, { shard, ...details });
-    },
-    error: (sentence, details) => {
-      logger.error(sentence, { shard, ...details });
-    },
-  };
-}
--- a/packages/telemetry/__tests__/telemetry.spec.ts
+++ b/packages/telemetry/__tests__/telemetry.spec.ts
@@ -1,6 +1,13 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { createLogBuffer, createMetrics, renderMetrics } from '../src/index.js';
+import {
+  createLogBuffer,
+  createMetrics,
+  renderMetrics,
+  withContext,
+  type LogContext,
+  type Logger,
+} from '../src/index.js';
 
 describe('the metrics address', () => {
   it('shows counters by class and latencies by quantile', async () => {
@@ -28,3 +35,20 @@
     expect(written.length).toEqual(1);
   });
 });
+
+describe('a logger with a context', () => {
+  it('adds it to every line, below what the line says itself', () => {
+    const lines: [string, LogContext | undefined][] = [];
+    const write = (sentence: string, context?: LogContext) => lines.push([sentence, context]);
+    const logger: Logger = { debug: write, info: write, warn: write, error: write };
+    const ofShard = withContext(logger, { shard: 2 });
+    ofShard.info('Dispatches.', { epoch: 5 });
+    ofShard.error('Step failed.');
+    ofShard.warn('Follows.', { shard: 3 });
+    expect(lines).toEqual([
+      ['Dispatches.', { shard: 2, epoch: 5 }],
+      ['Step failed.', { shard: 2 }],
+      ['Follows.', { shard: 3 }],
+    ]);
+  });
+});
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -3,6 +3,7 @@
   createLogBuffer,
   createLogger,
   routeLogs,
+  withContext,
   type LogBuffer,
   type LogContext,
   type Logger,
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -30,6 +30,24 @@
   };
 }
 
+/** A logger whose lines all carry a context as well. */
+export function withContext(logger: Logger, shared: LogContext): Logger {
+  return {
+    debug: (sentence, context) => {
+      logger.debug(sentence, { ...shared, ...context });
+    },
+    info: (sentence, context) => {
+      logger.info(sentence, { ...shared, ...context });
+    },
+    warn: (sentence, context) => {
+      logger.warn(sentence, { ...shared, ...context });
+    },
+    error: (sentence, context) => {
+      logger.error(sentence, { ...shared, ...context });
+    },
+  };
+}
+
 /**
  * Sends log lines, one JSON object each, to a sink such as standard error. The log library writes
  * only when the environment variable ROARR_LOG is true while it is imported.
