--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -2,8 +2,8 @@
  * Registers claims with a witness before any task starts. A claim counts once another active member
  * of the same epoch holds it: the owner of the id when that is not this instance, and otherwise
  * any member, the second in rendezvous order by preference. While all others leave, the last active
- * member is witnessed by one of them, until it is alone and holds the sole lock. Claims for one witness that arise in
- * one turn of the event loop travel in one message.
+ * member is witnessed by one of them, until it is alone and holds the sole lock. Claims for one witness
+ * that arise in one turn of the event loop travel in one message.
  */
 import { Result } from 'true-myth';
 import { createDeferred, ErrorCodes, readCreationTime, type Deferred } from '@celerybarrow/shared';
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -3,10 +3,11 @@
  * One task follows the endpoint with a waiting renewal; each start and stop is a task of its own.
  *
  * Fault patterns that it answers: orders that get no answer and are carried out late (the run stays
- * in doubt until a stop was answered or the order's lease has passed, and a later report does not
- * list it; no further start goes there before the endpoint has reported again), endpoints that go silent (their runs lapse when the endpoint's clock has certainly passed
- * the last lease), endpoints that start again at the same address, and a change of dispatcher (what
- * runs is listed first, may be claimed by resubmitted jobs, and is stopped otherwise).
+ * in doubt until a report proves its end, see unlistedRun.ts, and no further start goes there before
+ * the endpoint has reported again), endpoints that go silent (their runs lapse when the endpoint's
+ * clock has certainly passed the last lease), endpoints that start again at the same address, and a
+ * change of dispatcher (what runs is listed first, may be claimed by resubmitted jobs, and is stopped
+ * otherwise).
  */
 import type { Result } from 'true-myth';
 import { createDeferred } from '@celerybarrow/shared';
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -1,7 +1,7 @@
 /**
  * Takes jobs from callers at any instance and hands them to the dispatcher of their shard, here or
- * elsewhere. When the dispatcher changes, the job goes to the next one, which claims what runs already; a job that
- * was never handed over is refused truthfully, one that may have run is answered as lost.
+ * elsewhere. When the dispatcher changes, the job goes to the next one, which claims what runs already;
+ * a job that was never handed over is refused truthfully, one that may have run is answered as lost.
  */
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import { JobStates, type JobOutcome, type LeasedJob, type View } from '@celerybarrow/protocol';
