feat(telemetry): witness of second runs, proofs of ends, takeovers and unserved jobs by size

The logs could not tell how a run was proved to be over, which run numbers and endpoints a takeover claimed, whether a run was being stopped as unclaimed when its job came, whether a gateway gave a job up without a withdrawal, nor of what size the jobs were that were not served and what was free for them. No decision is changed.

A report that lists a run which its steward has taken as over, or a run of a task that runs elsewhere, is an error (`Run is listed that was taken as over.`, `Task has two runs.`) and counts as `second-run/<proof>` or `second-run/elsewhere`. Ends that no endpoint has listed are told with what proved them (`Run is taken as over.`, `run-taken-as-over/<proof>`). A survey names runs claimed, missing and still listed with the age of their stop; a dispatcher says when all its endpoints have reported. The gateway says where it gave a job up without a withdrawal, and which withdrawals got no answer.

Unserved jobs. `Job has ended.` carries the work, the rank of the job in its team and its first and last start; if it was not served also the last expectation, the work ahead and the room that was free. `outcome-by-size/<team>/<size>/<state>` counts the same on the metrics address, for three ranks a team and at most a hundred teams.

--- /dev/null
+++ b/packages/dispatch/src/describeEnd.ts
@@ -0,0 +1,40 @@
+/** What the log says of a job that has ended: its size, its starts and what was expected of it. */
+import type { LogContext } from '@celerybarrow/telemetry';
+import type { JobRecord } from './jobRecord.js';
+import type { FreeRoom } from './placer.js';
+
+export function describeWork({ job, size, work, firstStartMs, lastStartMs, arrivedMs }: JobRecord) {
+  const afterArrival = (ms: number | undefined) =>
+    ms === undefined ? undefined : Math.round(ms - arrivedMs);
+  return {
+    priority: job.priority,
+    size,
+    coreMs: Math.round(work / 1_000),
+    longestMs: Math.round(Math.max(...job.steps.map((step) => step.estimateMs))),
+    firstStartMs: afterArrival(firstStartMs),
+    lastStartMs: afterArrival(lastStartMs),
+  };
+}
+
+/** Why a job was not served: what was expected when it was last looked at, and the room there is. */
+export function describeUnserved(record: JobRecord, free: FreeRoom, nowMs: number): LogContext {
+  const { tasks, prospect, lengths } = record;
+  const factors = [...lengths.values()].map((one) => one.factor);
+  return {
+    started: tasks.filter((task) => task.isDone || task.endpoint !== undefined).length,
+    done: tasks.filter((task) => task.isDone).length,
+    expectedWaitMs: roundedOrNone(prospect?.waitMs),
+    expectedRunMs: roundedOrNone(prospect?.runMs),
+    aheadCoreMs: prospect === undefined ? undefined : Math.round(prospect.workAhead / 1_000),
+    expectedAgoMs: prospect === undefined ? undefined : Math.round(nowMs - prospect.atMs),
+    longestFactor: factors.length === 0 ? undefined : Number(Math.max(...factors).toFixed(2)),
+    freeEndpoints: free.endpoints,
+    freeSlowness: free.slowness === undefined ? undefined : Number(free.slowness.toFixed(2)),
+    usableEndpoints: free.usable,
+    listedEndpoints: free.listed,
+  };
+}
+
+function roundedOrNone(value: number | undefined): number | undefined {
+  return value === undefined ? undefined : Math.round(value);
+}
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -24,15 +24,25 @@
 import { createArrivalRates } from './arrivalRates.js';
 import { createEarlierRuns, SURVEY_LIMIT_MS } from './earlierRuns.js';
 import { createEndpointPool } from './endpointPool.js';
+import { describeUnserved, describeWork } from './describeEnd.js';
 import { createEndpointVerdict } from './endpointVerdict.js';
 import { createGatewayLeases } from './gatewayLeases.js';
-import { createJobRecord, type JobRecord, type TaskRecord } from './jobRecord.js';
+import {
+  createJobRecord,
+  describeRuns,
+  runMark,
+  type JobRecord,
+  type TaskRecord,
+} from './jobRecord.js';
 import { noteLength } from './jobLength.js';
+import { createJobSizeRanks } from './jobSizes.js';
 import { createOutcomeMemory } from './outcomeMemory.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
 import { isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
+import { createSecondRuns } from './secondRuns.js';
+import { createSurvey } from './survey.js';
 
 /** Interval at which waiting jobs, deadlines and progress are looked at without any event. */
 const REVIEW_INTERVAL_MS = 20;
@@ -82,6 +92,8 @@
   const outcomes = createOutcomeMemory(clock);
   const times = createRunTimes();
   const leases = createGatewayLeases(clock);
+  const sizes = createJobSizeRanks();
+  const secondRuns = createSecondRuns({ clock, logger, metrics, find: (key) => byTask.get(key) });
   const pool = createEndpointPool({
     network: options.network,
     timer,
@@ -97,6 +109,14 @@
       onNote: (sentence, details) => {
         logger.warn(sentence, details);
       },
+      onConclusion: (run, proof, details) => {
+        metrics.increment(`run-taken-as-over/${proof}`);
+        const about = { job: run.task.job, task: run.key, run: run.number, endpoint };
+        logger.warn('Run is taken as over.', { ...about, proof, ...details });
+      },
+      onForeignRun: (sighting) => {
+        secondRuns.note(endpoint, sighting);
+      },
     }),
     onGone: (endpoint) => {
       times.forget(endpoint);
@@ -117,6 +137,7 @@
     onSettled: schedulePass,
   });
   const createdMs = clock.nowMs();
+  const survey = createSurvey({ pool, clock, logger });
   let isPassDue = false;
   let isClosed = false;
   const stopReviews = timer.onEvery(REVIEW_INTERVAL_MS, review);
@@ -130,10 +151,22 @@
     if (kept !== undefined) return Promise.resolve(kept);
     const known = jobs.get(id);
     if (known === undefined) return admit(submission);
+    logAgain(known, submission);
     if (known.outcome === undefined) return join(known, submission);
     return readmit(known, submission);
   }
 
+  function logAgain(record: JobRecord, { gateway, resubmissions }: Submission): void {
+    logger.info('Job has come again.', {
+      job: record.job.id,
+      gateway,
+      resubmissions,
+      earlierGateway: record.gateway,
+      earlierState: record.outcome?.state,
+      runs: describeRuns(record),
+    });
+  }
+
   /** The same job again while it runs: the newer caller gets the answer as well. */
   function join(record: JobRecord, { gateway }: Submission): Promise<JobOutcome> {
     record.gateway = gateway;
@@ -172,7 +205,9 @@
       const longestMs = placer.longestChainMs(job);
       const firstRun = resubmissions * RUNS_PER_SUBMISSION + 1;
       const mayHaveRun = resubmissions > 0;
-      const origin = { arrivedMs, longestMs, firstRun, mayHaveRun };
+      const work = placer.wholeWork(job);
+      const size = sizes.rank(job.team, work);
+      const origin = { arrivedMs, longestMs, firstRun, mayHaveRun, work, size };
       const record = createJobRecord(job, gateway, origin, resolve);
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
@@ -209,6 +244,8 @@
     for (const one of placer.plan(waiting, nowMs)) {
       for (const start of one.starts) startTask(one.record, start.task, start.steward);
       if (one.starts.length > 0) logPlacement(one, nowMs);
+      const { waitMs, runMs, workAhead } = one;
+      if (one.record.waiting > 0) one.record.prospect = { atMs: nowMs, waitMs, runMs, workAhead };
       if (one.record.hasStarted || one.record.outcome !== undefined) continue;
       const isHopeless = isRefused({
         nowMs,
@@ -226,7 +263,9 @@
     logger.info('Tasks are placed.', {
       job: record.job.id,
       places: starts
-        .map(({ task, steward }) => `${task.ref.step}/${task.ref.index}@${steward.id}`)
+        .map(
+          ({ task, steward }) => `${task.ref.step}/${task.ref.index}@${steward.id}${runMark(task)}`,
+        )
         .join(' '),
       left: record.waiting,
       waitedMs: Math.round(nowMs - record.arrivedMs),
@@ -265,6 +304,8 @@
     task.nextRun += 1;
     record.waiting -= 1;
     record.hasStarted = true;
+    record.lastStartMs = clock.nowMs();
+    record.firstStartMs ??= record.lastStartMs;
     task.endpoint = steward.id;
     task.run = steward.start({ task: task.ref, number, demand, payload: record.job.payload });
     metrics.increment('starts');
@@ -276,7 +317,7 @@
     const { record, task } = found;
     task.run = undefined;
     if (end === RunEnds.DONE) takeDone(record, task, run);
-    else takeOtherEnd(record, task, end, answer);
+    else takeOtherEnd(record, task, run, end, answer);
     forgetIfOver(record);
     schedulePass();
   }
@@ -296,13 +337,22 @@
   function takeOtherEnd(
     record: JobRecord,
     task: TaskRecord,
+    run: Run,
     end: RunEnd,
     answer: OrderAnswer | undefined,
   ): void {
     record.waiting += 1;
     if (record.outcome === undefined) {
       const { endpoint } = task;
-      logger.warn('Run ended without success.', { task: task.key, endpoint, end, answer });
+      logger.warn('Run ended without success.', {
+        job: record.job.id,
+        task: task.key,
+        run: run.number,
+        endpoint,
+        end,
+        answer,
+        sentAgoMs: Math.round(clock.nowMs() - run.sentMs),
+      });
     }
     if (end === RunEnds.FAILED) noteFailure(record, task);
     if (answer === OrderAnswers.OUTDATED) task.nextRun += RUNS_PER_SUBMISSION;
@@ -348,8 +398,16 @@
       slackMs: Math.round(record.objectiveMs - nowMs),
       tasks: record.tasks.length,
       gateway: record.gateway,
+      ...describeWork(record),
+      ...(outcome.state === JobStates.COMPLETED
+        ? {}
+        : {
+            ...describeUnserved(record, placer.freeRoom(record), nowMs),
+            runs: describeRuns(record),
+          }),
     });
     metrics.increment(`outcome/${outcome.state}`);
+    metrics.increment(`outcome-by-size/${team}/${record.size}/${outcome.state}`);
     metrics.time('job', team, nowMs - record.arrivedMs);
     outcomes.keep(id, outcome);
     for (const task of record.tasks) stopTask(task);
@@ -388,6 +446,7 @@
   /** Looks at what no event announces: deadlines, silent gateways, claims, waiting jobs. */
   function review(): void {
     const nowMs = clock.nowMs();
+    survey.review();
     earlierRuns.settle(jobs.values(), nowMs);
     for (const record of [...jobs.values()]) {
       if (record.outcome !== undefined) continue;
@@ -440,6 +499,7 @@
       leases.renew(gateway);
     },
     follow(entries) {
+      survey.noteList(entries);
       pool.follow(entries);
       schedulePass();
     },
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -6,11 +6,11 @@
  * every endpoint has said, when asked after the job came, what runs there; if that takes too long the
  * job is given up, since a second run could overlap the first.
  */
-import { RunEnds } from '@celerybarrow/endpoints';
+import { RunEnds, taskKey } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
 import type { ElapsedClock } from '@celerybarrow/timer';
 import type { EndpointPool } from './endpointPool.js';
-import type { JobRecord, TaskRecord } from './jobRecord.js';
+import { describeRuns, type JobRecord, type TaskRecord } from './jobRecord.js';
 
 /**
  * How long the endpoints may take to say what runs there: a resubmitted job waits that long before it
@@ -20,6 +20,9 @@
 /** After this time without renewal no run of an earlier dispatcher can be left anywhere. */
 const EARLIER_RUNS_GONE_MS = 1_700;
 
+/** Endpoints that one line names at most. */
+const MAX_NAMED_ENDPOINTS = 5;
+
 export interface EarlierRuns {
   /** Claims the runs of a job that has just come. */
   claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void;
@@ -50,6 +53,8 @@
     }
     if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
     for (const task of record.tasks) claimTask(record, task);
+    if (!isResubmitted) logUnmatched(record);
+    else if (record.waiting === 0) logSurvey(record, nowMs);
     if (!isResubmitted || record.waiting === 0) return;
     record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
     record.surveyed = new Set();
@@ -59,6 +64,47 @@
     }
   }
 
+  /** A job that nobody has marked as run before, while runs of it may be out of sight. */
+  function logUnmatched(record: JobRecord): void {
+    const unreported = [...pool.stewards()].filter((one) => one.reportedMs() === undefined).length;
+    if (unreported === 0 && record.waiting === record.tasks.length) return;
+    logger.info('Job came while earlier runs were looked for.', {
+      job: record.job.id,
+      dispatcherAgeMs: Math.round(clock.nowMs() - createdMs),
+      listed: pool.size(),
+      unreported,
+      claimed: describeRuns(record),
+      missing: record.waiting,
+    });
+  }
+
+  function logSurvey(record: JobRecord, nowMs: number): void {
+    const missing = record.tasks.filter((task) => !task.isDone && task.run === undefined);
+    const unclaimed = [...pool.stewards()].flatMap((steward) =>
+      [...steward.foreignRuns()]
+        .filter((one) => one.task.job === record.job.id)
+        .map((one) => {
+          const { stoppedMs } = one;
+          const stop =
+            stoppedMs === undefined ? '' : ` stop sent ${Math.round(nowMs - stoppedMs)} ms ago`;
+          return `${taskKey(one.task)}#${one.run}@${steward.id}${stop}`;
+        }),
+    );
+    logger.info('Earlier runs were looked for.', {
+      job: record.job.id,
+      found: record.tasks.length - record.waiting,
+      claimed: describeRuns(record),
+      done: record.tasks.filter((task) => task.isDone).length,
+      missing: record.waiting,
+      missingTasks: missing.map((task) => `${task.ref.step}/${task.ref.index}`).join(' '),
+      unclaimed: unclaimed.join(', '),
+      listed: pool.size(),
+      surveyed: record.surveyed?.size,
+      tookMs: Math.round(nowMs - record.arrivedMs),
+      dispatcherAgeMs: Math.round(nowMs - createdMs),
+    });
+  }
+
   function claimTask(record: JobRecord, task: TaskRecord): void {
     if (task.isDone || task.run !== undefined) return;
     const demand = record.job.steps[task.ref.step]?.demand;
@@ -91,20 +137,29 @@
     return surveyed.size > 0 && [...surveyed].every(hasReported);
   }
 
+  /** Endpoints of which the survey of a job still waits, those that have left the list included. */
+  function silentAmong({ surveyed, arrivedMs }: JobRecord): string[] {
+    const isSilent = (id: string) => (pool.find(id)?.reportedMs() ?? -1) < arrivedMs;
+    return [...(surveyed ?? [])].filter(isSilent).slice(0, MAX_NAMED_ENDPOINTS);
+  }
+
   function settle(records: Iterable<JobRecord>, nowMs: number): void {
     for (const record of records) {
       if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
       for (const task of record.tasks) claimTask(record, task);
       if (record.waiting === 0 || isSurveyed(record)) {
         record.claimUntilMs = undefined;
-        logger.info('Earlier runs were looked for.', {
+        logSurvey(record, nowMs);
+        options.onSettled();
+      } else if (nowMs > record.claimUntilMs) {
+        logger.warn('Earlier runs are out of sight.', {
           job: record.job.id,
-          found: record.tasks.length - record.waiting,
+          claimed: describeRuns(record),
           missing: record.waiting,
-          tookMs: Math.round(nowMs - record.arrivedMs),
+          unreported: silentAmong(record).join(' '),
+          listed: pool.size(),
+          dispatcherAgeMs: Math.round(nowMs - createdMs),
         });
-        options.onSettled();
-      } else if (nowMs > record.claimUntilMs) {
         options.onLost(record, 'earlier runs are out of sight');
       }
     }
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -2,6 +2,7 @@
 import type { Run, TaskRef } from '@celerybarrow/endpoints';
 import type { JobOutcome, LeasedJob, Step } from '@celerybarrow/protocol';
 import type { LengthReading } from './jobLength.js';
+import { JobSizes, type JobSize } from './jobSizes.js';
 
 export interface TaskRecord {
   readonly ref: TaskRef;
@@ -30,6 +31,13 @@
   /** What the runs have shown of the length of its tasks. */
   readonly lengths: Map<string, LengthReading>;
   readonly tasks: readonly TaskRecord[];
+  /** Expected core-milliseconds of the whole job, in thousandths, and its rank in the team. */
+  readonly work: number;
+  readonly size: JobSize;
+  firstStartMs?: number;
+  lastStartMs?: number;
+  /** What was expected of it when it last stayed behind. */
+  prospect?: Prospect;
   /** Tasks that are neither done nor running. */
   waiting: number;
   hasStarted: boolean;
@@ -44,11 +52,21 @@
   answer: (outcome: JobOutcome) => void;
 }
 
+export interface Prospect {
+  readonly atMs: number;
+  readonly waitMs: number;
+  readonly runMs: number;
+  /** Work of the jobs that go first, without its own. */
+  readonly workAhead: number;
+}
+
 export interface JobOrigin {
   readonly arrivedMs: number;
   readonly longestMs: number;
   readonly firstRun: number;
   readonly mayHaveRun: boolean;
+  readonly work?: number;
+  readonly size?: JobSize;
 }
 
 export function createJobRecord(
@@ -72,6 +90,8 @@
     waiting: tasks.length,
     hasStarted: false,
     mayHaveRun: origin.mayHaveRun,
+    work: origin.work ?? 0,
+    size: origin.size ?? JobSizes.UNKNOWN,
     answer,
   };
 }
@@ -101,3 +121,18 @@
   if (step === undefined) throw new RangeError(`job ${record.job.id} has no step ${task.ref.step}`);
   return step;
 }
+
+/** The number of the run that a task is about to get, or has, if it is not the first. */
+export function runMark({ run, nextRun }: TaskRecord): string {
+  const number = run?.number ?? nextRun;
+  return number === 1 ? '' : `#${number}`;
+}
+
+/** The runs of a job that are not over, for the log; undefined if there are none. */
+export function describeRuns({ tasks }: JobRecord): string | undefined {
+  const open = tasks.filter(({ run }) => run !== undefined);
+  if (open.length === 0) return undefined;
+  return open
+    .map((task) => `${task.ref.step}/${task.ref.index}@${task.endpoint ?? ''}${runMark(task)}`)
+    .join(' ');
+}
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -25,6 +25,17 @@
   readonly waitMs: number;
   readonly runMs: number;
   readonly hasRoom: boolean;
+  /** Work of the jobs that go first, in thousandths of core-milliseconds. */
+  readonly workAhead: number;
+}
+
+/** The endpoints of a job's service that have room for the smallest of its tasks. */
+export interface FreeRoom {
+  readonly endpoints: number;
+  /** Slowness of the fastest of them; undefined if there is none. */
+  readonly slowness: number | undefined;
+  readonly usable: number;
+  readonly listed: number;
 }
 
 export interface Placer {
@@ -33,8 +44,12 @@
   plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[];
   /** Whether any endpoint could ever run all its tasks. */
   isRunnable(record: JobRecord): boolean;
+  /** What is free for a job at this moment. */
+  freeRoom(record: JobRecord): FreeRoom;
   /** Core-milliseconds of a job that have not started. */
   workLeft(record: JobRecord): number;
+  /** Core-milliseconds of a whole job, in thousandths. */
+  wholeWork(job: LeasedJob): number;
   /** Expected time of the longest chain of steps on a usual endpoint. */
   longestChainMs(job: LeasedJob): number;
   /** Expected run time of a task where it runs. */
@@ -121,10 +136,11 @@
     const usable = capacity * PACKED_SHARE;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
+      const workBefore = workAhead;
       const starts = placeTasks(record, room, nowMs, false);
       const ahead = workAhead + workLeft * (1 - starts.length / Math.max(1, record.waiting));
       if (starts.length >= record.waiting)
-        return { record, starts, waitMs: 0, runMs, hasRoom: true };
+        return { record, starts, waitMs: 0, runMs, hasRoom: true, workAhead: workBefore };
       const inTimeMs = drainMs(ahead, usable, rates.before(priority, nowMs));
       const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
       const lateMs = isInTime ? 0 : drainMs(ahead, usable, rates.before(undefined, nowMs));
@@ -132,7 +148,8 @@
       // What cannot be in time any more takes any room in which it still ends in its caller's time.
       if (!isInTime) starts.push(...placeTasks(record, room, nowMs, true, starts));
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
-      return { record, starts, waitMs, runMs, hasRoom: starts.length > 0 };
+      const hasStarts = starts.length > 0;
+      return { record, starts, waitMs, runMs, hasRoom: hasStarts, workAhead: workBefore };
     });
   }
 
@@ -201,6 +218,23 @@
     hasRoom,
     plan,
     workLeft: workLeftOf,
+    wholeWork: (job) =>
+      job.steps.reduce((sum, { tasks, demand }, step) => {
+        return sum + tasks * demand.cores * baseMs(job, step);
+      }, 0),
+    freeRoom(record) {
+      const { service } = record.job;
+      const smallest = smallestDemand([record]);
+      const open = openPlaces(service, clock.nowMs());
+      const free = open.filter((place) => hasRoomFor(place.room, smallest));
+      const isOfService = (steward: Steward) => steward.entry().service === service;
+      return {
+        endpoints: free.length,
+        slowness: free.length === 0 ? undefined : Math.min(...free.map((one) => one.slowness)),
+        usable: open.length,
+        listed: [...pool.stewards()].filter(isOfService).length,
+      };
+    },
     longestChainMs,
     isRunnable(record) {
       if (pool.size() === 0) return true;
--- /dev/null
+++ b/packages/dispatch/src/survey.ts
@@ -0,0 +1,69 @@
+/** Logs which endpoints a dispatcher knows, and when all of them have reported for the first time. */
+import type { EndpointEntry } from '@celerybarrow/endpoints';
+import type { Logger } from '@celerybarrow/telemetry';
+import type { ElapsedClock } from '@celerybarrow/timer';
+import { SURVEY_LIMIT_MS } from './earlierRuns.js';
+import type { EndpointPool } from './endpointPool.js';
+
+/** After this time nobody waits for an endpoint that has never reported. */
+const FOLLOWED_MS = 5_000;
+/** Endpoints that one line names at most. */
+const MAX_NAMED_ENDPOINTS = 5;
+
+export interface Survey {
+  /** A new list of endpoints is about to be followed. */
+  noteList(entries: readonly EndpointEntry[]): void;
+  review(): void;
+}
+
+export interface SurveyOptions {
+  readonly pool: EndpointPool;
+  readonly clock: ElapsedClock;
+  readonly logger: Logger;
+}
+
+export function createSurvey({ pool, clock, logger }: SurveyOptions): Survey {
+  const createdMs = clock.nowMs();
+  let listed: ReadonlySet<string> = new Set();
+  let isOver = false;
+  let isLateTold = false;
+
+  function noteList(entries: readonly EndpointEntry[]): void {
+    const next = new Set(entries.map((entry) => entry.id));
+    const added = [...next].filter((id) => !listed.has(id));
+    const gone = [...listed].filter((id) => !next.has(id));
+    listed = next;
+    if (added.length + gone.length === 0) return;
+    logger.info('List of endpoints has changed.', {
+      listed: next.size,
+      added: added.length,
+      gone: gone.length,
+      addedNames: namesOf(added),
+      goneNames: namesOf(gone),
+      dispatcherAgeMs: Math.round(clock.nowMs() - createdMs),
+    });
+  }
+
+  function review(): void {
+    if (isOver || pool.size() === 0) return;
+    const stewards = [...pool.stewards()];
+    const silent = stewards.filter((one) => one.reportedMs() === undefined).map((one) => one.id);
+    const foreign = stewards.reduce((sum, one) => sum + [...one.foreignRuns()].length, 0);
+    const dispatcherAgeMs = Math.round(clock.nowMs() - createdMs);
+    const about = { listed: stewards.length, foreign, dispatcherAgeMs };
+    if (silent.length === 0) {
+      isOver = true;
+      logger.info('All endpoints have reported.', about);
+    } else if (!isLateTold && dispatcherAgeMs > SURVEY_LIMIT_MS) {
+      isLateTold = true;
+      const names = namesOf(silent);
+      logger.warn('Endpoints have not reported.', { ...about, silent: silent.length, names });
+    } else if (dispatcherAgeMs > FOLLOWED_MS) isOver = true;
+  }
+
+  return { noteList, review };
+}
+
+function namesOf(ids: readonly string[]): string | undefined {
+  return ids.length === 0 ? undefined : ids.slice(0, MAX_NAMED_ENDPOINTS).join(' ');
+}
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -1,7 +1,16 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
-import { createSteward, RunEnds, type Run, type RunEnd, type Steward } from '../src/index.js';
+import {
+  createSteward,
+  EndProofs,
+  RunEnds,
+  type EndProof,
+  type ForeignSighting,
+  type Run,
+  type RunEnd,
+  type Steward,
+} from '../src/index.js';
 import { createFakeEndpoint } from './fakeEndpoint.js';
 
 const demand = { cores: 14_000, memoryMb: 64, accelerators: 0 };
@@ -19,6 +28,8 @@
   prepare?.(endpoint);
   const ends: { run: Run; end: RunEnd; atMs: number }[] = [];
   const notes: string[] = [];
+  const proofs: EndProof[] = [];
+  const sightings: ForeignSighting[] = [];
   const steward = createSteward({
     entry: {
       id: 'i-1',
@@ -39,11 +50,13 @@
       onChange: () => undefined,
       onReport: () => undefined,
       onNote: (sentence) => notes.push(sentence),
+      onConclusion: (_run, proof) => proofs.push(proof),
+      onForeignRun: (sighting) => sightings.push(sighting),
     },
   });
   opened.push(steward);
   await timer.advance(20);
-  return { timer, endpoint, steward, ends, notes };
+  return { timer, endpoint, steward, ends, notes, proofs, sightings };
 }
 
 function startOne(steward: Steward): Run {
@@ -183,4 +196,55 @@
     await timer.advance(400);
     expect(ends.length).toEqual(1);
   });
+
+  it('tells how a run was proved to be over, when the endpoint has not said so', async () => {
+    const { timer, endpoint, steward, proofs } = await open((one) => (one.areStartsLost = true));
+    startOne(steward);
+    await timer.advance(150);
+    expect(proofs).toEqual([EndProofs.STOP_ANSWERED]);
+    endpoint.areStartsLost = false;
+    steward.start({ task: { ...task, index: 1 }, number: 1, demand, payload: '' });
+    await timer.advance(50);
+    endpoint.bornMs = 2;
+    await timer.advance(400);
+    expect(proofs).toEqual([EndProofs.STOP_ANSWERED, EndProofs.BORN_AGAIN]);
+  });
+
+  it('says nothing of the proof when the endpoint has listed the end', async () => {
+    const { timer, endpoint, steward, proofs } = await open();
+    startOne(steward);
+    await timer.advance(50);
+    endpoint.end(order, RunEnds.DONE);
+    await timer.advance(20);
+    expect(proofs).toEqual([]);
+  });
+
+  it('tells that a run is listed that it had taken as over, and why it had', async () => {
+    const { timer, endpoint, steward, proofs, sightings } = await open();
+    startOne(steward);
+    await timer.advance(300);
+    endpoint.isSilent = true;
+    await timer.advance(3_000);
+    expect(proofs).toEqual([EndProofs.SILENCE]);
+    endpoint.isSilent = false;
+    await timer.advance(300);
+    expect(sightings[0]?.run.run).toEqual(1);
+    expect(sightings[0]?.concluded?.proof).toEqual(EndProofs.SILENCE);
+  });
+
+  it('tells of a run of an earlier dispatcher without a reason', async () => {
+    const { sightings } = await open((one) => {
+      one.carryOut(order);
+    });
+    expect(sightings.length > 0).toEqual(true);
+    expect(sightings[0]?.concluded).toEqual(undefined);
+  });
+
+  it('says whether the stop of an unclaimed run was answered', async () => {
+    const { timer, notes } = await open((one) => {
+      one.carryOut(order);
+    });
+    await timer.advance(400);
+    expect(notes).toEqual(['Unclaimed run is stopped.', 'Stop of an unclaimed run has ended.']);
+  });
 });
--- /dev/null
+++ b/packages/endpoints/src/endProof.ts
@@ -0,0 +1,57 @@
+/** How a steward knows that a run is over. */
+
+export const EndProofs = {
+  /** The endpoint has listed the end. */
+  LISTED: 'listed',
+  /** The endpoint did not carry out the start, and said so. */
+  REFUSED: 'refused',
+  /** A stop was answered, and a later report does not list the run. */
+  STOP_ANSWERED: 'stop-answered',
+  /** It was known to run, and a later report does not list it. */
+  UNLISTED: 'unlisted',
+  /** The start got no answer, and its lease had passed before the report was asked for. */
+  LEASE_PASSED: 'lease-passed',
+  /** The endpoint is silent, and its clock has passed every lease. */
+  SILENCE: 'silence',
+  /** The endpoint began a new life. */
+  BORN_AGAIN: 'born-again',
+  /** Another endpoint answers at the address. */
+  REPLACED: 'replaced',
+} as const;
+export type EndProof = (typeof EndProofs)[keyof typeof EndProofs];
+
+/** A run that was taken as over without a word of the endpoint about its end. */
+export interface ConcludedRun {
+  readonly run: number;
+  readonly proof: EndProof;
+  readonly atMs: number;
+}
+
+/** Conclusions that are remembered for each endpoint; the oldest are forgotten. */
+const MAX_CONCLUSIONS = 200;
+
+/** The latest runs of an endpoint that were taken as over, to recognise one that is listed again. */
+export interface ConcludedRuns {
+  note(key: string, run: number, proof: EndProof, nowMs: number): void;
+  find(key: string, run: number): ConcludedRun | undefined;
+}
+
+export function createConcludedRuns(): ConcludedRuns {
+  const concluded = new Map<string, ConcludedRun>();
+
+  return {
+    note(key, run, proof, nowMs) {
+      concluded.delete(key);
+      concluded.set(key, { run, proof, atMs: nowMs });
+      if (concluded.size <= MAX_CONCLUSIONS) return;
+      for (const oldest of concluded.keys()) {
+        concluded.delete(oldest);
+        return;
+      }
+    },
+    find(key, run) {
+      const found = concluded.get(key);
+      return found?.run === run ? found : undefined;
+    },
+  };
+}
--- a/packages/endpoints/src/foreignRuns.ts
+++ b/packages/endpoints/src/foreignRuns.ts
@@ -4,7 +4,7 @@
 /** How long an end of an earlier dispatcher's run can be claimed. */
 const END_KEPT_MS = 2_000;
 
-interface ForeignRun {
+export interface ForeignRun {
   readonly task: TaskRef;
   readonly run: number;
   readonly firstSeenMs: number;
@@ -13,7 +13,7 @@
 }
 
 export interface ForeignRuns {
-  noteRunning(one: RunningTask, nowMs: number): void;
+  noteRunning(one: RunningTask, nowMs: number): Readonly<ForeignRun>;
   noteEnd(key: string, run: number, end: RunEnd, nowMs: number): void;
   /** Forgets the runs that are not listed any more; true if that changed anything. */
   retain(isListed: (key: string) => boolean): boolean;
@@ -22,6 +22,9 @@
   take(key: string): ForeignRun | undefined;
   hasEndedDone(key: string): boolean;
   isEmpty(): boolean;
+  /** What is listed, claimable or being stopped. */
+  all(): Iterable<Readonly<ForeignRun>>;
+  size(): number;
   clear(): void;
 }
 
@@ -33,11 +36,14 @@
     noteRunning(one, nowMs) {
       const key = taskKey(one.task);
       const known = running.get(key);
-      if (known?.run === one.run) known.percent = one.percent;
-      else {
-        const { task, run, percent } = one;
-        running.set(key, { task, run, percent, firstSeenMs: nowMs });
+      if (known?.run === one.run) {
+        known.percent = one.percent;
+        return known;
       }
+      const { task, run, percent } = one;
+      const found = { task, run, percent, firstSeenMs: nowMs };
+      running.set(key, found);
+      return found;
     },
     noteEnd(key, run, end, nowMs) {
       if (running.get(key)?.run === run) running.delete(key);
@@ -66,6 +72,8 @@
     },
     hasEndedDone: (key) => done.has(key),
     isEmpty: () => running.size === 0,
+    all: () => running.values(),
+    size: () => running.size,
     clear() {
       running.clear();
       done.clear();
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -1,5 +1,7 @@
 export { createEndpointClock, type EndpointClock } from './endpointClock.js';
+export { EndProofs, type ConcludedRun, type EndProof } from './endProof.js';
 export { EndpointError } from './endpointError.js';
+export { type ForeignRun } from './foreignRuns.js';
 export {
   OrderAnswers,
   RunEnds,
@@ -19,4 +21,10 @@
   type TaskRef,
 } from './leasedEndpoint.js';
 export { RunStates, type Run, type RunRequest, type RunState } from './run.js';
-export { createSteward, type Steward, type StewardEvents } from './steward.js';
+export {
+  createSteward,
+  type ForeignSighting,
+  type NoteDetails,
+  type Steward,
+  type StewardEvents,
+} from './steward.js';
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -15,11 +15,13 @@
 import type { Resources } from '@celerybarrow/protocol';
 import { createEndpointClock } from './endpointClock.js';
 import type { EndpointError } from './endpointError.js';
-import { createForeignRuns } from './foreignRuns.js';
+import { createConcludedRuns, EndProofs, type ConcludedRun, type EndProof } from './endProof.js';
+import { createForeignRuns, type ForeignRun } from './foreignRuns.js';
 import {
   OrderAnswers,
   RunEnds,
   taskKey,
+  type EndedTask,
   type EndpointEntry,
   type EndpointReport,
   type RenewalAnswer,
@@ -29,7 +31,7 @@
   type TaskRef,
 } from './leasedEndpoint.js';
 import { RunStates, type Run, type RunRequest } from './run.js';
-import { provenEnd } from './unlistedRun.js';
+import { provenEnd, unlistedProof } from './unlistedRun.js';
 
 /** Longest lease that endpoints grant, and how far ahead the own ones reach. */
 const LONGEST_LEASE_MS = 1_000;
@@ -62,7 +64,21 @@
   onChange(): void;
   /** A report has come; progress is up to date. */
   onReport(): void;
-  onNote(sentence: string, details: Readonly<Record<string, string | number>>): void;
+  onNote(sentence: string, details: NoteDetails): void;
+  /** A run is taken as over, though the endpoint has not said how it ended. */
+  onConclusion(run: Run, proof: EndProof, details: NoteDetails): void;
+  /** A report lists a run that this steward has not started, or has taken as over. */
+  onForeignRun(sighting: ForeignSighting): void;
+}
+
+export type NoteDetails = Readonly<Record<string, string | number | undefined>>;
+
+export interface ForeignSighting {
+  readonly run: Readonly<ForeignRun>;
+  /** Why the same run was taken as over before, if it was. */
+  readonly concluded: ConcludedRun | undefined;
+  /** When the endpoint's first report came. */
+  readonly surveyedAtMs: number;
 }
 
 export interface StewardOptions {
@@ -87,6 +103,8 @@
   refresh(): void;
   room(): Resources;
   runs(): Iterable<Run>;
+  /** Runs that the endpoint lists and nobody has claimed. */
+  foreignRuns(): Iterable<Readonly<ForeignRun>>;
   start(request: RunRequest): Run;
   stop(run: Run): void;
   /** Takes over a run of an earlier dispatcher; `DONE` if it has ended so. */
@@ -99,6 +117,7 @@
   const closing = new AbortController();
   const endpointClock = createEndpointClock();
   const foreign = createForeignRuns();
+  const concluded = createConcludedRuns();
   const runs = new Map<string, Run>();
   /** End of the lease of each start, on the endpoint's clock. */
   const orderEnds = new Map<Run, number>();
@@ -224,7 +243,7 @@
   function takeReport(report: EndpointReport, sentMs: number): void {
     const nowMs = clock.nowMs();
     if (report.bornMs !== undefined && bornMs !== undefined && report.bornMs !== bornMs) {
-      loseLife('born again');
+      loseLife('born again', { bornMs: report.bornMs, earlierBornMs: bornMs });
     }
     bornMs = report.bornMs ?? bornMs;
     endpointClock.read(report.clockMs, nowMs);
@@ -237,7 +256,7 @@
       endsSeen = one.number;
       const run = runs.get(taskKey(one.task));
       if (run?.number === one.run) end(run, one.end);
-      else foreign.noteEnd(taskKey(one.task), one.run, one.end, nowMs);
+      else takeForeignEnd(one, nowMs);
     }
     // Answers on different connections may overtake each other.
     if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
@@ -249,13 +268,33 @@
     stopUnclaimed(nowMs);
   }
 
+  function takeForeignEnd({ task, run, end: how }: EndedTask, nowMs: number): void {
+    const key = taskKey(task);
+    foreign.noteEnd(key, run, how, nowMs);
+    const known = concluded.find(key, run);
+    if (known === undefined) return;
+    events.onNote('Run that was taken as over has ended.', {
+      endpoint: entry.id,
+      job: task.job,
+      task: key,
+      run,
+      end: how,
+      proof: known.proof,
+      provedAgoMs: Math.round(nowMs - known.atMs),
+    });
+  }
+
   function takeRunning(report: EndpointReport, sentMs: number, nowMs: number): void {
     const listed = new Set<string>();
     for (const one of report.running) {
       const key = taskKey(one.task);
       const run = runs.get(key);
       if (run?.number !== one.run) {
-        foreign.noteRunning(one, nowMs);
+        events.onForeignRun({
+          run: foreign.noteRunning(one, nowMs),
+          concluded: concluded.find(key, one.run),
+          surveyedAtMs: surveyedAtMs ?? nowMs,
+        });
         listed.add(`foreign ${key}`);
         continue;
       }
@@ -275,7 +314,7 @@
   }
 
   function settleUnlisted(run: Run, report: EndpointReport, sentMs: number): void {
-    const how = provenEnd({
+    const evidence = {
       askedMs: sentMs,
       askedAtEndpointMs: endpointClock.reachedMs(sentMs),
       reportedAtEndpointMs: report.clockMs,
@@ -283,25 +322,48 @@
       startAnsweredMs: startAnswered.get(run),
       isInDoubt: run.state === RunStates.IN_DOUBT,
       orderEndMs: orderEnds.get(run),
-    });
-    if (how !== undefined) end(run, how);
+    };
+    const how = provenEnd(evidence);
+    if (how !== undefined) end(run, how, undefined, unlistedProof(evidence));
   }
 
   function stopUnclaimed(nowMs: number): void {
     if (surveyedAtMs === undefined || nowMs - surveyedAtMs < CLAIM_WINDOW_MS) return;
     for (const one of foreign.unstopped(nowMs, STOP_RETRY_MS, CLAIM_WINDOW_MS)) {
-      events.onNote('Unclaimed run is stopped.', { endpoint: entry.id, job: one.task.job });
-      void endpoint.stop({ task: one.task, run: one.run, fence: fence() });
+      void stopForeign(one, nowMs);
     }
   }
 
+  async function stopForeign(one: Readonly<ForeignRun>, nowMs: number): Promise<void> {
+    const about = { endpoint: entry.id, job: one.task.job, task: taskKey(one.task), run: one.run };
+    events.onNote('Unclaimed run is stopped.', {
+      ...about,
+      seenForMs: Math.round(nowMs - one.firstSeenMs),
+      percent: one.percent,
+    });
+    const answer = await endpoint.stop({ task: one.task, run: one.run, fence: fence() });
+    events.onNote('Stop of an unclaimed run has ended.', {
+      ...about,
+      answer: answer.isOk ? answer.value : answer.error.message,
+      tookMs: Math.round(clock.nowMs() - nowMs),
+    });
+  }
+
   /** A new life of the endpoint runs nothing of before; orders to the old one may still arrive. */
-  function loseLife(reason: string): void {
+  function loseLife(reason: 'replaced' | 'born again', details: NoteDetails = {}): void {
     const wasReplaced = isReplaced;
     isReplaced = reason === 'replaced';
     // Every call to an address that another endpoint has taken over tells so again.
     if (!wasReplaced || !isReplaced) {
-      events.onNote('Endpoint began a new life.', { endpoint: entry.id, reason, runs: runs.size });
+      const inDoubt = [...runs.values()].filter((run) => run.state !== RunStates.RUNNING);
+      events.onNote('Endpoint began a new life.', {
+        endpoint: entry.id,
+        reason,
+        runs: runs.size,
+        notRunning: inDoubt.map((run) => `${run.key}#${run.number} ${run.state}`).join(', '),
+        foreign: foreign.size(),
+        ...details,
+      });
     }
     endpointClock.reset();
     endsSeen = 0;
@@ -310,7 +372,8 @@
     foreign.clear();
     for (const run of [...runs.values()]) {
       const isInDoubt = run.state === RunStates.IN_DOUBT || run.state === RunStates.STARTING;
-      if (isReplaced || !isInDoubt) end(run, RunEnds.LAPSED);
+      const proof = isReplaced ? EndProofs.REPLACED : EndProofs.BORN_AGAIN;
+      if (isReplaced || !isInDoubt) end(run, RunEnds.LAPSED, undefined, proof);
       else orderEnds.set(run, Infinity);
     }
   }
@@ -320,11 +383,19 @@
     if (unanswered === 0) return;
     const reached = endpointClock.reachedMs(clock.nowMs());
     if (reached === undefined || reached < lastLeaseMs + LAPSE_MARGIN_MS) return;
-    for (const run of [...runs.values()]) end(run, RunEnds.LAPSED);
+    for (const run of [...runs.values()]) {
+      end(run, RunEnds.LAPSED, undefined, EndProofs.SILENCE);
+    }
   }
 
-  function end(run: Run, how: RunEnd, answer?: OrderAnswer): void {
+  function end(
+    run: Run,
+    how: RunEnd,
+    answer?: OrderAnswer,
+    proof: EndProof = answer === undefined ? EndProofs.LISTED : EndProofs.REFUSED,
+  ): void {
     if (runs.get(run.key) !== run) return;
+    if (proof !== EndProofs.LISTED && proof !== EndProofs.REFUSED) noteConclusion(run, how, proof);
     runs.delete(run.key);
     orderEnds.delete(run);
     stopAnswered.delete(run);
@@ -333,6 +404,25 @@
     events.onEnd(run, how, answer);
   }
 
+  function noteConclusion(run: Run, how: RunEnd, proof: EndProof): void {
+    const nowMs = clock.nowMs();
+    concluded.note(run.key, run.number, proof, nowMs);
+    const orderEndMs = orderEnds.get(run);
+    const reachedMs = endpointClock.reachedMs(nowMs);
+    const isLeaseKnown = orderEndMs !== undefined && reachedMs !== undefined;
+    events.onConclusion(run, proof, {
+      end: how,
+      state: run.state,
+      sentAgoMs: Math.round(nowMs - run.sentMs),
+      seenAgoMs: startAnswered.has(run) ? Math.round(nowMs - run.seenMs) : undefined,
+      reportAgeMs: reportedMs === undefined ? undefined : Math.round(nowMs - reportedMs),
+      startLeasePassedMs:
+        isLeaseKnown && Number.isFinite(orderEndMs)
+          ? Math.round(reachedMs - orderEndMs)
+          : undefined,
+    });
+  }
+
   function start(request: RunRequest): Run {
     const nowMs = clock.nowMs();
     const run: Run = {
@@ -364,6 +454,9 @@
       events.onNote('Start got no answer.', {
         endpoint: entry.id,
         job: run.task.job,
+        task: run.key,
+        run: run.number,
+        tookMs: Math.round(clock.nowMs() - run.sentMs),
         reason: answer.error.message,
       });
       run.state = RunStates.IN_DOUBT;
@@ -472,6 +565,7 @@
     refresh,
     room,
     runs: () => runs.values(),
+    foreignRuns: () => foreign.all(),
     start,
     stop,
     claim,
--- a/packages/endpoints/src/unlistedRun.ts
+++ b/packages/endpoints/src/unlistedRun.ts
@@ -6,6 +6,7 @@
  * started, or after its stop was answered, or if the lease that its start carried had passed on the
  * endpoint's clock before the report was asked for. Otherwise its start may still arrive.
  */
+import { EndProofs, type EndProof } from './endProof.js';
 import { RunEnds, type RunEnd } from './leasedEndpoint.js';
 
 export interface UnlistedRun {
@@ -27,12 +28,21 @@
 
 /** How the run has ended; undefined if the report proves nothing. */
 export function provenEnd(run: UnlistedRun): RunEnd | undefined {
+  const proof = unlistedProof(run);
+  if (proof === undefined) return undefined;
+  return proof === EndProofs.UNLISTED ? RunEnds.LAPSED : RunEnds.NOT_STARTED;
+}
+
+/** What proves that the run is over; undefined if nothing does. */
+export function unlistedProof(run: UnlistedRun): EndProof | undefined {
   if (run.stopAnsweredMs !== undefined && run.askedMs >= run.stopAnsweredMs) {
-    return RunEnds.NOT_STARTED;
+    return EndProofs.STOP_ANSWERED;
+  }
+  if (run.startAnsweredMs !== undefined && run.askedMs > run.startAnsweredMs) {
+    return EndProofs.UNLISTED;
   }
-  if (run.startAnsweredMs !== undefined && run.askedMs > run.startAnsweredMs) return RunEnds.LAPSED;
   const orderEndMs = run.orderEndMs ?? Infinity;
   const hasLapsed = run.isInDoubt && run.reportedAtEndpointMs > orderEndMs;
   const wasAskedAfter = (run.askedAtEndpointMs ?? 0) > orderEndMs;
-  return hasLapsed && wasAskedAfter ? RunEnds.NOT_STARTED : undefined;
+  return hasLapsed && wasAskedAfter ? EndProofs.LEASE_PASSED : undefined;
 }
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -72,15 +72,17 @@
     },
   };
   const ignore = () => undefined;
+  const warnings: string[] = [];
+  const warn = (sentence: string) => warnings.push(sentence);
   const entry = createEntry({
     instance: 'a',
     shardOf: () => 0,
     routes: () => [{ leading, local }],
     timer,
     clock: createElapsedClock(timer),
-    logger: { debug: ignore, info: ignore, warn: ignore, error: ignore },
+    logger: { debug: ignore, info: ignore, warn, error: ignore },
   });
-  return { timer, entry, submissions, withdrawn, state };
+  return { timer, entry, submissions, withdrawn, state, warnings };
 }
 
 describe('the way of a job from its gateway to the dispatcher', () => {
@@ -149,4 +151,25 @@
     await timer.advance(50);
     expect(withdrawn).toEqual(['j']);
   });
+
+  it('tells when it is given up while a dispatcher may still run it', async () => {
+    const { timer, entry, state, warnings } = open([{ state: JobStates.MOVED, reason: '' }]);
+    void entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(5);
+    state.view = undefined;
+    await timer.advance(2_000);
+    expect(warnings).toInclude('Job is given up without a withdrawal.');
+  });
+
+  it('tells when its withdrawal got no answer', async () => {
+    const { timer, entry, state, warnings } = open([]);
+    state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+    state.isLinkLost = true;
+    const leaving = new AbortController();
+    void entry.submit(createJob(), leaving.signal);
+    await timer.advance(5);
+    leaving.abort();
+    await timer.advance(20);
+    expect(warnings).toInclude('Withdrawal got no answer.');
+  });
 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -52,6 +52,8 @@
 export interface EntryOutcome extends JobOutcome {
   readonly shard: number | undefined;
   readonly epoch: number | undefined;
+  /** How often it was handed over again. */
+  readonly resubmissions: number;
 }
 
 export interface Entry {
@@ -102,7 +104,8 @@
     signal.addEventListener('abort', onLeave, { once: true });
     try {
       const outcome = await carry(one);
-      return { ...outcome, shard: one.shard, epoch: one.sentUnder?.epoch };
+      const { shard, resubmissions } = one;
+      return { ...outcome, shard, epoch: one.sentUnder?.epoch, resubmissions };
     } finally {
       signal.removeEventListener('abort', onLeave);
       if (open.get(job.id) === one) open.delete(job.id);
@@ -115,13 +118,15 @@
       if (remainingMs(one) <= 0) return overtime(one);
       const view = await findDispatcher(one);
       if (view === undefined) return withoutDispatcher(one);
-      if (one.isOutOfSight && view !== one.sentUnder) return outOfSight();
+      if (one.isOutOfSight && view !== one.sentUnder) return outOfSight(one);
       const outcome = await attempt(one, view);
       if (outcome !== undefined) return outcome;
       one.resubmissions += 1;
       if (routeOf(one)?.leading.view() === view) await timer.sleep(LOOK_INTERVAL_MS);
       logger.warn('Job is handed over again.', {
         job: one.job.id,
+        shard: one.shard,
+        dispatcher: view.dispatcher.instance,
         epoch: view.epoch,
         round: view.round,
         resubmissions: one.resubmissions,
@@ -198,19 +203,43 @@
     return undefined;
   }
 
-  function outOfSight(): JobOutcome {
-    return { state: JobStates.LOST, reason: 'its dispatcher was lost apart from the others' };
+  function outOfSight(one: OpenJob): JobOutcome {
+    const reason = 'its dispatcher was lost apart from the others';
+    logGivenUp(one, reason);
+    return { state: JobStates.LOST, reason };
+  }
+
+  /** Its dispatcher is not told, and may go on with it until the gateway's right has ended there. */
+  function logGivenUp(one: OpenJob, reason: string): void {
+    const route = routeOf(one);
+    logger.warn('Job is given up without a withdrawal.', {
+      job: one.job.id,
+      shard: one.shard,
+      reason,
+      epoch: one.sentUnder?.epoch,
+      round: one.sentUnder?.round,
+      dispatcher: one.sentUnder?.dispatcher.instance,
+      currentDispatcher: route?.leading.view()?.dispatcher.instance,
+      resubmissions: one.resubmissions,
+      ageMs: Math.round(clock.nowMs() - one.startedMs),
+    });
   }
 
   function overtime(one: OpenJob): JobOutcome {
     const reason = "the caller's time is over";
-    if (one.sentUnder !== undefined) return { state: JobStates.EXPIRED, reason };
+    if (one.sentUnder !== undefined) {
+      logGivenUp(one, reason);
+      return { state: JobStates.EXPIRED, reason };
+    }
     return { state: JobStates.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS };
   }
 
   function withoutDispatcher(one: OpenJob): JobOutcome {
     const reason = 'no dispatcher can be reached';
-    if (one.sentUnder !== undefined) return { state: JobStates.LOST, reason };
+    if (one.sentUnder !== undefined) {
+      logGivenUp(one, reason);
+      return { state: JobStates.LOST, reason };
+    }
     return { state: JobStates.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS };
   }
 
@@ -222,7 +251,15 @@
     const reply = await route.leading
       .link()
       ?.request('withdraw', ask, { timeoutMs: UNSENT_WAIT_MS });
-    return reply?.isOk === true && reply.value.found;
+    if (reply?.isOk === true) return reply.value.found;
+    logger.warn('Withdrawal got no answer.', {
+      job: id,
+      shard,
+      epoch: route.leading.view()?.epoch,
+      dispatcher: route.leading.view()?.dispatcher.instance,
+      reason: reply === undefined ? 'no connection to the dispatcher' : reply.error.message,
+    });
+    return false;
   }
 
   /** The shard of a job is not known from its id alone, so all are asked. */
--- a/packages/instance/src/followEndpoints.ts
+++ b/packages/instance/src/followEndpoints.ts
@@ -93,10 +93,11 @@
     documents.offer(ENDPOINTS_DOCUMENT, { version: revision, text: listedText });
   }
 
-  documents.onDocument(ENDPOINTS_DOCUMENT, ({ text }) => {
+  documents.onDocument(ENDPOINTS_DOCUMENT, ({ text, version }) => {
     if (following !== undefined) return;
     directory.replace(JSON.parse(text) as EndpointEntry[]);
     options.onEntries(directory.entries());
+    log.info('Endpoints were told.', { endpoints: directory.entries().length, revision: version });
   });
 
   return {
