fix(endpoints): keep the runs that an endpoint began after it had started again

Cause: an idle endpoint is looked at every 1.5 s. One that crashed and was back in between got its next tasks in the new life, and the first report of that life, which lists them as running, made the steward end every run as lapsed. The dispatcher started them elsewhere while the first runs went on for 200 ms, until they were stopped as unclaimed. Evidence: steward.spec.ts, "does not call a run over that began after the endpoint had started again", fails before (LAPSED at 301 ms with the run listed). Change: a new life ends nothing by itself. Its report settles each run like any other report does: what it lists goes on, what it does not list is over if its start was answered before the report was asked for. Stops that the earlier life answered prove nothing any more, and leases are taken as the longest. A report of the earlier life that arrives after one of the new life is ignored. Ruled out: a start that is carried out late; the starts in question were answered.

--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -183,4 +183,16 @@
     await timer.advance(400);
     expect(ends.length).toEqual(1);
   });
+
+  it('does not call a run over that began after the endpoint had started again', async () => {
+    const { timer, endpoint, steward, ends } = await open();
+    endpoint.bornMs = 2;
+    startOne(steward);
+    await timer.advance(400);
+    expect(endpoint.running().length).toEqual(1);
+    expect(ends).toEqual([]);
+    endpoint.end(order, RunEnds.DONE);
+    await timer.advance(20);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.DONE]);
+  });
 });
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -193,7 +193,7 @@
       return;
     }
     if (answer.value.answer === OrderAnswers.FENCED) noteFenced();
-    if (answer.value.answer === OrderAnswers.REPLACED) loseLife('replaced');
+    if (answer.value.answer === OrderAnswers.REPLACED) loseAddress();
     if (answer.value.report === undefined) {
       countUnanswered(answer.value.answer);
       return;
@@ -223,8 +223,10 @@
 
   function takeReport(report: EndpointReport, sentMs: number): void {
     const nowMs = clock.nowMs();
-    if (report.bornMs !== undefined && bornMs !== undefined && report.bornMs !== bornMs) {
-      loseLife('born again');
+    if (report.bornMs !== undefined && bornMs !== undefined) {
+      // Answers on different connections may overtake each other.
+      if (report.bornMs < bornMs) return;
+      if (report.bornMs > bornMs) beginLife();
     }
     bornMs = report.bornMs ?? bornMs;
     endpointClock.read(report.clockMs, nowMs);
@@ -242,7 +244,9 @@
     // Answers on different connections may overtake each other.
     if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
     // Leases that the earlier dispatcher gave ended its reach when this fence arrived.
-    if (!foreign.isEmpty()) lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
+    if (!foreign.isEmpty() || [...orderEnds.values()].includes(Infinity)) {
+      lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
+    }
     newestReportMs = Math.max(newestReportMs, report.clockMs);
     if (isFirst || (wasInQuestion && !isInQuestion())) events.onChange();
     events.onReport();
@@ -295,24 +299,37 @@
     }
   }
 
-  /** A new life of the endpoint runs nothing of before; orders to the old one may still arrive. */
-  function loseLife(reason: string): void {
-    const wasReplaced = isReplaced;
-    isReplaced = reason === 'replaced';
-    // Every call to an address that another endpoint has taken over tells so again.
-    if (!wasReplaced || !isReplaced) {
-      events.onNote('Endpoint began a new life.', { endpoint: entry.id, reason, runs: runs.size });
-    }
+  /** Another endpoint answers at the address, so that nothing of before runs there. */
+  function loseAddress(): void {
+    // Every call to the address tells so again.
+    if (!isReplaced) noteLife('replaced');
+    isReplaced = true;
+    forgetLife();
+    for (const run of [...runs.values()]) end(run, RunEnds.LAPSED);
+  }
+
+  /**
+   * The endpoint started again. Orders may have reached the new life before its first report, so that
+   * this report and the next ones tell which runs are over, as they do of any other run.
+   */
+  function beginLife(): void {
+    noteLife('born again');
+    forgetLife();
+    stopAnswered.clear();
+    // Leases were asked for on the clock of the earlier life.
+    for (const run of runs.values()) orderEnds.set(run, Infinity);
+  }
+
+  function forgetLife(): void {
     endpointClock.reset();
     endsSeen = 0;
     lastLeaseMs = -Infinity;
     newestReportMs = -Infinity;
     foreign.clear();
-    for (const run of [...runs.values()]) {
-      const isInDoubt = run.state === RunStates.IN_DOUBT || run.state === RunStates.STARTING;
-      if (isReplaced || !isInDoubt) end(run, RunEnds.LAPSED);
-      else orderEnds.set(run, Infinity);
-    }
+  }
+
+  function noteLife(reason: string): void {
+    events.onNote('Endpoint began a new life.', { endpoint: entry.id, reason, runs: runs.size });
   }
 
   /** Ends the runs of a silent endpoint once its clock has certainly passed every lease. */
@@ -385,7 +402,7 @@
     const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
     end(run, RunEnds.NOT_STARTED, answer);
     if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
-    if (answer === OrderAnswers.REPLACED) loseLife('replaced');
+    if (answer === OrderAnswers.REPLACED) loseAddress();
   }
 
   /** Stops a run until an answer proves that the order arrived, then looks whether it is gone. */
