fix(endpoints): wait for the answer to a stop while a start may arrive at an endpoint's new life

Cause: a start without an answer was kept in doubt when its endpoint started again, but the next call without an answer ended it: the lease of before had been forgotten, so every clock was past it. The new life has forgotten the fence too, and its clock begins anew, so it would still carry out that start. Evidence: steward.spec.ts, "does not call a run over whose start may still arrive at the new life", fails before (LAPSED at 1,258 ms, without any stop answered by the new life). Change: while such a start is open, silence ends nothing on that endpoint. Only a stop that the new life answered does, or 10 s, so that an endpoint that never comes back does not hold its job for good.

--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -195,4 +195,19 @@
     await timer.advance(20);
     expect(ends.map(({ end }) => end)).toEqual([RunEnds.DONE]);
   });
+
+  it('does not call a run over whose start may still arrive at the new life', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
+    startOne(steward);
+    await timer.advance(50);
+    endpoint.bornMs = 2;
+    steward.refresh();
+    await timer.advance(20);
+    endpoint.isSilent = true;
+    await timer.advance(3_000);
+    expect(ends).toEqual([]);
+    endpoint.isSilent = false;
+    await timer.advance(400);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
+  });
 });
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -47,6 +47,8 @@
 const STOP_RETRY_MS = 120;
 /** Time that a stop takes at most, and a margin for the endpoint to notice the end of a lease. */
 const LAPSE_MARGIN_MS = 80;
+/** How long after it was sent an order without an answer may be carried out. */
+const LATEST_ORDER_MS = 10_000;
 /** How long runs of an earlier dispatcher may be claimed before they are stopped. */
 const CLAIM_WINDOW_MS = 200;
 /** Calls without an answer in a row after which an endpoint gets no new tasks. */
@@ -337,9 +339,16 @@
     if (unanswered === 0) return;
     const reached = endpointClock.reachedMs(clock.nowMs());
     if (reached === undefined || reached < lastLeaseMs + LAPSE_MARGIN_MS) return;
+    if ([...runs.values()].some(mayStartAnyTime)) return;
     for (const run of [...runs.values()]) end(run, RunEnds.LAPSED);
   }
 
+  /** Whether its start, sent to an earlier life of the endpoint, may still begin a lease there. */
+  function mayStartAnyTime(run: Run): boolean {
+    if (startAnswered.has(run) || orderEnds.get(run) !== Infinity) return false;
+    return clock.nowMs() - run.sentMs < LATEST_ORDER_MS;
+  }
+
   function end(run: Run, how: RunEnd, answer?: OrderAnswer): void {
     if (runs.get(run.key) !== run) return;
     runs.delete(run.key);
