fix(endpoints): let a job wait for the end of its earlier run that is being stopped

Cause: a new dispatcher stops what nobody has claimed 200 ms after its first look. A gateway that hands its job over later than that found nothing to claim: runs to which a stop had been sent were passed over, and once every endpoint had reported, the task was started elsewhere while the run was still listed. With signs of life every 220 ms, as in fleets of several shards, gateways often come later than 200 ms. Evidence: placer.spec.ts, "does not start a task again while its earlier run is being stopped", fails before (the task is started while its run works). Change: such a run can be claimed as well. The task has it as a stopping run, like any that the dispatcher stops itself, and starts again once its end is proven; the caller waits for the stop and is not lost.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -17,23 +17,42 @@
 import { createDispatcher, type Dispatcher } from '../src/index.js';
 
 const CORES = 14_000;
+/** How long the stop of an earlier dispatcher's run takes. */
+const STOP_MS = 50;
 const opened: Dispatcher[] = [];
 
 afterEach(() => {
   for (const dispatcher of opened.splice(0)) dispatcher.close();
 });
 
+/** Runs of an earlier dispatcher, by endpoint. */
+type EarlierRunsOf = Readonly<Record<string, RunningTask>>;
+
 /** Endpoints in memory whose tasks take a base time by their slowness. */
-function createNetwork(timer: ManualTimer, taskMs: number, slowness: Record<string, number>) {
+function createNetwork(
+  timer: ManualTimer,
+  taskMs: number,
+  slowness: Record<string, number>,
+  earlier: EarlierRunsOf,
+) {
   const started: string[] = [];
+  /** Tasks that were started while an earlier run of them was at work. */
+  const startedTwice: string[] = [];
+  const atWork = new Map<string, string>();
   const network: EndpointNetwork = {
     open(entry) {
       const running = new Map<string, RunningTask>();
       const ended: EndedTask[] = [];
+      const old = earlier[entry.id];
+      if (old !== undefined) {
+        running.set(taskKey(old.task), old);
+        atWork.set(taskKey(old.task), entry.id);
+      }
       return {
         async start({ task, run }) {
           await timer.sleep(1);
           started.push(`${task.job}@${entry.id}`);
+          if (atWork.has(taskKey(task))) startedTwice.push(taskKey(task));
           running.set(taskKey(task), { task, run, percent: 0 });
           timer.onAfter(taskMs * (slowness[entry.id] ?? 1), () => {
             if (!running.delete(taskKey(task))) return;
@@ -43,9 +62,11 @@
         },
         async stop({ task, run }) {
           await timer.sleep(1);
-          if (running.delete(taskKey(task))) {
+          timer.onAfter(old === undefined ? 0 : STOP_MS, () => {
+            if (!running.delete(taskKey(task))) return;
+            atWork.delete(taskKey(task));
             ended.push({ number: ended.length + 1, task, run, end: RunEnds.STOPPED });
-          }
+          });
           return Result.ok(OrderAnswers.ACCEPTED);
         },
         async renew({ endsSeen = 0, waitMs }) {
@@ -66,7 +87,7 @@
       };
     },
   };
-  return { network, started };
+  return { network, started, startedTwice };
 }
 
 function entry(id: string): EndpointEntry {
@@ -93,11 +114,16 @@
   };
 }
 
-async function open(taskMs: number, slowness: Record<string, number>, isListed = true) {
+async function open(
+  taskMs: number,
+  slowness: Record<string, number>,
+  isListed = true,
+  earlier: EarlierRunsOf = {},
+) {
   const timer = createManualTimer();
   const ignore = () => undefined;
   const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
-  const { network, started } = createNetwork(timer, taskMs, slowness);
+  const { network, started, startedTwice } = createNetwork(timer, taskMs, slowness, earlier);
   const dispatcher = createDispatcher({
     network,
     timer,
@@ -126,7 +152,7 @@
       await timer.advance(50);
     }
   };
-  return { timer, dispatcher, started, outcomes, submit, advance, list };
+  return { timer, dispatcher, started, startedTwice, outcomes, submit, advance, list };
 }
 
 describe('the dispatcher under too much load', () => {
@@ -206,6 +232,22 @@
     expect(outcomes['moved']?.state).toEqual(JobStates.LOST);
   });
 
+  it('does not start a task again while its earlier run is being stopped', async () => {
+    const task = { job: 'moved', step: 0, index: 0 };
+    const earlier = { b: { task, run: 1, percent: 10 } };
+    const { timer, outcomes, submit, advance, startedTwice } = await open(
+      100,
+      { a: 1, b: 1 },
+      true,
+      earlier,
+    );
+    await timer.advance(170);
+    submit(job('moved'), 1);
+    await advance(600);
+    expect(startedTwice).toEqual([]);
+    expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/endpoints/src/foreignRuns.ts
+++ b/packages/endpoints/src/foreignRuns.ts
@@ -19,6 +19,7 @@
   retain(isListed: (key: string) => boolean): boolean;
   /** Runs that nobody claimed in time and for which no stop was sent lately. */
   unstopped(nowMs: number, retryMs: number, claimWindowMs: number): readonly ForeignRun[];
+  /** Hands a run over, also one that is being stopped: the task may not start before it has ended. */
   take(key: string): ForeignRun | undefined;
   hasEndedDone(key: string): boolean;
   isEmpty(): boolean;
@@ -60,7 +61,6 @@
     },
     take(key) {
       const found = running.get(key);
-      if (found === undefined || found.stoppedMs !== undefined) return undefined;
       running.delete(key);
       return found;
     },
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -91,7 +91,7 @@
   runs(): Iterable<Run>;
   start(request: RunRequest): Run;
   stop(run: Run): void;
-  /** Takes over a run of an earlier dispatcher; `DONE` if it has ended so. */
+  /** Takes over a run of an earlier dispatcher, which may be stopping; `DONE` if it has ended so. */
   claim(task: TaskRef, demand: Resources): Run | typeof RunEnds.DONE | undefined;
   close(): void;
 }
@@ -449,19 +449,21 @@
     const found = foreign.take(key);
     if (found === undefined) return undefined;
     const nowMs = clock.nowMs();
+    const isStopped = found.stoppedMs !== undefined;
     const run: Run = {
       task,
       key,
       number: found.run,
       demand,
       sentMs: nowMs,
-      state: RunStates.RUNNING,
+      state: isStopped ? RunStates.STOPPING : RunStates.RUNNING,
       percent: found.percent,
       percentAtMs: nowMs,
       seenMs: nowMs,
     };
     runs.set(key, run);
     startAnswered.set(run, nowMs);
+    if (isStopped) void settleDoubt(run);
     wake.resolve(undefined);
     if (foreign.isEmpty()) events.onChange();
     return run;
