fix(dispatch): keep following an endpoint that leaves the directory with an earlier dispatcher's runs

Cause: the pool kept an endpoint without an entry only while it held runs of its own. Runs of an earlier dispatcher that nobody had claimed yet did not count, so the endpoint was forgotten with them, and a job that was handed over a moment later found every listed endpoint free of it. The entry of a living endpoint goes missing when it does not reach the store. Evidence: placer.spec.ts, "does not start a task again after the endpoint of its earlier run has left the directory", fails before. Change: an endpoint counts as empty when neither its own runs nor earlier ones are left there. The latter lapse with the lease of a silent endpoint, so that one that is gone does not stay.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -248,6 +248,22 @@
     expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
   });
 
+  it('does not start a task again after the endpoint of its earlier run has left the directory', async () => {
+    const task = { job: 'moved', step: 0, index: 0 };
+    const earlier = { b: { task, run: 1, percent: 10 } };
+    const { dispatcher, outcomes, submit, advance, startedTwice } = await open(
+      100,
+      { a: 1, b: 1 },
+      true,
+      earlier,
+    );
+    dispatcher.follow([entry('a')]);
+    submit(job('moved'), 1);
+    await advance(600);
+    expect(startedTwice).toEqual([]);
+    expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -54,13 +54,13 @@
     for (const steward of [...stewards.values()]) {
       if (listed.has(steward.id)) continue;
       steward.update({ ...steward.entry(), isLeaving: true });
-      if (isEmpty(steward)) remove(steward.id);
+      if (steward.isEmpty()) remove(steward.id);
     }
     for (const entry of entries) {
       const known = stewards.get(entry.id);
       if (known === undefined) open(entry);
       else if (addresses.get(entry.id) === entry.address) known.update(entry);
-      else if (isEmpty(known)) {
+      else if (known.isEmpty()) {
         remove(entry.id);
         open(entry);
       }
@@ -77,7 +77,3 @@
     },
   };
 }
-
-function isEmpty(steward: Steward): boolean {
-  return [...steward.runs()].length === 0;
-}
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -162,6 +162,17 @@
     expect(ends).toEqual([]);
   });
 
+  it('is empty once the lease of an earlier dispatcher’s run has passed in silence', async () => {
+    const { timer, endpoint, steward } = await open((one) => {
+      one.carryOut(order);
+    });
+    endpoint.isSilent = true;
+    await timer.advance(900);
+    expect(steward.isEmpty()).toEqual(false);
+    await timer.advance(500);
+    expect(steward.isEmpty()).toEqual(true);
+  });
+
   it('stops what nobody claims, and starts nothing there before it is gone', async () => {
     const { timer, endpoint, steward } = await open((one) => {
       one.carryOut(order);
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -89,6 +89,8 @@
   refresh(): void;
   room(): Resources;
   runs(): Iterable<Run>;
+  /** Whether nothing runs there, neither of this dispatcher nor of an earlier one. */
+  isEmpty(): boolean;
   start(request: RunRequest): Run;
   stop(run: Run): void;
   /** Takes over a run of an earlier dispatcher, which may be stopping; `DONE` if it has ended so. */
@@ -340,6 +342,7 @@
     const reached = endpointClock.reachedMs(clock.nowMs());
     if (reached === undefined || reached < lastLeaseMs + LAPSE_MARGIN_MS) return;
     if ([...runs.values()].some(mayStartAnyTime)) return;
+    foreign.clear();
     for (const run of [...runs.values()]) end(run, RunEnds.LAPSED);
   }
 
@@ -500,6 +503,7 @@
     refresh,
     room,
     runs: () => runs.values(),
+    isEmpty: () => runs.size === 0 && foreign.isEmpty(),
     start,
     stop,
     claim,
