fix(dispatch): keep an endpoint listed for a while whose entry cannot be read any more

Cause: an entry that another writer had spoiled took its endpoint from the directory at once, while the tasks there went on. The next dispatcher did not list the endpoint and did not ask it what runs there. Evidence: decisions.spec.ts, "does not lose a living endpoint at once whose entry cannot be read any more", fails before. Change: such an endpoint stays listed as leaving, like one whose entry is missing, for 2.5 s.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -4,6 +4,7 @@
 import type { LeasedJob } from '@celerybarrow/protocol';
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import { createArrivalRates } from '../src/arrivalRates.js';
+import { createEndpointDirectory } from '../src/directory.js';
 import { choosePlace, type Placing } from '../src/choosePlace.js';
 import { createEndpointVerdict } from '../src/endpointVerdict.js';
 import { createGatewayLeases } from '../src/gatewayLeases.js';
@@ -307,3 +308,16 @@
     expect(rates.before(undefined, 9_000) < 0.1).toEqual(true);
   });
 });
+
+describe('the directory of endpoints', () => {
+  // It may run tasks, of which the next dispatcher has to hear from the endpoint itself.
+  it('does not lose a living endpoint at once whose entry cannot be read any more', async () => {
+    const timer = createManualTimer();
+    const directory = createEndpointDirectory(createElapsedClock(timer));
+    directory.take('a', entry('a'));
+    directory.take('a', undefined);
+    expect(directory.entries().map(({ id, isLeaving }) => [id, isLeaving])).toEqual([['a', true]]);
+    await timer.advance(3_000);
+    expect(directory.entries()).toEqual([]);
+  });
+});
--- a/packages/dispatch/src/directory.ts
+++ b/packages/dispatch/src/directory.ts
@@ -11,7 +11,10 @@
 const MISSING_KEPT_MS = 2_500;
 
 export interface EndpointDirectory {
-  /** Takes an entry; undefined when it does not name an endpoint that can be used. */
+  /**
+   * Takes an entry; undefined when it does not name an endpoint that can be used. An endpoint that
+   * was listed under it gets no new tasks, but may run some.
+   */
   take(id: string, entry: EndpointEntry | undefined): void;
   takeRemoval(id: string): void;
   /** Replaces all, with what another instance knew. */
@@ -29,8 +32,12 @@
 
   return {
     take(id, entry) {
-      if (entry === undefined) listed.delete(id);
-      else listed.set(id, { entry });
+      const known = listed.get(id);
+      if (entry !== undefined) listed.set(id, { entry });
+      else if (known !== undefined) {
+        const missingSinceMs = known.missingSinceMs ?? clock.nowMs();
+        listed.set(id, { entry: { ...known.entry, isLeaving: true }, missingSinceMs });
+      }
     },
     takeRemoval(id) {
       const one = listed.get(id);
