fix(dispatch,instance): survey endpoints only by a list that was read since the dispatcher began

Cause: an instance that becomes dispatcher begins with the list of endpoints that it had from the earlier one, which spreads with signs of life at most once a second. An endpoint that had just joined, started again or come back was in the list of the earlier dispatcher only; its runs were not seen, and their tasks were started elsewhere while they went on. Evidence: placer.spec.ts, "does not start a task again on the word of an outdated list of endpoints", fails before. Change: an instance reads the whole list anew for each shard that it begins to dispatch, and no survey ends before. The list of a linearizable store has every endpoint that the earlier dispatcher had read. Without the store (round above 0) the list of before counts, as nothing newer can be had. What it costs: one read for each change of dispatcher. If the store does not answer within the 300 ms of a survey, a handed-over job with missing tasks is lost.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -38,16 +38,13 @@
   const started: string[] = [];
   /** Tasks that were started while an earlier run of them was at work. */
   const startedTwice: string[] = [];
-  const atWork = new Map<string, string>();
+  const atWork = new Set(Object.values(earlier).map(({ task }) => taskKey(task)));
   const network: EndpointNetwork = {
     open(entry) {
       const running = new Map<string, RunningTask>();
       const ended: EndedTask[] = [];
       const old = earlier[entry.id];
-      if (old !== undefined) {
-        running.set(taskKey(old.task), old);
-        atWork.set(taskKey(old.task), entry.id);
-      }
+      if (old !== undefined) running.set(taskKey(old.task), old);
       return {
         async start({ task, run }) {
           await timer.sleep(1);
@@ -114,11 +111,16 @@
   };
 }
 
+interface Setup {
+  readonly isListed?: boolean;
+  readonly earlier?: EarlierRunsOf;
+  readonly isListCurrent?: () => boolean;
+}
+
 async function open(
   taskMs: number,
   slowness: Record<string, number>,
-  isListed = true,
-  earlier: EarlierRunsOf = {},
+  { isListed = true, earlier = {}, isListCurrent = () => true }: Setup = {},
 ) {
   const timer = createManualTimer();
   const ignore = () => undefined;
@@ -133,6 +135,7 @@
     metrics: createMetrics(),
     fence: () => 1,
     onFenced: ignore,
+    isListCurrent,
   });
   opened.push(dispatcher);
   const list = () => {
@@ -193,7 +196,11 @@
 
 describe('a dispatcher that has just begun', () => {
   it('refuses nothing before it knows its endpoints, as after a loss of all instances', async () => {
-    const { outcomes, submit, advance, list } = await open(100, { a: 1, b: 1 }, false);
+    const { outcomes, submit, advance, list } = await open(
+      100,
+      { a: 1, b: 1 },
+      { isListed: false },
+    );
     submit(job('early'));
     await advance(100);
     expect(outcomes.early).toEqual(undefined);
@@ -238,8 +245,7 @@
     const { timer, outcomes, submit, advance, startedTwice } = await open(
       100,
       { a: 1, b: 1 },
-      true,
-      earlier,
+      { earlier },
     );
     await timer.advance(170);
     submit(job('moved'), 1);
@@ -254,8 +260,7 @@
     const { dispatcher, outcomes, submit, advance, startedTwice } = await open(
       100,
       { a: 1, b: 1 },
-      true,
-      earlier,
+      { earlier },
     );
     dispatcher.follow([entry('a')]);
     submit(job('moved'), 1);
@@ -264,6 +269,25 @@
     expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
   });
 
+  // The endpoint that runs it may have joined after the list that this dispatcher began with.
+  it('does not start a task again on the word of an outdated list of endpoints', async () => {
+    const task = { job: 'moved', step: 0, index: 0 };
+    const earlier = { b: { task, run: 1, percent: 10 } };
+    const setup = { isCurrent: false };
+    const { dispatcher, outcomes, submit, advance, startedTwice } = await open(
+      100,
+      { a: 1 },
+      { earlier, isListCurrent: () => setup.isCurrent },
+    );
+    submit(job('moved'), 1);
+    await advance(100);
+    dispatcher.follow([entry('a'), entry('b')]);
+    setup.isCurrent = true;
+    await advance(600);
+    expect(startedTwice).toEqual([]);
+    expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -73,6 +73,8 @@
   readonly fence: () => number;
   /** An endpoint obeys a dispatcher with a higher fence. */
   readonly onFenced: () => void;
+  /** Whether the list of endpoints is as new as any earlier dispatcher's; always by default. */
+  readonly isListCurrent?: () => boolean;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
@@ -110,6 +112,7 @@
     pool,
     clock,
     logger,
+    isListCurrent: options.isListCurrent ?? (() => true),
     onDone: completeIfDone,
     onLost: (record, reason) => {
       finish(record, { state: JobStates.LOST, reason });
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -31,6 +31,8 @@
   readonly pool: EndpointPool;
   readonly clock: ElapsedClock;
   readonly logger: Logger;
+  /** Whether the pool has every endpoint that an earlier dispatcher may have used. */
+  readonly isListCurrent: () => boolean;
   /** A task turned out to have ended. */
   readonly onDone: (record: JobRecord) => void;
   readonly onLost: (record: JobRecord, reason: string) => void;
@@ -86,6 +88,7 @@
    */
   function isSurveyed({ surveyed, arrivedMs }: JobRecord): boolean {
     if (surveyed === undefined) return true;
+    if (!options.isListCurrent()) return false;
     for (const steward of pool.stewards()) surveyed.add(steward.id);
     const hasReported = (id: string) => (pool.find(id)?.reportedMs() ?? -1) >= arrivedMs;
     return surveyed.size > 0 && [...surveyed].every(hasReported);
--- /dev/null
+++ b/packages/instance/__tests__/followEndpoints.spec.ts
@@ -0,0 +1,71 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { Result } from 'true-myth';
+import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
+import type { EndpointEntry } from '@celerybarrow/endpoints';
+import { createDocuments } from '@celerybarrow/leadership';
+import { createRandom } from '@celerybarrow/shared';
+import type { Store } from '@celerybarrow/store';
+import { createEndpointFollower } from '../src/followEndpoints.js';
+
+const STORE_MS = 20;
+
+function entry(id: string): EndpointEntry {
+  const capacity = { cores: 1_000, memoryMb: 1, accelerators: 0 };
+  const base = { service: 's', address: id, dataCentre: 'd', isLeaving: false, labels: [] };
+  return { id, ...base, capacity };
+}
+
+/** A follower that had a list from another instance, and a store with a newer one. */
+function open(heard: readonly string[], stored: readonly string[]) {
+  const timer = createManualTimer();
+  const documents = createDocuments();
+  let lists = 0;
+  const store = {
+    list: async () => {
+      lists += 1;
+      await timer.sleep(STORE_MS);
+      const entries = stored.map((id) => ({ key: `e/${id}`, value: id, revision: 9 }));
+      return Result.ok({ revision: 9, entries, removed: [] });
+    },
+    watch: async () => {
+      await timer.sleep(1_000);
+      return Result.ok({ revision: 9, entries: [], removed: [] });
+    },
+  } as unknown as Store;
+  const follower = createEndpointFollower({
+    store,
+    source: { prefix: 'e/', read: ({ value }) => entry(value) },
+    documents,
+    timer,
+    clock: createElapsedClock(timer),
+    random: createRandom(1),
+    onEntries: () => undefined,
+  });
+  documents.offer('endpoints', { version: 1, text: JSON.stringify(heard.map(entry)) });
+  const ids = () => follower.entries().map(({ id }) => id);
+  return { timer, follower, ids, lists: () => lists };
+}
+
+describe('the list of endpoints of an instance that begins to dispatch', () => {
+  it('is current only once it was read from the store', async () => {
+    const { timer, follower, ids } = open(['a'], ['a', 'b']);
+    follower.start();
+    expect(follower.isCurrent()).toEqual(false);
+    expect(ids()).toEqual(['a']);
+    await timer.advance(STORE_MS);
+    expect(follower.isCurrent()).toEqual(true);
+    expect(ids()).toEqual(['a', 'b']);
+  });
+
+  it('is read anew for each shard that it begins to dispatch', async () => {
+    const { timer, follower, lists } = open([], ['a']);
+    follower.start();
+    await timer.advance(100);
+    follower.start();
+    expect(follower.isCurrent()).toEqual(false);
+    await timer.advance(STORE_MS);
+    expect(follower.isCurrent()).toEqual(true);
+    expect(lists()).toEqual(2);
+  });
+});
--- a/packages/instance/src/followEndpoints.ts
+++ b/packages/instance/src/followEndpoints.ts
@@ -31,7 +31,9 @@
 
 export interface EndpointFollower {
   entries(): readonly EndpointEntry[];
-  /** Begins to read the store, unless it is being read. */
+  /** Whether the whole list was read from the store since the last start. */
+  isCurrent(): boolean;
+  /** Reads the whole list from the store, and follows it. */
   start(): void;
   stop(): void;
 }
@@ -41,6 +43,7 @@
   const log = createLogger('endpoints');
   const directory: EndpointDirectory = createEndpointDirectory(clock);
   let following: AbortController | undefined;
+  let isCurrent = false;
   let listedText = '';
   let spreadText = '';
   let spreadMs = -Infinity;
@@ -64,6 +67,7 @@
         directory.takeRemoval(idOf(key));
       },
       onBatch: (revision) => {
+        isCurrent = true;
         reached = revision;
         publish(revision);
       },
@@ -101,9 +105,11 @@
 
   return {
     entries: () => directory.entries(),
+    isCurrent: () => isCurrent,
     start() {
-      if (following !== undefined) return;
+      following?.abort();
       following = new AbortController();
+      isCurrent = false;
       listedText = '';
       void follow(following.signal);
     },
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -107,6 +107,7 @@
     metrics,
     shards: () => leadership.shards().length,
     entries: endpoints.entries,
+    areEntriesCurrent: endpoints.isCurrent,
   });
   const leadership = createFleetLeadership({
     self,
@@ -134,10 +135,11 @@
   });
 
   function takeView(leading: Leadership): void {
+    const begins = leading.isDispatching() && dispatch.of(leading.shard) === undefined;
     if (leading.isDispatching()) dispatch.start(leading);
     else dispatch.stop(leading.shard);
     if (dispatch.isEmpty()) endpoints.stop();
-    else endpoints.start();
+    else if (begins) endpoints.start();
     log.info(leading.isDispatching() ? 'Dispatches.' : 'Follows.', {
       shard: leading.shard,
       epoch: leading.view()?.epoch,
--- a/packages/instance/src/shardDispatch.ts
+++ b/packages/instance/src/shardDispatch.ts
@@ -22,6 +22,8 @@
   readonly shards: () => number;
   /** All endpoints of the fleet. */
   readonly entries: () => readonly EndpointEntry[];
+  /** Whether these were read from the store since a dispatcher began here. */
+  readonly areEntriesCurrent: () => boolean;
 }
 
 export interface ShardDispatch {
@@ -58,6 +60,8 @@
       onFenced: () => {
         leadership.noteFenced();
       },
+      // Without the store the list that the instances had from it is all there is.
+      isListCurrent: () => options.areEntriesCurrent() || (leadership.view()?.round ?? 0) > 0,
     });
     const stopPulse = timer.onEvery(OWN_PULSE_MS, () => {
       dispatcher.noteGateway(self.instance);
