fix(instance): drop endpoints that had left before a new dispatcher read the list

Cause: an instance that begins to dispatch takes over the list that it had from another one and reads the store's. What was in the first and not in the second was never taken out, since only keys that this follower itself had read could be removed. Such an endpoint never reports, so no survey of earlier runs ends, and the list spreads to the other instances. Evidence: followEndpoints.spec.ts, "does not keep for good what had left before it was read", fails before. Change: what the first list does not name is treated like a removed entry, kept for 2.5 s if it had not announced that it leaves.

--- a/packages/instance/__tests__/followEndpoints.spec.ts
+++ b/packages/instance/__tests__/followEndpoints.spec.ts
@@ -68,4 +68,11 @@
     expect(follower.isCurrent()).toEqual(true);
     expect(lists()).toEqual(2);
   });
+
+  it('does not keep for good what had left before it was read', async () => {
+    const { timer, follower, ids } = open(['gone', 'a'], ['a']);
+    follower.start();
+    await timer.advance(3_000);
+    expect(ids()).toEqual(['a']);
+  });
 });
--- a/packages/instance/src/followEndpoints.ts
+++ b/packages/instance/src/followEndpoints.ts
@@ -50,6 +50,8 @@
 
   async function follow(signal: AbortSignal): Promise<void> {
     let reached = 0;
+    let isListed = false;
+    const listed = new Set<string>();
     const idOf = (key: string) => key.slice(source.prefix.length);
     const stopReviews = timer.onEvery(DIRECTORY_REVIEW_MS, () => {
       publish(reached);
@@ -61,12 +63,15 @@
       prefix: source.prefix,
       pauseMs: DIRECTORY_PAUSE_MS,
       onEntry: (one) => {
+        if (!isListed) listed.add(idOf(one.key));
         directory.take(idOf(one.key), source.read(one));
       },
       onRemoved: (key) => {
         directory.takeRemoval(idOf(key));
       },
       onBatch: (revision) => {
+        if (!isListed) removeUnlisted(listed);
+        isListed = true;
         isCurrent = true;
         reached = revision;
         publish(revision);
@@ -77,6 +82,11 @@
     stopReviews();
   }
 
+  /** The entries that another instance knew may have been removed before the list was read. */
+  function removeUnlisted(listed: ReadonlySet<string>): void {
+    for (const { id } of directory.entries()) if (!listed.has(id)) directory.takeRemoval(id);
+  }
+
   function publish(revision: number): void {
     const entries = directory.entries();
     const text = JSON.stringify(entries);
