Merge branch 'twice': no second run while an earlier one may still work

Seven faults of one class, each with the test that failed before in its own commit: that nothing is known of a run was taken as the proof that it is over. Joined with the log lines of: a new life of an endpoint ends nothing by itself any more, so the proof 'born-again' is gone; a claimed run that is being stopped is told as such in the survey's line.

--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -1,5 +1,5 @@
 /** What the dispatcher knows of one job until all its runs have certainly ended. */
-import type { Run, TaskRef } from '@celerybarrow/endpoints';
+import { RunStates, type Run, type TaskRef } from '@celerybarrow/endpoints';
 import type { JobOutcome, LeasedJob, Step } from '@celerybarrow/protocol';
 import type { LengthReading } from './jobLength.js';
 import { JobSizes, type JobSize } from './jobSizes.js';
@@ -133,6 +133,10 @@
   const open = tasks.filter(({ run }) => run !== undefined);
   if (open.length === 0) return undefined;
   return open
-    .map((task) => `${task.ref.step}/${task.ref.index}@${task.endpoint ?? ''}${runMark(task)}`)
+    .map((task) => {
+      const isStopping = task.run?.state === RunStates.STOPPING;
+      const place = `${task.ref.step}/${task.ref.index}@${task.endpoint ?? ''}${runMark(task)}`;
+      return isStopping ? `${place} stopping` : place;
+    })
     .join(' ');
 }
--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -31,6 +31,8 @@
   /** Whether another endpoint answers at the address. */
   isReplaced: boolean;
   bornMs: number;
+  /** Begins a new life, which runs and knows nothing of before. */
+  restart(): void;
   carryOut(order: RunOrder): void;
   end(order: RunOrder, how: RunEnd): void;
   setPercent(order: RunOrder, percent: number): void;
@@ -54,6 +56,12 @@
     areStartsLost: false,
     isReplaced: false,
     bornMs: 1,
+    restart() {
+      fake.bornMs += 1;
+      running.clear();
+      stopped.clear();
+      ended.length = 0;
+    },
     carryOut({ task, run }) {
       if ((stopped.get(taskKey(task)) ?? 0) < run) {
         running.set(taskKey(task), { task, run, percent: 0 });
--- a/packages/endpoints/src/endProof.ts
+++ b/packages/endpoints/src/endProof.ts
@@ -13,8 +13,6 @@
   LEASE_PASSED: 'lease-passed',
   /** The endpoint is silent, and its clock has passed every lease. */
   SILENCE: 'silence',
-  /** The endpoint began a new life. */
-  BORN_AGAIN: 'born-again',
   /** Another endpoint answers at the address. */
   REPLACED: 'replaced',
 } as const;
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -49,6 +49,8 @@
 const STOP_RETRY_MS = 120;
 /** Time that a stop takes at most, and a margin for the endpoint to notice the end of a lease. */
 const LAPSE_MARGIN_MS = 80;
+/** How long after it was sent an order without an answer may be carried out. */
+const LATEST_ORDER_MS = 10_000;
 /** How long runs of an earlier dispatcher may be claimed before they are stopped. */
 const CLAIM_WINDOW_MS = 200;
 /** Calls without an answer in a row after which an endpoint gets no new tasks. */
@@ -105,9 +107,11 @@
   runs(): Iterable<Run>;
   /** Runs that the endpoint lists and nobody has claimed. */
   foreignRuns(): Iterable<Readonly<ForeignRun>>;
+  /** Whether nothing runs there, neither of this dispatcher nor of an earlier one. */
+  isEmpty(): boolean;
   start(request: RunRequest): Run;
   stop(run: Run): void;
-  /** Takes over a run of an earlier dispatcher; `DONE` if it has ended so. */
+  /** Takes over a run of an earlier dispatcher, which may be stopping; `DONE` if it has ended so. */
   claim(task: TaskRef, demand: Resources): Run | typeof RunEnds.DONE | undefined;
   close(): void;
 }
@@ -212,7 +216,7 @@
       return;
     }
     if (answer.value.answer === OrderAnswers.FENCED) noteFenced();
-    if (answer.value.answer === OrderAnswers.REPLACED) loseLife('replaced');
+    if (answer.value.answer === OrderAnswers.REPLACED) loseAddress();
     if (answer.value.report === undefined) {
       countUnanswered(answer.value.answer);
       return;
@@ -242,8 +246,10 @@
 
   function takeReport(report: EndpointReport, sentMs: number): void {
     const nowMs = clock.nowMs();
-    if (report.bornMs !== undefined && bornMs !== undefined && report.bornMs !== bornMs) {
-      loseLife('born again', { bornMs: report.bornMs, earlierBornMs: bornMs });
+    if (report.bornMs !== undefined && bornMs !== undefined) {
+      // Answers on different connections may overtake each other.
+      if (report.bornMs < bornMs) return;
+      if (report.bornMs > bornMs) beginLife({ bornMs: report.bornMs, earlierBornMs: bornMs });
     }
     bornMs = report.bornMs ?? bornMs;
     endpointClock.read(report.clockMs, nowMs);
@@ -261,7 +267,9 @@
     // Answers on different connections may overtake each other.
     if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
     // Leases that the earlier dispatcher gave ended its reach when this fence arrived.
-    if (!foreign.isEmpty()) lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
+    if (!foreign.isEmpty() || [...orderEnds.values()].includes(Infinity)) {
+      lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
+    }
     newestReportMs = Math.max(newestReportMs, report.clockMs);
     if (isFirst || (wasInQuestion && !isInQuestion())) events.onChange();
     events.onReport();
@@ -349,33 +357,45 @@
     });
   }
 
-  /** A new life of the endpoint runs nothing of before; orders to the old one may still arrive. */
-  function loseLife(reason: 'replaced' | 'born again', details: NoteDetails = {}): void {
-    const wasReplaced = isReplaced;
-    isReplaced = reason === 'replaced';
-    // Every call to an address that another endpoint has taken over tells so again.
-    if (!wasReplaced || !isReplaced) {
-      const inDoubt = [...runs.values()].filter((run) => run.state !== RunStates.RUNNING);
-      events.onNote('Endpoint began a new life.', {
-        endpoint: entry.id,
-        reason,
-        runs: runs.size,
-        notRunning: inDoubt.map((run) => `${run.key}#${run.number} ${run.state}`).join(', '),
-        foreign: foreign.size(),
-        ...details,
-      });
-    }
+  /** Another endpoint answers at the address, so that nothing of before runs there. */
+  function loseAddress(): void {
+    // Every call to the address tells so again.
+    if (!isReplaced) noteLife('replaced');
+    isReplaced = true;
+    forgetLife();
+    for (const run of [...runs.values()]) end(run, RunEnds.LAPSED, undefined, EndProofs.REPLACED);
+  }
+
+  /**
+   * The endpoint started again. Orders may have reached the new life before its first report, so that
+   * this report and the next ones tell which runs are over, as they do of any other run.
+   */
+  function beginLife(details: NoteDetails): void {
+    noteLife('born again', details);
+    forgetLife();
+    stopAnswered.clear();
+    // Leases were asked for on the clock of the earlier life.
+    for (const run of runs.values()) orderEnds.set(run, Infinity);
+  }
+
+  function forgetLife(): void {
     endpointClock.reset();
     endsSeen = 0;
     lastLeaseMs = -Infinity;
     newestReportMs = -Infinity;
     foreign.clear();
-    for (const run of [...runs.values()]) {
-      const isInDoubt = run.state === RunStates.IN_DOUBT || run.state === RunStates.STARTING;
-      const proof = isReplaced ? EndProofs.REPLACED : EndProofs.BORN_AGAIN;
-      if (isReplaced || !isInDoubt) end(run, RunEnds.LAPSED, undefined, proof);
-      else orderEnds.set(run, Infinity);
-    }
+  }
+
+  function noteLife(reason: 'replaced' | 'born again', details: NoteDetails = {}): void {
+    const notRunning = [...runs.values()].filter((run) => run.state !== RunStates.RUNNING);
+    events.onNote('Endpoint began a new life.', {
+      endpoint: entry.id,
+      reason,
+      runs: runs.size,
+      notRunning: notRunning.map((run) => `${run.key}#${run.number} ${run.state}`).join(', '),
+      foreign: foreign.size(),
+      ...details,
+    });
   }
 
   /** Ends the runs of a silent endpoint once its clock has certainly passed every lease. */
@@ -383,11 +403,19 @@
     if (unanswered === 0) return;
     const reached = endpointClock.reachedMs(clock.nowMs());
     if (reached === undefined || reached < lastLeaseMs + LAPSE_MARGIN_MS) return;
+    if ([...runs.values()].some(mayStartAnyTime)) return;
+    foreign.clear();
     for (const run of [...runs.values()]) {
       end(run, RunEnds.LAPSED, undefined, EndProofs.SILENCE);
     }
   }
 
+  /** Whether its start, sent to an earlier life of the endpoint, may still begin a lease there. */
+  function mayStartAnyTime(run: Run): boolean {
+    if (startAnswered.has(run) || orderEnds.get(run) !== Infinity) return false;
+    return clock.nowMs() - run.sentMs < LATEST_ORDER_MS;
+  }
+
   function end(
     run: Run,
     how: RunEnd,
@@ -478,7 +506,7 @@
     const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
     end(run, RunEnds.NOT_STARTED, answer);
     if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
-    if (answer === OrderAnswers.REPLACED) loseLife('replaced');
+    if (answer === OrderAnswers.REPLACED) loseAddress();
   }
 
   /** Stops a run until an answer proves that the order arrived, then looks whether it is gone. */
@@ -516,19 +544,21 @@
     const found = foreign.take(key);
     if (found === undefined) return undefined;
     const nowMs = clock.nowMs();
+    const isStopped = found.stoppedMs !== undefined;
     const run: Run = {
       task,
       key,
       number: found.run,
       demand,
       sentMs: nowMs,
-      state: RunStates.RUNNING,
+      state: isStopped ? RunStates.STOPPING : RunStates.RUNNING,
       percent: found.percent,
       percentAtMs: nowMs,
       seenMs: nowMs,
     };
     runs.set(key, run);
     startAnswered.set(run, nowMs);
+    if (isStopped) void settleDoubt(run);
     wake.resolve(undefined);
     if (foreign.isEmpty()) events.onChange();
     return run;
@@ -566,6 +596,7 @@
     room,
     runs: () => runs.values(),
     foreignRuns: () => foreign.all(),
+    isEmpty: () => runs.size === 0 && foreign.isEmpty(),
     start,
     stop,
     claim,
--- a/packages/instance/src/followEndpoints.ts
+++ b/packages/instance/src/followEndpoints.ts
@@ -31,7 +31,9 @@
 
 export interface EndpointFollower {
   entries(): readonly EndpointEntry[];
-  /** Begins to read the store, unless it is being read. */
+  /** Whether the whole list was read from the store since the last start. */
+  isCurrent(): boolean;
+  /** Reads the whole list from the store, and follows it. */
   start(): void;
   stop(): void;
 }
@@ -41,12 +43,15 @@
   const log = createLogger('endpoints');
   const directory: EndpointDirectory = createEndpointDirectory(clock);
   let following: AbortController | undefined;
+  let isCurrent = false;
   let listedText = '';
   let spreadText = '';
   let spreadMs = -Infinity;
 
   async function follow(signal: AbortSignal): Promise<void> {
     let reached = 0;
+    let isListed = false;
+    const listed = new Set<string>();
     const idOf = (key: string) => key.slice(source.prefix.length);
     const stopReviews = timer.onEvery(DIRECTORY_REVIEW_MS, () => {
       publish(reached);
@@ -58,12 +63,16 @@
       prefix: source.prefix,
       pauseMs: DIRECTORY_PAUSE_MS,
       onEntry: (one) => {
+        if (!isListed) listed.add(idOf(one.key));
         directory.take(idOf(one.key), source.read(one));
       },
       onRemoved: (key) => {
         directory.takeRemoval(idOf(key));
       },
       onBatch: (revision) => {
+        if (!isListed) removeUnlisted(listed);
+        isListed = true;
+        isCurrent = true;
         reached = revision;
         publish(revision);
       },
@@ -73,6 +82,11 @@
     stopReviews();
   }
 
+  /** The entries that another instance knew may have been removed before the list was read. */
+  function removeUnlisted(listed: ReadonlySet<string>): void {
+    for (const { id } of directory.entries()) if (!listed.has(id)) directory.takeRemoval(id);
+  }
+
   function publish(revision: number): void {
     const entries = directory.entries();
     const text = JSON.stringify(entries);
@@ -102,9 +116,11 @@
 
   return {
     entries: () => directory.entries(),
+    isCurrent: () => isCurrent,
     start() {
-      if (following !== undefined) return;
+      following?.abort();
       following = new AbortController();
+      isCurrent = false;
       listedText = '';
       void follow(following.signal);
     },
