fix(endpoints): follow an endpoint that started again after its time of day was set back

An endpoint whose time of day was set back before it started again would never have been followed again, and its runs never ended. steward.spec.ts, "does not lose an endpoint that started again after its time of day was set back", failed before. Which life is newer follows from when the report was asked for: one that was asked for after the present life was first seen cannot be of an earlier one. An order without an answer is taken to arrive for up to 12 s, as the platform says, in place of 10 s.

--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -59,8 +59,8 @@
   return { timer, endpoint, steward, ends, notes, proofs, sightings };
 }
 
-function startOne(steward: Steward): Run {
-  return steward.start({ task, number: 1, demand, payload: '' });
+function startOne(steward: Steward, number = 1): Run {
+  return steward.start({ task, number, demand, payload: '' });
 }
 
 describe('the steward of an endpoint', () => {
@@ -271,6 +271,21 @@
     expect(ends.map(({ end }) => end)).toEqual([RunEnds.DONE]);
   });
 
+  it('does not lose an endpoint that started again after its time of day was set back', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => (one.bornMs = 5_000));
+    startOne(steward);
+    await timer.advance(50);
+    endpoint.restart();
+    endpoint.bornMs = 3_000;
+    await timer.advance(400);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.LAPSED]);
+    startOne(steward, 2);
+    await timer.advance(50);
+    endpoint.end({ ...order, run: 2 }, RunEnds.DONE);
+    await timer.advance(20);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.LAPSED, RunEnds.DONE]);
+  });
+
   it('does not call a run over whose start may still arrive at the new life', async () => {
     const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
     startOne(steward);
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -49,8 +49,8 @@
 const STOP_RETRY_MS = 120;
 /** Time that a stop takes at most, and a margin for the endpoint to notice the end of a lease. */
 const LAPSE_MARGIN_MS = 80;
-/** How long after it was sent an order without an answer may be carried out. */
-const LATEST_ORDER_MS = 10_000;
+/** How long after it was sent the platform may carry out an order without an answer. */
+const LATEST_ORDER_MS = 12_000;
 /** How long runs of an earlier dispatcher may be claimed before they are stopped. */
 const CLAIM_WINDOW_MS = 200;
 /** Calls without an answer in a row after which an endpoint gets no new tasks. */
@@ -131,6 +131,8 @@
   const startAnswered = new Map<Run, number>();
   let entry = options.entry;
   let bornMs: number | undefined;
+  /** When this life of the endpoint was first reported, on the own clock. */
+  let bornSeenMs = -Infinity;
   let endsSeen = 0;
   let lastLeaseMs = -Infinity;
   /** The endpoint's clock in the newest report. */
@@ -246,10 +248,11 @@
 
   function takeReport(report: EndpointReport, sentMs: number): void {
     const nowMs = clock.nowMs();
-    if (report.bornMs !== undefined && bornMs !== undefined) {
+    if (report.bornMs !== undefined && report.bornMs !== bornMs) {
       // Answers on different connections may overtake each other.
-      if (report.bornMs < bornMs) return;
-      if (report.bornMs > bornMs) beginLife({ bornMs: report.bornMs, earlierBornMs: bornMs });
+      if (sentMs < bornSeenMs) return;
+      if (bornMs !== undefined) beginLife({ bornMs: report.bornMs, earlierBornMs: bornMs });
+      bornSeenMs = nowMs;
     }
     bornMs = report.bornMs ?? bornMs;
     endpointClock.read(report.clockMs, nowMs);
@@ -376,6 +379,8 @@
     stopAnswered.clear();
     // Leases were asked for on the clock of the earlier life.
     for (const run of runs.values()) orderEnds.set(run, Infinity);
+    // The runs of before are over by a report that is asked for from here on; a waiting renewal is not.
+    if (runs.size > 0) refresh();
   }
 
   function forgetLife(): void {
