--- a/packages/dispatch/src/jobSizes.ts
+++ b/packages/dispatch/src/jobSizes.ts
@@ -14,7 +14,7 @@
 
 /** Latest jobs of a team that a new one is compared with, and the least that tell anything. */
 const COMPARED_JOBS = 100;
-const FEWEST_JOBS = 20;
+const FEWEST_JOBS = 10;
 /** Teams beyond this are not told apart, which bounds the number of counters. */
 const MAX_TEAMS = 100;
 const LARGEST_TENTH_RANK = 0.9;
