fix(dispatch): match a job that is sent anew with the unclaimed runs that endpoints list

Cause: a job that is not marked as run before was matched with earlier runs only in the first 1.7 s of a dispatcher. An endpoint that comes back from a cut lists runs at any later time; a caller whose connection broke in the cut sends the id again, and the task started elsewhere until the listed run had been stopped as unclaimed, 250 ms later. Evidence: placer.spec.ts, "does not start a task again that a caller sends anew while an endpoint lists its run", fails before. Change: the age of the dispatcher says nothing about runs that are listed right now; while an endpoint has any, every job is matched with them.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -1,9 +1,10 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import { Result } from 'true-myth';
-import { createRandom } from '@celerybarrow/shared';
+import { createRandom, ErrorCodes } from '@celerybarrow/shared';
 import { createElapsedClock, createManualTimer, type ManualTimer } from '@celerybarrow/timer';
 import {
+  EndpointError,
   OrderAnswers,
   RunEnds,
   taskKey,
@@ -19,6 +20,8 @@
 const CORES = 14_000;
 /** How long the stop of an earlier dispatcher's run takes. */
 const STOP_MS = 50;
+/** Time after which a call to a silent endpoint is given up. */
+const SILENCE_MS = 100;
 const opened: Dispatcher[] = [];
 
 afterEach(() => {
@@ -28,12 +31,17 @@
 /** Runs of an earlier dispatcher, by endpoint. */
 type EarlierRunsOf = Readonly<Record<string, RunningTask>>;
 
+async function unanswered(timer: ManualTimer): Promise<Result<never, EndpointError>> {
+  await timer.sleep(SILENCE_MS);
+  return Result.err(new EndpointError(ErrorCodes.ENDPOINT_SILENT));
+}
+
 /** Endpoints in memory whose tasks take a base time by their slowness. */
 function createNetwork(
   timer: ManualTimer,
   taskMs: number,
   slowness: Record<string, number>,
-  earlier: EarlierRunsOf,
+  { earlier = {}, silent = new Set(), replaced = new Set() }: Setup,
 ) {
   const started: string[] = [];
   /** Tasks that were started while an earlier run of them was at work. */
@@ -59,6 +67,7 @@
         },
         async stop({ task, run }) {
           await timer.sleep(1);
+          if (silent.has(entry.id)) return unanswered(timer);
           timer.onAfter(old === undefined ? 0 : STOP_MS, () => {
             if (!running.delete(taskKey(task))) return;
             atWork.delete(taskKey(task));
@@ -68,6 +77,8 @@
         },
         async renew({ endsSeen = 0, waitMs }) {
           await timer.sleep(1);
+          if (replaced.has(entry.id)) return Result.ok({ answer: OrderAnswers.REPLACED });
+          if (silent.has(entry.id)) return unanswered(timer);
           for (let waited = 0; waited < waitMs; waited += 5) {
             if (ended.some((one) => one.number > endsSeen)) break;
             await timer.sleep(5);
@@ -114,18 +125,18 @@
 interface Setup {
   readonly isListed?: boolean;
   readonly earlier?: EarlierRunsOf;
+  /** Endpoints that give no answer, and those whose address another one has taken over. */
+  readonly silent?: ReadonlySet<string>;
+  readonly replaced?: ReadonlySet<string>;
   readonly isListCurrent?: () => boolean;
 }
 
-async function open(
-  taskMs: number,
-  slowness: Record<string, number>,
-  { isListed = true, earlier = {}, isListCurrent = () => true }: Setup = {},
-) {
+async function open(taskMs: number, slowness: Record<string, number>, setup: Setup = {}) {
+  const { isListed = true, isListCurrent = () => true } = setup;
   const timer = createManualTimer();
   const ignore = () => undefined;
   const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
-  const { network, started, startedTwice } = createNetwork(timer, taskMs, slowness, earlier);
+  const { network, started, startedTwice } = createNetwork(timer, taskMs, slowness, setup);
   const dispatcher = createDispatcher({
     network,
     timer,
@@ -288,6 +299,22 @@
     expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
   });
 
+  it('does not start a task again that a caller sends anew while an endpoint lists its run', async () => {
+    const task = { job: 'again', step: 0, index: 0 };
+    const silent = new Set('b');
+    const { submit, advance, startedTwice } = await open(
+      400,
+      { a: 1, b: 1 },
+      { earlier: { b: { task, run: 1, percent: 10 } }, silent },
+    );
+    await advance(2_000);
+    silent.delete('b');
+    await advance(150);
+    submit(job('again'));
+    await advance(600);
+    expect(startedTwice).toEqual([]);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -53,7 +53,8 @@
       options.onLost(record, 'an endpoint with its runs is not listed');
       return;
     }
-    if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
+    const mayHaveRuns = isResubmitted || nowMs - createdMs <= EARLIER_RUNS_GONE_MS;
+    if (!mayHaveRuns && !isAnyForeign()) return;
     for (const task of record.tasks) claimTask(record, task);
     if (!isResubmitted) logUnmatched(record);
     else if (record.waiting === 0) logSurvey(record, nowMs);
@@ -66,6 +67,12 @@
     }
   }
 
+  /** Whether an endpoint lists runs that nobody has claimed, as after a cut that has healed. */
+  function isAnyForeign(): boolean {
+    for (const steward of pool.stewards()) if (steward.hasForeignRuns()) return true;
+    return false;
+  }
+
   /** A job that nobody has marked as run before, while runs of it may be out of sight. */
   function logUnmatched(record: JobRecord): void {
     const unreported = [...pool.stewards()].filter((one) => one.reportedMs() === undefined).length;
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -107,6 +107,8 @@
   runs(): Iterable<Run>;
   /** Runs that the endpoint lists and nobody has claimed. */
   foreignRuns(): Iterable<Readonly<ForeignRun>>;
+  /** Whether it lists runs that nobody has claimed. */
+  hasForeignRuns(): boolean;
   /** Whether nothing runs there, neither of this dispatcher nor of an earlier one. */
   isEmpty(): boolean;
   start(request: RunRequest): Run;
@@ -601,6 +603,7 @@
     room,
     runs: () => runs.values(),
     foreignRuns: () => foreign.all(),
+    hasForeignRuns: () => !foreign.isEmpty(),
     isEmpty: () => runs.size === 0 && foreign.isEmpty(),
     start,
     stop,
