fix(dispatch,endpoints): keep an endpoint that left the directory unseen until its leases have ended

Evidence: placer.spec.ts, "does not start a task again after its endpoint has left the directory unseen", fails before. Change: such an endpoint stays for the longest lease. Endpoints that are kept for their runs are let go by the dispatcher's review and not only with the next change of the list, so that none blocks surveys for longer; with it an endpoint that moved is found at its new address ("is served at the new address of an endpoint once nothing runs at the old one" fails before: the old address was kept until some other entry changed).

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -44,11 +44,13 @@
   { earlier = {}, silent = new Set(), replaced = new Set() }: Setup,
 ) {
   const started: string[] = [];
+  const addresses: string[] = [];
   /** Tasks that were started while an earlier run of them was at work. */
   const startedTwice: string[] = [];
   const atWork = new Set(Object.values(earlier).map(({ task }) => taskKey(task)));
   const network: EndpointNetwork = {
     open(entry) {
+      addresses.push(entry.address);
       const running = new Map<string, RunningTask>();
       const ended: EndedTask[] = [];
       const old = earlier[entry.id];
@@ -95,7 +97,7 @@
       };
     },
   };
-  return { network, started, startedTwice };
+  return { network, started, startedTwice, addresses };
 }
 
 function entry(id: string): EndpointEntry {
@@ -136,7 +138,12 @@
   const timer = createManualTimer();
   const ignore = () => undefined;
   const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
-  const { network, started, startedTwice } = createNetwork(timer, taskMs, slowness, setup);
+  const { network, started, startedTwice, addresses } = createNetwork(
+    timer,
+    taskMs,
+    slowness,
+    setup,
+  );
   const dispatcher = createDispatcher({
     network,
     timer,
@@ -166,7 +173,7 @@
       await timer.advance(50);
     }
   };
-  return { timer, dispatcher, started, startedTwice, outcomes, submit, advance, list };
+  return { timer, dispatcher, started, startedTwice, addresses, outcomes, submit, advance, list };
 }
 
 describe('the dispatcher under too much load', () => {
@@ -315,6 +322,44 @@
     expect(startedTwice).toEqual([]);
   });
 
+  it('does not start a task again after its endpoint has left the directory unseen', async () => {
+    const task = { job: 'moved', step: 0, index: 0 };
+    const { dispatcher, submit, advance, startedTwice } = await open(
+      400,
+      { a: 1, b: 1 },
+      { earlier: { b: { task, run: 1, percent: 10 } }, silent: new Set('b') },
+    );
+    dispatcher.follow([entry('a')]);
+    await advance(50);
+    submit(job('moved'), 1);
+    await advance(600);
+    expect(startedTwice).toEqual([]);
+  });
+
+  it('is not lost for an endpoint that left the directory unseen long ago', async () => {
+    const { dispatcher, outcomes, submit, advance } = await open(
+      100,
+      { a: 1, b: 1 },
+      { silent: new Set('b') },
+    );
+    dispatcher.follow([entry('a')]);
+    await advance(1_500);
+    submit(job('moved'), 1);
+    await advance(600);
+    expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
+  });
+
+  it('is served at the new address of an endpoint once nothing runs at the old one', async () => {
+    const silent = new Set<string>();
+    const { dispatcher, submit, advance, addresses } = await open(100, { a: 1 }, { silent });
+    submit(job('first'));
+    await advance(50);
+    silent.add('a');
+    dispatcher.follow([{ ...entry('a'), address: 'elsewhere' }]);
+    await advance(3_000);
+    expect(addresses).toEqual(['a', 'elsewhere']);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -449,6 +449,7 @@
   /** Looks at what no event announces: deadlines, silent gateways, claims, waiting jobs. */
   function review(): void {
     const nowMs = clock.nowMs();
+    pool.settle();
     survey.review();
     earlierRuns.settle(jobs.values(), nowMs);
     for (const record of [...jobs.values()]) {
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -15,6 +15,8 @@
 export interface EndpointPool {
   /** Makes the pool follow a new list of endpoints. */
   follow(entries: readonly EndpointEntry[]): void;
+  /** Lets go of endpoints that have left or moved, once nothing runs there. */
+  settle(): void;
   stewards(): Iterable<Steward>;
   find(endpoint: string): Steward | undefined;
   size(): number;
@@ -33,6 +35,9 @@
 export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
   const stewards = new Map<string, Steward>();
   const addresses = new Map<string, string>();
+  let followed: readonly EndpointEntry[] = [];
+  /** Whether an endpoint that has left or moved was kept for its runs. */
+  let isUnsettled = false;
 
   function open(entry: EndpointEntry): void {
     const { timer, clock, fence } = options;
@@ -50,11 +55,14 @@
   }
 
   function follow(entries: readonly EndpointEntry[]): void {
+    followed = entries;
+    isUnsettled = false;
     const listed = new Set(entries.map((entry) => entry.id));
     for (const steward of [...stewards.values()]) {
       if (listed.has(steward.id)) continue;
       steward.update({ ...steward.entry(), isLeaving: true });
       if (steward.isEmpty()) remove(steward.id);
+      else isUnsettled = true;
     }
     for (const entry of entries) {
       const known = stewards.get(entry.id);
@@ -63,12 +71,15 @@
       else if (known.isEmpty()) {
         remove(entry.id);
         open(entry);
-      }
+      } else isUnsettled = true;
     }
   }
 
   return {
     follow,
+    settle() {
+      if (isUnsettled) follow(followed);
+    },
     stewards: () => stewards.values(),
     find: (endpoint) => stewards.get(endpoint),
     size: () => stewards.size,
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -51,6 +51,8 @@
 const LAPSE_MARGIN_MS = 80;
 /** How long after it was sent the platform may carry out an order without an answer. */
 const LATEST_ORDER_MS = 12_000;
+/** Longest lease that an earlier dispatcher may have given, on a clock that is 2% slow, and a margin. */
+const UNSEEN_RUNS_GONE_MS = LONGEST_LEASE_MS / 0.98 + LAPSE_MARGIN_MS;
 /** How long runs of an earlier dispatcher may be claimed before they are stopped. */
 const CLAIM_WINDOW_MS = 200;
 /** Calls without an answer in a row after which an endpoint gets no new tasks. */
@@ -121,6 +123,7 @@
 export function createSteward(options: StewardOptions): Steward {
   const { endpoint, fence, timer, clock, events } = options;
   const closing = new AbortController();
+  const openedMs = clock.nowMs();
   const endpointClock = createEndpointClock();
   const foreign = createForeignRuns();
   const concluded = createConcludedRuns();
@@ -571,6 +574,12 @@
     return run;
   }
 
+  /** An endpoint that has not reported may run what an earlier dispatcher started, until it lapses. */
+  function isEmpty(): boolean {
+    if (runs.size > 0 || !foreign.isEmpty()) return false;
+    return surveyedAtMs !== undefined || clock.nowMs() - openedMs > UNSEEN_RUNS_GONE_MS;
+  }
+
   function room(): Resources {
     let { cores, memoryMb, accelerators } = entry.capacity;
     for (const { demand } of runs.values()) {
@@ -604,7 +613,7 @@
     runs: () => runs.values(),
     foreignRuns: () => foreign.all(),
     hasForeignRuns: () => !foreign.isEmpty(),
-    isEmpty: () => runs.size === 0 && foreign.isEmpty(),
+    isEmpty,
     start,
     stop,
     claim,
