--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -320,4 +320,12 @@
     await timer.advance(3_000);
     expect(directory.entries()).toEqual([]);
   });
+
+  it('does not lose a living endpoint whose spoiled entry is removed', () => {
+    const directory = createEndpointDirectory(createElapsedClock(createManualTimer()));
+    directory.take('a', entry('a'));
+    directory.take('a', undefined);
+    directory.takeRemoval('a');
+    expect(directory.entries().map(({ id }) => id)).toEqual(['a']);
+  });
 });
--- a/packages/dispatch/src/directory.ts
+++ b/packages/dispatch/src/directory.ts
@@ -41,9 +41,9 @@
     },
     takeRemoval(id) {
       const one = listed.get(id);
-      if (one === undefined) return;
+      if (one === undefined || one.missingSinceMs !== undefined) return;
       if (one.entry.isLeaving) listed.delete(id);
-      else one.missingSinceMs ??= clock.nowMs();
+      else one.missingSinceMs = clock.nowMs();
     },
     replace(entries) {
       listed.clear();
