fix(entry): do not take a job as run before that no dispatcher can have received

Cause: each attempt counted as a hand-over, also one whose connection was refused, so the next dispatcher surveyed all endpoints for its runs, and answered it as lost when one was out of reach. Change: a job counts as handed over once it was sent.

--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
 import { Result } from 'true-myth';
-import { ErrorCodes } from '@celerybarrow/shared';
+import { ErrorCodes, type ErrorCode } from '@celerybarrow/shared';
 import {
   JobStates,
   ProtocolError,
@@ -40,15 +40,16 @@
   const timer = createManualTimer();
   const submissions: Submission[] = [];
   const withdrawn: string[] = [];
-  const state: { view: View | undefined; isLinkLost: boolean } = {
+  const state: { view: View | undefined; isLinkLost: boolean; error: ErrorCode } = {
     view: { epoch: 1, round: 0, dispatcher },
     isLinkLost: false,
+    error: ErrorCodes.PEER_SILENT,
   };
   /** A connection to another instance that is lost with every request. */
   const link = {
     request: async () => {
       await timer.sleep(10);
-      return Result.err(new ProtocolError(ErrorCodes.PEER_SILENT));
+      return Result.err(new ProtocolError(state.error));
     },
   } as unknown as PeerLink;
   const leading = {
@@ -97,6 +98,20 @@
     expect(submissions[1]?.heldOn).toEqual(['e1']);
   });
 
+  it('is not taken to have run when no dispatcher can have received it', async () => {
+    const completed = { state: JobStates.COMPLETED, reason: '' };
+    const { timer, entry, submissions, state } = open([completed]);
+    state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+    state.isLinkLost = true;
+    state.error = ErrorCodes.PEER_UNREACHABLE;
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(30);
+    state.view = { epoch: 2, round: 0, dispatcher };
+    await timer.advance(200);
+    expect((await outcome).state).toEqual(JobStates.COMPLETED);
+    expect(submissions.map((one) => one.resubmissions)).toEqual([0]);
+  });
+
   it('is refused, as never run, when no dispatcher is known', async () => {
     const { timer, entry, state, submissions } = open([]);
     state.view = undefined;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -121,7 +121,8 @@
       if (one.isOutOfSight && view !== one.sentUnder) return outOfSight(one);
       const outcome = await attempt(one, view);
       if (outcome !== undefined) return outcome;
-      one.resubmissions += 1;
+      // A job that no dispatcher can have received has no earlier runs to look for.
+      if (one.sentUnder !== undefined) one.resubmissions += 1;
       if (routeOf(one)?.leading.view() === view) await timer.sleep(LOOK_INTERVAL_MS);
       logger.warn('Job is handed over again.', {
         job: one.job.id,
