fix(dispatch,endpoints): do not lose moved jobs for an address that was taken over, name all endpoints on a move

What callers saw: 502 for jobs that were handed over while an endpoint of the list had been replaced at its address; the survey waited for a report that it could not give. That another endpoint answers there is the proof that nothing of it runs, and counts as its report now. And a job that waited for the end of its own earlier runs, when its dispatcher changed, was handed over without the endpoints that held them.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -360,6 +360,34 @@
     expect(addresses).toEqual(['a', 'elsewhere']);
   });
 
+  it('is not lost for an endpoint whose address another one has taken over', async () => {
+    const { outcomes, submit, advance } = await open(
+      100,
+      { a: 1, b: 1, gone: 1 },
+      { replaced: new Set(['gone']) },
+    );
+    await advance(500);
+    submit(job('moved'), 1);
+    await advance(700);
+    expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
+  });
+
+  it('names the endpoints of its runs when it moves while it waits for their end', async () => {
+    const silent = new Set<string>();
+    const { dispatcher, timer, outcomes, submit, advance } = await open(700, { a: 1 }, { silent });
+    submit(job('again'));
+    await advance(100);
+    silent.add('a');
+    dispatcher.withdraw('again');
+    await advance(50);
+    submit(job('again'));
+    await advance(50);
+    dispatcher.close();
+    await timer.advance(100);
+    expect(outcomes['again']?.state).toEqual(JobStates.MOVED);
+    expect(outcomes['again']?.heldOn).toEqual(['a']);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -29,6 +29,7 @@
 import { createGatewayLeases } from './gatewayLeases.js';
 import {
   createJobRecord,
+  endpointsOf,
   describeRuns,
   runMark,
   type JobRecord,
@@ -46,6 +47,7 @@
 
 /** Interval at which waiting jobs, deadlines and progress are looked at without any event. */
 const REVIEW_INTERVAL_MS = 20;
+const MOVED_REASON = 'another instance dispatches';
 /** Runs of one gateway's submission are numbered from a multiple of this. */
 const RUNS_PER_SUBMISSION = 100;
 
@@ -186,13 +188,16 @@
   /** The same job again while runs of it are still being stopped: it waits for their ends. */
   async function readmit(record: JobRecord, submission: Submission): Promise<JobOutcome> {
     const sinceMs = clock.nowMs();
+    let heldOn: string[] = [];
     while (jobs.get(record.job.id) === record) {
+      heldOn = endpointsOf(record);
       await timer.sleep(REVIEW_INTERVAL_MS);
       const waitedMs = clock.nowMs() - sinceMs;
       if (waitedMs > submission.job.remainingMs) {
         return { state: JobStates.EXPIRED, reason: 'earlier runs did not end in time' };
       }
     }
+    if (isClosed) return { state: JobStates.MOVED, reason: MOVED_REASON, heldOn };
     const waitedMs = clock.nowMs() - sinceMs;
     const { job } = submission;
     return submit({
@@ -487,10 +492,8 @@
     pool.close();
     for (const record of jobs.values()) {
       if (record.outcome !== undefined) continue;
-      const heldOn = record.tasks.flatMap((task) =>
-        task.run === undefined || task.endpoint === undefined ? [] : [task.endpoint],
-      );
-      record.outcome = { state: JobStates.MOVED, reason: 'another instance dispatches', heldOn };
+      const heldOn = endpointsOf(record);
+      record.outcome = { state: JobStates.MOVED, reason: MOVED_REASON, heldOn };
       record.answer(record.outcome);
     }
     jobs.clear();
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -128,6 +128,12 @@
   return number === 1 ? '' : `#${number}`;
 }
 
+/** Endpoints on which runs of a job are not over. */
+export function endpointsOf({ tasks }: JobRecord): string[] {
+  const held = tasks.filter(({ run }) => run !== undefined).map(({ endpoint }) => endpoint);
+  return [...new Set(held)].filter((endpoint) => endpoint !== undefined);
+}
+
 /** The runs of a job that are not over, for the log; undefined if there are none. */
 export function describeRuns({ tasks }: JobRecord): string | undefined {
   const open = tasks.filter(({ run }) => run !== undefined);
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -226,7 +226,7 @@
       return;
     }
     if (answer.value.answer === OrderAnswers.FENCED) noteFenced();
-    if (answer.value.answer === OrderAnswers.REPLACED) loseAddress();
+    if (answer.value.answer === OrderAnswers.REPLACED) loseAddress(sentMs);
     if (answer.value.report === undefined) {
       countUnanswered(answer.value.answer);
       return;
@@ -369,10 +369,11 @@
   }
 
   /** Another endpoint answers at the address, so that nothing of before runs there. */
-  function loseAddress(): void {
+  function loseAddress(askedMs: number): void {
     // Every call to the address tells so again.
     if (!isReplaced) noteLife('replaced');
     isReplaced = true;
+    reportedMs = Math.max(reportedMs ?? askedMs, askedMs);
     forgetLife();
     for (const run of [...runs.values()]) end(run, RunEnds.LAPSED, undefined, EndProofs.REPLACED);
   }
@@ -519,7 +520,7 @@
     const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
     end(run, RunEnds.NOT_STARTED, answer);
     if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
-    if (answer === OrderAnswers.REPLACED) loseAddress();
+    if (answer === OrderAnswers.REPLACED) loseAddress(run.sentMs);
   }
 
   /** Stops a run until an answer proves that the order arrived, then looks whether it is gone. */
