fix(endpoints): take a start without an answer as over only when a stop of it was answered

Cause: a start without an answer was taken as over once its own lease had passed on the endpoint's clock, since it would be refused as too late. The protocol does not say by which lease that is judged: an endpoint that has one lease for all that runs there, prolonged by every later renewal, carries such a start out seconds later, while the task runs elsewhere. An endpoint that was silent, and whose runs had lapsed, got new leases as soon as it answered, with the same effect. Evidence: steward.spec.ts, "does not call a run over whose start may be carried out after its own lease" and "renews no lease under which a start that was given up could begin a run", fail before. Change (lateStarts.ts): such a start stays open until a stop of it was answered in this life of the endpoint, its run was listed, or 10 s have passed. A silent endpoint's runs still lapse with their lease, so that their tasks go on elsewhere at once; but the endpoint gets no renewal and no task before the stops of its open starts are answered, and without a renewal a late start is late by either reading. Stops are repeated after a restart of the endpoint, which forgets them, and at once when a silent endpoint answers.

--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -28,6 +28,8 @@
   isSilent: boolean;
   /** Whether starts get no answer, and are not carried out until told. */
   areStartsLost: boolean;
+  /** Whether stops get no answer, and are not carried out. */
+  areStopsLost: boolean;
   /** Whether another endpoint answers at the address. */
   isReplaced: boolean;
   bornMs: number;
@@ -52,6 +54,7 @@
     renewals: [],
     isSilent: false,
     areStartsLost: false,
+    areStopsLost: false,
     isReplaced: false,
     bornMs: 1,
     carryOut({ task, run }) {
@@ -81,7 +84,7 @@
     async stop(order): Promise<Result<OrderAnswer, EndpointError>> {
       fake.stops.push(order);
       await timer.sleep(1);
-      if (fake.isSilent) {
+      if (fake.isSilent || fake.areStopsLost) {
         await timer.sleep(100);
         return unanswered();
       }
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -221,4 +221,39 @@
     await timer.advance(400);
     expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
   });
+
+  // The endpoint may judge whether a start is late by the lease that it has got since.
+  it('does not call a run over whose start may be carried out after its own lease', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => {
+      one.areStartsLost = true;
+      one.areStopsLost = true;
+    });
+    startOne(steward);
+    await timer.advance(1_500);
+    expect(ends).toEqual([]);
+    expect(steward.isUsable()).toEqual(false);
+    endpoint.areStopsLost = false;
+    await timer.advance(300);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
+    expect(steward.isUsable()).toEqual(true);
+  });
+
+  it('renews no lease under which a start that was given up could begin a run', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
+    endpoint.areStopsLost = true;
+    endpoint.isSilent = true;
+    startOne(steward);
+    await timer.advance(2_000);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.LAPSED]);
+    endpoint.isSilent = false;
+    const before = endpoint.renewals.length;
+    await timer.advance(1_000);
+    const later = endpoint.renewals.slice(before);
+    expect(later.length > 0 && later.length < 30).toEqual(true);
+    expect(later.every((one) => one.leaseEndMs === undefined)).toEqual(true);
+    expect(steward.isUsable()).toEqual(false);
+    endpoint.areStopsLost = false;
+    await timer.advance(400);
+    expect(steward.isUsable()).toEqual(true);
+  });
 });
--- /dev/null
+++ b/packages/endpoints/src/lateStarts.ts
@@ -0,0 +1,66 @@
+/**
+ * Starts that got no answer and may still be carried out.
+ *
+ * Fault pattern: an endpoint that leaves orders unanswered and carries them out seconds later. The
+ * lease of the order does not keep it from doing so: the endpoint may judge by the lease that later
+ * renewals gave to all that runs there. Only the answer to a stop does, in the same life of the
+ * endpoint, since a new life has forgotten what was stopped.
+ */
+import { taskKey, type TaskRef } from './leasedEndpoint.js';
+
+/** How long after it was sent an order without an answer may be carried out. */
+export const LATEST_ORDER_MS = 10_000;
+
+export interface LateStart {
+  readonly key: string;
+  readonly task: TaskRef;
+  readonly run: number;
+  readonly sentMs: number;
+}
+
+export interface LateStarts {
+  note(task: TaskRef, run: number, sentMs: number): void;
+  /** A stop of the run was answered. */
+  noteStopped(key: string, run: number): void;
+  /** The start was carried out. */
+  noteStarted(key: string, run: number): void;
+  /** The endpoint has forgotten what was stopped. */
+  reopen(): void;
+  /** Those of which no stop was answered. */
+  open(nowMs: number): readonly LateStart[];
+  clear(): void;
+}
+
+const NONE: readonly LateStart[] = [];
+
+export function createLateStarts(): LateStarts {
+  const starts = new Map<string, LateStart & { isStopped: boolean }>();
+  const nameOf = (key: string, run: number) => `${key}#${run}`;
+
+  return {
+    note(task, run, sentMs) {
+      const key = taskKey(task);
+      starts.set(nameOf(key, run), { key, task, run, sentMs, isStopped: false });
+    },
+    noteStopped(key, run) {
+      const start = starts.get(nameOf(key, run));
+      if (start !== undefined) start.isStopped = true;
+    },
+    noteStarted(key, run) {
+      starts.delete(nameOf(key, run));
+    },
+    reopen() {
+      for (const start of starts.values()) start.isStopped = false;
+    },
+    open(nowMs) {
+      if (starts.size === 0) return NONE;
+      for (const [name, { sentMs }] of starts) {
+        if (nowMs - sentMs >= LATEST_ORDER_MS) starts.delete(name);
+      }
+      return [...starts.values()].filter(({ isStopped }) => !isStopped);
+    },
+    clear() {
+      starts.clear();
+    },
+  };
+}
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -16,6 +16,7 @@
 import { createEndpointClock } from './endpointClock.js';
 import type { EndpointError } from './endpointError.js';
 import { createForeignRuns } from './foreignRuns.js';
+import { createLateStarts, LATEST_ORDER_MS, type LateStart } from './lateStarts.js';
 import {
   OrderAnswers,
   RunEnds,
@@ -47,8 +48,6 @@
 const STOP_RETRY_MS = 120;
 /** Time that a stop takes at most, and a margin for the endpoint to notice the end of a lease. */
 const LAPSE_MARGIN_MS = 80;
-/** How long after it was sent an order without an answer may be carried out. */
-const LATEST_ORDER_MS = 10_000;
 /** How long runs of an earlier dispatcher may be claimed before they are stopped. */
 const CLAIM_WINDOW_MS = 200;
 /** Calls without an answer in a row after which an endpoint gets no new tasks. */
@@ -104,8 +103,9 @@
   const endpointClock = createEndpointClock();
   const foreign = createForeignRuns();
   const runs = new Map<string, Run>();
-  /** End of the lease of each start, on the endpoint's clock. */
-  const orderEnds = new Map<Run, number>();
+  const lateStarts = createLateStarts();
+  /** Runs that were started before the newest life of the endpoint was known. */
+  const ofEarlierLife = new Set<Run>();
   /** When a stop of the run was answered, on the own clock. */
   const stopAnswered = new Map<Run, number>();
   /** When the run was first known to have started, on the own clock. */
@@ -121,6 +121,9 @@
   let isRefreshing = false;
   let unanswered = 0;
   let pausedUntilMs = 0;
+  let givenUpStoppedMs = -Infinity;
+  /** Ends the pause between stops when the endpoint answers again. */
+  let stopPause = new AbortController();
   /** When an order last got no answer; only a report that was asked for later clears it. */
   let questionedMs = -Infinity;
   let isReplaced = false;
@@ -134,7 +137,7 @@
       if (closing.signal.aborted) return;
       await look(renewalWaitMs());
       if (runs.size > 0 && unanswered === 0) await timer.sleep(GATHER_MS);
-      if (unanswered > 1 || isReplaced) await timer.sleep(RETRY_MS);
+      if (unanswered > 1 || isReplaced || givenUpStarts().length > 0) await timer.sleep(RETRY_MS);
     }
   }
 
@@ -157,9 +160,18 @@
     return isServing() ? RENEWAL_WAIT_MS : RETRY_MS;
   }
 
-  /** Whether the runs of earlier dispatchers are claimed or gone, so that leases may be renewed. */
+  /**
+   * Whether leases may be renewed: the runs of earlier dispatchers are claimed or gone, and no start
+   * that was given up can begin a run under a renewed lease.
+   */
   function isServing(): boolean {
-    return surveyedAtMs !== undefined && foreign.isEmpty();
+    return surveyedAtMs !== undefined && foreign.isEmpty() && givenUpStarts().length === 0;
+  }
+
+  /** Starts that may still be carried out although their runs were taken as lapsed. */
+  function givenUpStarts(): readonly LateStart[] {
+    const open = lateStarts.open(clock.nowMs());
+    return open.filter(({ key, run }) => runs.get(key)?.number !== run);
   }
 
   async function look(waitMs: number): Promise<void> {
@@ -203,6 +215,10 @@
       return;
     }
     const wasSilent = unanswered >= SILENT_CALLS;
+    if (unanswered > 0) {
+      stopPause.abort();
+      stopPause = new AbortController();
+    }
     unanswered = 0;
     isReplaced = false;
     isFenced = false;
@@ -248,19 +264,21 @@
     // Answers on different connections may overtake each other.
     if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
     // Leases that the earlier dispatcher gave ended its reach when this fence arrived.
-    if (!foreign.isEmpty() || [...orderEnds.values()].includes(Infinity)) {
+    if (!foreign.isEmpty() || ofEarlierLife.size > 0) {
       lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
     }
     newestReportMs = Math.max(newestReportMs, report.clockMs);
     if (isFirst || (wasInQuestion && !isInQuestion())) events.onChange();
     events.onReport();
     stopUnclaimed(nowMs);
+    stopGivenUp(nowMs);
   }
 
   function takeRunning(report: EndpointReport, sentMs: number, nowMs: number): void {
     const listed = new Set<string>();
     for (const one of report.running) {
       const key = taskKey(one.task);
+      lateStarts.noteStarted(key, one.run);
       const run = runs.get(key);
       if (run?.number !== one.run) {
         foreign.noteRunning(one, nowMs);
@@ -277,20 +295,17 @@
       }
     }
     for (const run of [...runs.values()]) {
-      if (!listed.has(run.key)) settleUnlisted(run, report, sentMs);
+      if (!listed.has(run.key)) settleUnlisted(run, sentMs);
     }
     if (foreign.retain((key) => listed.has(`foreign ${key}`))) events.onChange();
   }
 
-  function settleUnlisted(run: Run, report: EndpointReport, sentMs: number): void {
+  function settleUnlisted(run: Run, sentMs: number): void {
     const how = provenEnd({
       askedMs: sentMs,
-      askedAtEndpointMs: endpointClock.reachedMs(sentMs),
-      reportedAtEndpointMs: report.clockMs,
+      sentMs: run.sentMs,
       stopAnsweredMs: stopAnswered.get(run),
       startAnsweredMs: startAnswered.get(run),
-      isInDoubt: run.state === RunStates.IN_DOUBT,
-      orderEndMs: orderEnds.get(run),
     });
     if (how !== undefined) end(run, how);
   }
@@ -303,12 +318,28 @@
     }
   }
 
+  function stopGivenUp(nowMs: number): void {
+    if (nowMs - givenUpStoppedMs < STOP_RETRY_MS) return;
+    givenUpStoppedMs = nowMs;
+    for (const { key, task, run } of givenUpStarts()) {
+      void endpoint.stop({ task, run, fence: fence() }).then((answer) => {
+        if (!closing.signal.aborted && isCarriedOut(answer)) noteStopped(key, run);
+      });
+    }
+  }
+
+  function noteStopped(key: string, run: number): void {
+    lateStarts.noteStopped(key, run);
+    events.onChange();
+  }
+
   /** Another endpoint answers at the address, so that nothing of before runs there. */
   function loseAddress(): void {
     // Every call to the address tells so again.
     if (!isReplaced) noteLife('replaced');
     isReplaced = true;
     forgetLife();
+    lateStarts.clear();
     for (const run of [...runs.values()]) end(run, RunEnds.LAPSED);
   }
 
@@ -320,8 +351,8 @@
     noteLife('born again');
     forgetLife();
     stopAnswered.clear();
-    // Leases were asked for on the clock of the earlier life.
-    for (const run of runs.values()) orderEnds.set(run, Infinity);
+    lateStarts.reopen();
+    for (const run of runs.values()) ofEarlierLife.add(run);
   }
 
   function forgetLife(): void {
@@ -346,16 +377,19 @@
     for (const run of [...runs.values()]) end(run, RunEnds.LAPSED);
   }
 
-  /** Whether its start, sent to an earlier life of the endpoint, may still begin a lease there. */
+  /**
+   * Whether its start, sent to an earlier life of the endpoint, may still be carried out there. Its
+   * lease ends on the clock of that life, which says nothing in this one.
+   */
   function mayStartAnyTime(run: Run): boolean {
-    if (startAnswered.has(run) || orderEnds.get(run) !== Infinity) return false;
+    if (startAnswered.has(run) || !ofEarlierLife.has(run)) return false;
     return clock.nowMs() - run.sentMs < LATEST_ORDER_MS;
   }
 
   function end(run: Run, how: RunEnd, answer?: OrderAnswer): void {
     if (runs.get(run.key) !== run) return;
     runs.delete(run.key);
-    orderEnds.delete(run);
+    ofEarlierLife.delete(run);
     stopAnswered.delete(run);
     startAnswered.delete(run);
     pausedUntilMs = 0;
@@ -378,7 +412,6 @@
     const leaseEndMs = Math.floor((endpointClock.reachedMs(nowMs) ?? 0) + START_LEASE_MS);
     lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
     runs.set(run.key, run);
-    orderEnds.set(run, leaseEndMs);
     void sendStart(run, request.payload, leaseEndMs);
     wake.resolve(undefined);
     return run;
@@ -389,6 +422,7 @@
     const answer = await endpoint.start(order);
     if (closing.signal.aborted || runs.get(run.key) !== run) return;
     if (answer.isErr) {
+      if (!startAnswered.has(run)) lateStarts.note(run.task, run.number, run.sentMs);
       if (run.state !== RunStates.STARTING) return;
       events.onNote('Start got no answer.', {
         endpoint: entry.id,
@@ -423,14 +457,12 @@
       const answer = await endpoint.stop({ task: run.task, run: run.number, fence: fence() });
       if (closing.signal.aborted || runs.get(run.key) !== run) return;
       if (answer.isOk && answer.value === OrderAnswers.FENCED) noteFenced();
-      const isCarriedOut =
-        answer.isOk &&
-        (answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED);
-      if (isCarriedOut) {
+      if (isCarriedOut(answer)) {
         stopAnswered.set(run, clock.nowMs());
+        noteStopped(run.key, run.number);
         await look(0);
       }
-      if (runs.get(run.key) === run) await timer.sleep(STOP_RETRY_MS);
+      if (runs.get(run.key) === run) await timer.sleep(STOP_RETRY_MS, stopPause.signal);
     }
   }
 
@@ -495,6 +527,7 @@
       !entry.isLeaving &&
       unanswered < SILENT_CALLS &&
       !isInQuestion() &&
+      lateStarts.open(clock.nowMs()).length === 0 &&
       !isReplaced &&
       !isFenced &&
       clock.nowMs() >= pausedUntilMs,
@@ -514,3 +547,9 @@
     },
   };
 }
+
+/** Whether a stop was answered and keeps the run from starting later. */
+function isCarriedOut(answer: Result<OrderAnswer, EndpointError>): boolean {
+  if (answer.isErr) return false;
+  return answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED;
+}
--- a/packages/endpoints/src/unlistedRun.ts
+++ b/packages/endpoints/src/unlistedRun.ts
@@ -3,26 +3,22 @@
  *
  * Fault patterns: orders that get no answer and are carried out seconds later, and answers that
  * overtake each other. A run is over only if the report was asked for after the run was known to have
- * started, or after its stop was answered, or if the lease that its start carried had passed on the
- * endpoint's clock before the report was asked for. Otherwise its start may still arrive.
+ * started, or after its stop was answered, or so long after its start was sent that it cannot be
+ * carried out any more. Otherwise its start may still arrive.
  */
+import { LATEST_ORDER_MS } from './lateStarts.js';
 import { RunEnds, type RunEnd } from './leasedEndpoint.js';
 
+/** Moments on the own clock. */
 export interface UnlistedRun {
-  /** When the report was asked for, on the own clock. */
+  /** When the report was asked for. */
   readonly askedMs: number;
-  /** The same moment on the endpoint's clock, as far ahead as it may be; undefined if not known. */
-  readonly askedAtEndpointMs: number | undefined;
-  /** The endpoint's clock in the report. */
-  readonly reportedAtEndpointMs: number;
-  /** When a stop of the run was answered, on the own clock. */
+  /** When the start was sent. */
+  readonly sentMs: number;
+  /** When a stop of the run was answered. */
   readonly stopAnsweredMs: number | undefined;
-  /** When the run was first known to have started, on the own clock. */
+  /** When the run was first known to have started. */
   readonly startAnsweredMs: number | undefined;
-  /** Whether its start got no answer. */
-  readonly isInDoubt: boolean;
-  /** End of the lease of its start, on the endpoint's clock. */
-  readonly orderEndMs: number | undefined;
 }
 
 /** How the run has ended; undefined if the report proves nothing. */
@@ -31,8 +27,5 @@
     return RunEnds.NOT_STARTED;
   }
   if (run.startAnsweredMs !== undefined && run.askedMs > run.startAnsweredMs) return RunEnds.LAPSED;
-  const orderEndMs = run.orderEndMs ?? Infinity;
-  const hasLapsed = run.isInDoubt && run.reportedAtEndpointMs > orderEndMs;
-  const wasAskedAfter = (run.askedAtEndpointMs ?? 0) > orderEndMs;
-  return hasLapsed && wasAskedAfter ? RunEnds.NOT_STARTED : undefined;
+  return run.askedMs - run.sentMs >= LATEST_ORDER_MS ? RunEnds.NOT_STARTED : undefined;
 }
