fix(endpoints): start nothing with a refused fence at an endpoint that has restarted

Cause: an endpoint that has refused a dispatcher's fence counted as usable again with its next report. After a restart it has seen no fence and obeys the deposed dispatcher, if that asks before its successor does. Evidence: steward.spec.ts, "gives no task to an endpoint that restarts after it has obeyed another dispatcher", fails before.

--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -32,6 +32,8 @@
   areStopsLost: boolean;
   /** Whether another endpoint answers at the address. */
   isReplaced: boolean;
+  /** The highest fence that it has seen. */
+  fence: number;
   bornMs: number;
   carryOut(order: RunOrder): void;
   end(order: RunOrder, how: RunEnd): void;
@@ -56,6 +58,7 @@
     areStartsLost: false,
     areStopsLost: false,
     isReplaced: false,
+    fence: 0,
     bornMs: 1,
     carryOut({ task, run }) {
       if ((stopped.get(taskKey(task)) ?? 0) < run) {
@@ -95,6 +98,7 @@
     async renew(order): Promise<Result<RenewalAnswer, EndpointError>> {
       fake.renewals.push(order);
       if (fake.isReplaced) return Result.ok({ answer: OrderAnswers.REPLACED });
+      if (order.fence < fake.fence) return Result.ok({ answer: OrderAnswers.FENCED });
       const seen = order.endsSeen ?? 0;
       await timer.sleep(1);
       for (let waited = 0; waited < order.waitMs && !fake.isSilent; waited += 5) {
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -17,6 +17,7 @@
   const timer = createManualTimer();
   const endpoint = createFakeEndpoint(timer);
   prepare?.(endpoint);
+  const own = { fence: 1 };
   const ends: { run: Run; end: RunEnd; atMs: number }[] = [];
   const notes: string[] = [];
   const steward = createSteward({
@@ -30,7 +31,7 @@
       labels: [],
     },
     endpoint,
-    fence: () => 1,
+    fence: () => own.fence,
     timer,
     clock: createElapsedClock(timer),
     events: {
@@ -43,7 +44,7 @@
   });
   opened.push(steward);
   await timer.advance(20);
-  return { timer, endpoint, steward, ends, notes };
+  return { timer, endpoint, steward, ends, notes, own };
 }
 
 function startOne(steward: Steward): Run {
@@ -256,4 +257,21 @@
     await timer.advance(400);
     expect(steward.isUsable()).toEqual(true);
   });
+
+  // A restart forgets the fence, not who dispatches.
+  it('gives no task to an endpoint that restarts after it has obeyed another dispatcher', async () => {
+    const { timer, endpoint, steward, own } = await open();
+    endpoint.fence = 2;
+    steward.refresh();
+    await timer.advance(20);
+    expect(steward.isUsable()).toEqual(false);
+    endpoint.fence = 0;
+    endpoint.bornMs = 2;
+    steward.refresh();
+    await timer.advance(300);
+    expect(steward.isUsable()).toEqual(false);
+    own.fence = 3;
+    await timer.advance(300);
+    expect(steward.isUsable()).toEqual(true);
+  });
 });
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -127,8 +127,11 @@
   /** When an order last got no answer; only a report that was asked for later clears it. */
   let questionedMs = -Infinity;
   let isReplaced = false;
-  /** Whether the endpoint obeys another dispatcher, as far as is known. */
-  let isFenced = false;
+  /**
+   * Fence that the endpoint refused last. It would obey it again after a restart, but whoever has the
+   * higher one goes on dispatching.
+   */
+  let refusedFence = -Infinity;
   let wake = createDeferred<undefined>();
 
   async function follow(): Promise<void> {
@@ -182,14 +185,15 @@
     const mayRenew = isServing() && reached !== undefined && unanswered === 0;
     const leaseEndMs = mayRenew ? Math.floor(reached + LEASE_MS) : undefined;
     if (leaseEndMs !== undefined) lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
+    const sentFence = fence();
     const answer = await endpoint.renew({
-      fence: fence(),
+      fence: sentFence,
       waitMs,
       ...(mayRenew ? { endsSeen } : {}),
       ...(leaseEndMs === undefined ? {} : { leaseEndMs }),
     });
     if (closing.signal.aborted) return;
-    takeRenewal(answer, sentMs);
+    takeRenewal(answer, sentMs, sentFence);
     lapseSilentRuns();
   }
 
@@ -203,12 +207,16 @@
     });
   }
 
-  function takeRenewal(answer: Result<RenewalAnswer, EndpointError>, sentMs: number): void {
+  function takeRenewal(
+    answer: Result<RenewalAnswer, EndpointError>,
+    sentMs: number,
+    sentFence: number,
+  ): void {
     if (answer.isErr) {
       countUnanswered(answer.error.message);
       return;
     }
-    if (answer.value.answer === OrderAnswers.FENCED) noteFenced();
+    if (answer.value.answer === OrderAnswers.FENCED) noteFenced(sentFence);
     if (answer.value.answer === OrderAnswers.REPLACED) loseAddress();
     if (answer.value.report === undefined) {
       countUnanswered(answer.value.answer);
@@ -221,7 +229,6 @@
     }
     unanswered = 0;
     isReplaced = false;
-    isFenced = false;
     takeReport(answer.value.report, sentMs);
     if (wasSilent) {
       events.onNote('Endpoint answers again.', { endpoint: entry.id });
@@ -229,8 +236,8 @@
     }
   }
 
-  function noteFenced(): void {
-    isFenced = true;
+  function noteFenced(refused: number): void {
+    refusedFence = Math.max(refusedFence, refused);
     events.onFenced();
   }
 
@@ -435,16 +442,16 @@
       void settleDoubt(run);
       return;
     }
-    takeStartAnswer(run, answer.value);
+    takeStartAnswer(run, answer.value, order.fence);
   }
 
-  function takeStartAnswer(run: Run, answer: OrderAnswer): void {
+  function takeStartAnswer(run: Run, answer: OrderAnswer, sentFence: number): void {
     if (answer === OrderAnswers.ACCEPTED) {
       startAnswered.set(run, clock.nowMs());
       if (run.state === RunStates.STARTING) run.state = RunStates.RUNNING;
       return;
     }
-    if (answer === OrderAnswers.FENCED) noteFenced();
+    if (answer === OrderAnswers.FENCED) noteFenced(sentFence);
     const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
     end(run, RunEnds.NOT_STARTED, answer);
     if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
@@ -454,9 +461,11 @@
   /** Stops a run until an answer proves that the order arrived, then looks whether it is gone. */
   async function settleDoubt(run: Run): Promise<void> {
     while (!closing.signal.aborted && runs.get(run.key) === run) {
-      const answer = await endpoint.stop({ task: run.task, run: run.number, fence: fence() });
+      const sentFence = fence();
+      const order = { task: run.task, run: run.number, fence: sentFence };
+      const answer = await endpoint.stop(order);
       if (closing.signal.aborted || runs.get(run.key) !== run) return;
-      if (answer.isOk && answer.value === OrderAnswers.FENCED) noteFenced();
+      if (answer.isOk && answer.value === OrderAnswers.FENCED) noteFenced(sentFence);
       if (isCarriedOut(answer)) {
         stopAnswered.set(run, clock.nowMs());
         noteStopped(run.key, run.number);
@@ -529,7 +538,7 @@
       !isInQuestion() &&
       lateStarts.open(clock.nowMs()).length === 0 &&
       !isReplaced &&
-      !isFenced &&
+      fence() > refusedFence &&
       clock.nowMs() >= pausedUntilMs,
     isSilent: () => unanswered >= SILENT_CALLS,
     reportedMs: () => reportedMs,
