fix(dispatch): claim the run of a task that any endpoint lists instead of starting another

Cause: earlier runs were looked for when a job came, and for a job that was not handed over only in the first 1.7 s of a dispatcher. A run that an endpoint listed later (it joined the list with the run of another dispatcher, or carried a start out late) was seen by its steward and not asked for by the start. Evidence: placer.spec.ts, "does not start a task again that an endpoint lists which has joined since", fails before. Change: each start first looks whether an endpoint lists a run of the task, and claims it. That is a look into an empty map for each endpoint, unless there are such runs.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -288,6 +288,23 @@
     expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
   });
 
+  it('does not start a task again that an endpoint lists which has joined since', async () => {
+    const task = { job: 'again', step: 0, index: 0 };
+    const earlier = { b: { task, run: 1, percent: 10 } };
+    const { timer, dispatcher, outcomes, submit, advance, startedTwice } = await open(
+      100,
+      { a: 1 },
+      { earlier },
+    );
+    await advance(2_000);
+    dispatcher.follow([entry('a'), entry('b')]);
+    await timer.advance(20);
+    submit(job('again'));
+    await advance(600);
+    expect(startedTwice).toEqual([]);
+    expect(outcomes['again']?.state).toEqual(JobStates.COMPLETED);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -263,7 +263,7 @@
 
   function startTask(record: JobRecord, task: TaskRecord, steward: Steward): void {
     const demand = record.job.steps[task.ref.step]?.demand;
-    if (demand === undefined) return;
+    if (demand === undefined || earlierRuns.claimTask(record, task)) return;
     const number = task.nextRun;
     task.nextRun += 1;
     record.waiting -= 1;
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -23,6 +23,8 @@
 export interface EarlierRuns {
   /** Claims the runs of a job that has just come. */
   claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void;
+  /** Claims the run of a task that is about to start, if any endpoint lists one. */
+  claimTask(record: JobRecord, task: TaskRecord): boolean;
   /** Goes on with jobs that waited for the reports, and gives them up when that takes too long. */
   settle(records: Iterable<JobRecord>, nowMs: number): void;
 }
@@ -61,10 +63,10 @@
     }
   }
 
-  function claimTask(record: JobRecord, task: TaskRecord): void {
-    if (task.isDone || task.run !== undefined) return;
+  function claimTask(record: JobRecord, task: TaskRecord): boolean {
+    if (task.isDone || task.run !== undefined) return false;
     const demand = record.job.steps[task.ref.step]?.demand;
-    if (demand === undefined) return;
+    if (demand === undefined) return false;
     for (const steward of pool.stewards()) {
       const claimed = steward.claim(task.ref, demand);
       if (claimed === undefined) continue;
@@ -78,8 +80,9 @@
         task.endpoint = steward.id;
         task.nextRun = Math.max(task.nextRun, claimed.number + 1);
       }
-      return;
+      return true;
     }
+    return false;
   }
 
   /**
@@ -113,5 +116,5 @@
     }
   }
 
-  return { claim, settle };
+  return { claim, claimTask, settle };
 }
