--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -156,14 +156,14 @@
 
   it('is an error and a counter for a run that was taken as over, told once', () => {
     const { witness, sighting, lines, metrics } = openWitness(false);
-    const concluded = { run: 1, proof: EndProofs.LEASE_PASSED, atMs: 0 };
+    const concluded = { run: 1, proof: EndProofs.SILENCE, atMs: 0 };
     witness.note('a', { ...sighting, concluded });
     witness.note('a', { ...sighting, concluded });
     expect(lines.map(({ level, sentence }) => [level, sentence])).toEqual([
       ['error', 'Run is listed that was taken as over.'],
     ]);
-    expect(lines[0]?.context['proof']).toEqual(EndProofs.LEASE_PASSED);
-    expect(metrics.counters()).toEqual({ 'second-run/lease-passed': 1 });
+    expect(lines[0]?.context['proof']).toEqual(EndProofs.SILENCE);
+    expect(metrics.counters()).toEqual({ 'second-run/silence': 1 });
   });
 
   it('is an error and a counter for a task that runs elsewhere as well, told once', () => {
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -26,6 +26,8 @@
 export interface EarlierRuns {
   /** Claims the runs of a job that has just come. */
   claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void;
+  /** Claims the run of a task that is about to start, if any endpoint lists one. */
+  claimTask(record: JobRecord, task: TaskRecord): boolean;
   /** Goes on with jobs that waited for the reports, and gives them up when that takes too long. */
   settle(records: Iterable<JobRecord>, nowMs: number): void;
 }
@@ -53,8 +55,7 @@
       options.onLost(record, 'an endpoint with its runs is not listed');
       return;
     }
-    const mayHaveRuns = isResubmitted || nowMs - createdMs <= EARLIER_RUNS_GONE_MS;
-    if (!mayHaveRuns && !isAnyForeign()) return;
+    if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
     for (const task of record.tasks) claimTask(record, task);
     if (!isResubmitted) logUnmatched(record);
     else if (record.waiting === 0) logSurvey(record, nowMs);
@@ -67,12 +68,6 @@
     }
   }
 
-  /** Whether an endpoint lists runs that nobody has claimed, as after a cut that has healed. */
-  function isAnyForeign(): boolean {
-    for (const steward of pool.stewards()) if (steward.hasForeignRuns()) return true;
-    return false;
-  }
-
   /** A job that nobody has marked as run before, while runs of it may be out of sight. */
   function logUnmatched(record: JobRecord): void {
     const unreported = [...pool.stewards()].filter((one) => one.reportedMs() === undefined).length;
@@ -114,10 +109,10 @@
     });
   }
 
-  function claimTask(record: JobRecord, task: TaskRecord): void {
-    if (task.isDone || task.run !== undefined) return;
+  function claimTask(record: JobRecord, task: TaskRecord): boolean {
+    if (task.isDone || task.run !== undefined) return false;
     const demand = record.job.steps[task.ref.step]?.demand;
-    if (demand === undefined) return;
+    if (demand === undefined) return false;
     for (const steward of pool.stewards()) {
       const claimed = steward.claim(task.ref, demand);
       if (claimed === undefined) continue;
@@ -131,8 +126,9 @@
         task.endpoint = steward.id;
         task.nextRun = Math.max(task.nextRun, claimed.number + 1);
       }
-      return;
+      return true;
     }
+    return false;
   }
 
   /**
@@ -175,5 +171,5 @@
     }
   }
 
-  return { claim, settle };
+  return { claim, claimTask, settle };
 }
--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -28,8 +28,12 @@
   isSilent: boolean;
   /** Whether starts get no answer, and are not carried out until told. */
   areStartsLost: boolean;
+  /** Whether stops get no answer, and are not carried out. */
+  areStopsLost: boolean;
   /** Whether another endpoint answers at the address. */
   isReplaced: boolean;
+  /** The highest fence that it has seen. */
+  fence: number;
   bornMs: number;
   /** Begins a new life, which runs and knows nothing of before. */
   restart(): void;
@@ -54,7 +58,9 @@
     renewals: [],
     isSilent: false,
     areStartsLost: false,
+    areStopsLost: false,
     isReplaced: false,
+    fence: 0,
     bornMs: 1,
     restart() {
       fake.bornMs += 1;
@@ -89,7 +95,7 @@
     async stop(order): Promise<Result<OrderAnswer, EndpointError>> {
       fake.stops.push(order);
       await timer.sleep(1);
-      if (fake.isSilent) {
+      if (fake.isSilent || fake.areStopsLost) {
         await timer.sleep(100);
         return unanswered();
       }
@@ -100,6 +106,7 @@
     async renew(order): Promise<Result<RenewalAnswer, EndpointError>> {
       fake.renewals.push(order);
       if (fake.isReplaced) return Result.ok({ answer: OrderAnswers.REPLACED });
+      if (order.fence < fake.fence) return Result.ok({ answer: OrderAnswers.FENCED });
       const seen = order.endsSeen ?? 0;
       await timer.sleep(1);
       for (let waited = 0; waited < order.waitMs && !fake.isSilent; waited += 5) {
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -26,6 +26,7 @@
   const timer = createManualTimer();
   const endpoint = createFakeEndpoint(timer);
   prepare?.(endpoint);
+  const own = { fence: 1 };
   const ends: { run: Run; end: RunEnd; atMs: number }[] = [];
   const notes: string[] = [];
   const proofs: EndProof[] = [];
@@ -41,7 +42,7 @@
       labels: [],
     },
     endpoint,
-    fence: () => 1,
+    fence: () => own.fence,
     timer,
     clock: createElapsedClock(timer),
     events: {
@@ -56,7 +57,7 @@
   });
   opened.push(steward);
   await timer.advance(20);
-  return { timer, endpoint, steward, ends, notes, proofs, sightings };
+  return { timer, endpoint, steward, ends, notes, proofs, sightings, own };
 }
 
 function startOne(steward: Steward, number = 1): Run {
@@ -309,4 +310,56 @@
     await timer.advance(400);
     expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
   });
+
+  // The endpoint may judge whether a start is late by the lease that it has got since.
+  it('does not call a run over whose start may be carried out after its own lease', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => {
+      one.areStartsLost = true;
+      one.areStopsLost = true;
+    });
+    startOne(steward);
+    await timer.advance(1_500);
+    expect(ends).toEqual([]);
+    expect(steward.isUsable()).toEqual(false);
+    endpoint.areStopsLost = false;
+    await timer.advance(300);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
+    expect(steward.isUsable()).toEqual(true);
+  });
+
+  it('renews no lease under which a start that was given up could begin a run', async () => {
+    const { timer, endpoint, steward, ends } = await open((one) => (one.areStartsLost = true));
+    endpoint.areStopsLost = true;
+    endpoint.isSilent = true;
+    startOne(steward);
+    await timer.advance(2_000);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.LAPSED]);
+    endpoint.isSilent = false;
+    const before = endpoint.renewals.length;
+    await timer.advance(1_000);
+    const later = endpoint.renewals.slice(before);
+    expect(later.length > 0 && later.length < 30).toEqual(true);
+    expect(later.every((one) => one.leaseEndMs === undefined)).toEqual(true);
+    expect(steward.isUsable()).toEqual(false);
+    endpoint.areStopsLost = false;
+    await timer.advance(400);
+    expect(steward.isUsable()).toEqual(true);
+  });
+
+  // A restart forgets the fence, not who dispatches.
+  it('gives no task to an endpoint that restarts after it has obeyed another dispatcher', async () => {
+    const { timer, endpoint, steward, own } = await open();
+    endpoint.fence = 2;
+    steward.refresh();
+    await timer.advance(20);
+    expect(steward.isUsable()).toEqual(false);
+    endpoint.fence = 0;
+    endpoint.bornMs = 2;
+    steward.refresh();
+    await timer.advance(300);
+    expect(steward.isUsable()).toEqual(false);
+    own.fence = 3;
+    await timer.advance(300);
+    expect(steward.isUsable()).toEqual(true);
+  });
 });
--- a/packages/endpoints/src/endProof.ts
+++ b/packages/endpoints/src/endProof.ts
@@ -9,8 +9,8 @@
   STOP_ANSWERED: 'stop-answered',
   /** It was known to run, and a later report does not list it. */
   UNLISTED: 'unlisted',
-  /** The start got no answer, and its lease had passed before the report was asked for. */
-  LEASE_PASSED: 'lease-passed',
+  /** The start got no answer, and was sent too long ago to be carried out. */
+  TOO_OLD: 'too-old',
   /** The endpoint is silent, and its clock has passed every lease. */
   SILENCE: 'silence',
   /** Another endpoint answers at the address. */
--- a/packages/endpoints/src/foreignRuns.ts
+++ b/packages/endpoints/src/foreignRuns.ts
@@ -23,6 +23,8 @@
   take(key: string): ForeignRun | undefined;
   hasEndedDone(key: string): boolean;
   isEmpty(): boolean;
+  /** Whether nothing is known of any run, ended ones included. */
+  isBlank(): boolean;
   /** What is listed, claimable or being stopped. */
   all(): Iterable<Readonly<ForeignRun>>;
   size(): number;
@@ -33,6 +35,10 @@
   const running = new Map<string, ForeignRun>();
   const done = new Map<string, number>();
 
+  function forgetOldEnds(nowMs: number): void {
+    for (const [key, atMs] of done) if (nowMs - atMs > END_KEPT_MS) done.delete(key);
+  }
+
   return {
     noteRunning(one, nowMs) {
       const key = taskKey(one.task);
@@ -48,7 +54,6 @@
     },
     noteEnd(key, run, end, nowMs) {
       if (running.get(key)?.run === run) running.delete(key);
-      for (const [ended, atMs] of done) if (nowMs - atMs > END_KEPT_MS) done.delete(ended);
       if (end === RunEnds.DONE) done.set(key, nowMs);
     },
     retain(isListed) {
@@ -57,6 +62,7 @@
       return running.size !== before;
     },
     unstopped(nowMs, retryMs, claimWindowMs) {
+      forgetOldEnds(nowMs);
       const due = [...running.values()].filter(
         (one) =>
           nowMs - one.firstSeenMs >= claimWindowMs &&
@@ -72,6 +78,7 @@
     },
     hasEndedDone: (key) => done.has(key),
     isEmpty: () => running.size === 0,
+    isBlank: () => running.size === 0 && done.size === 0,
     all: () => running.values(),
     size: () => running.size,
     clear() {
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -17,6 +17,7 @@
 import type { EndpointError } from './endpointError.js';
 import { createConcludedRuns, EndProofs, type ConcludedRun, type EndProof } from './endProof.js';
 import { createForeignRuns, type ForeignRun } from './foreignRuns.js';
+import { createLateStarts, LATEST_ORDER_MS, type LateStart } from './lateStarts.js';
 import {
   OrderAnswers,
   RunEnds,
@@ -51,8 +52,6 @@
 const STOP_RETRY_MS = 120;
 /** Time that a stop takes at most, and a margin for the endpoint to notice the end of a lease. */
 const LAPSE_MARGIN_MS = 80;
-/** How long after it was sent the platform may carry out an order without an answer. */
-const LATEST_ORDER_MS = 12_000;
 /** Longest lease that an earlier dispatcher may have given, on a clock that is 2% slow, and a margin. */
 const UNSEEN_RUNS_GONE_MS = LONGEST_LEASE_MS / 0.98 + LAPSE_MARGIN_MS;
 /** How long runs of an earlier dispatcher may be claimed before they are stopped. */
@@ -111,8 +110,6 @@
   runs(): Iterable<Run>;
   /** Runs that the endpoint lists and nobody has claimed. */
   foreignRuns(): Iterable<Readonly<ForeignRun>>;
-  /** Whether it lists runs that nobody has claimed. */
-  hasForeignRuns(): boolean;
   /** Whether nothing runs there, neither of this dispatcher nor of an earlier one. */
   isEmpty(): boolean;
   start(request: RunRequest): Run;
@@ -130,8 +127,9 @@
   const foreign = createForeignRuns();
   const concluded = createConcludedRuns();
   const runs = new Map<string, Run>();
-  /** End of the lease of each start, on the endpoint's clock. */
-  const orderEnds = new Map<Run, number>();
+  const lateStarts = createLateStarts();
+  /** Runs that were started before the newest life of the endpoint was known. */
+  const ofEarlierLife = new Set<Run>();
   /** When a stop of the run was answered, on the own clock. */
   const stopAnswered = new Map<Run, number>();
   /** When the run was first known to have started, on the own clock. */
@@ -149,11 +147,17 @@
   let isRefreshing = false;
   let unanswered = 0;
   let pausedUntilMs = 0;
+  let givenUpStoppedMs = -Infinity;
+  /** Ends the pause between stops when the endpoint answers again. */
+  let stopPause = new AbortController();
   /** When an order last got no answer; only a report that was asked for later clears it. */
   let questionedMs = -Infinity;
   let isReplaced = false;
-  /** Whether the endpoint obeys another dispatcher, as far as is known. */
-  let isFenced = false;
+  /**
+   * Fence that the endpoint refused last. It would obey it again after a restart, but whoever has the
+   * higher one goes on dispatching.
+   */
+  let refusedFence = -Infinity;
   let wake = createDeferred<undefined>();
 
   async function follow(): Promise<void> {
@@ -163,7 +167,7 @@
       await look(renewalWaitMs());
       if (!foreign.isEmpty()) await timer.sleep(FOREIGN_LOOK_MS);
       else if (runs.size > 0 && unanswered === 0) await timer.sleep(GATHER_MS);
-      if (unanswered > 1 || isReplaced) await timer.sleep(RETRY_MS);
+      if (unanswered > 1 || isReplaced || givenUpStarts().length > 0) await timer.sleep(RETRY_MS);
     }
   }
 
@@ -186,9 +190,18 @@
     return isServing() ? RENEWAL_WAIT_MS : RETRY_MS;
   }
 
-  /** Whether the runs of earlier dispatchers are claimed or gone, so that leases may be renewed. */
+  /**
+   * Whether leases may be renewed: the runs of earlier dispatchers are claimed or gone, and no start
+   * that was given up can begin a run under a renewed lease.
+   */
   function isServing(): boolean {
-    return surveyedAtMs !== undefined && foreign.isEmpty();
+    return surveyedAtMs !== undefined && foreign.isEmpty() && givenUpStarts().length === 0;
+  }
+
+  /** Starts that may still be carried out although their runs were taken as lapsed. */
+  function givenUpStarts(): readonly LateStart[] {
+    const open = lateStarts.open(clock.nowMs());
+    return open.filter(({ key, run }) => runs.get(key)?.number !== run);
   }
 
   async function look(waitMs: number): Promise<void> {
@@ -199,14 +212,15 @@
     const mayRenew = isServing() && reached !== undefined && unanswered === 0;
     const leaseEndMs = mayRenew ? Math.floor(reached + LEASE_MS) : undefined;
     if (leaseEndMs !== undefined) lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
+    const sentFence = fence();
     const answer = await endpoint.renew({
-      fence: fence(),
+      fence: sentFence,
       waitMs,
       ...(mayRenew ? { endsSeen } : {}),
       ...(leaseEndMs === undefined ? {} : { leaseEndMs }),
     });
     if (closing.signal.aborted) return;
-    takeRenewal(answer, sentMs);
+    takeRenewal(answer, sentMs, sentFence);
     lapseSilentRuns();
   }
 
@@ -220,21 +234,28 @@
     });
   }
 
-  function takeRenewal(answer: Result<RenewalAnswer, EndpointError>, sentMs: number): void {
+  function takeRenewal(
+    answer: Result<RenewalAnswer, EndpointError>,
+    sentMs: number,
+    sentFence: number,
+  ): void {
     if (answer.isErr) {
       countUnanswered(answer.error.message);
       return;
     }
-    if (answer.value.answer === OrderAnswers.FENCED) noteFenced();
+    if (answer.value.answer === OrderAnswers.FENCED) noteFenced(sentFence);
     if (answer.value.answer === OrderAnswers.REPLACED) loseAddress(sentMs);
     if (answer.value.report === undefined) {
       countUnanswered(answer.value.answer);
       return;
     }
     const wasSilent = unanswered >= SILENT_CALLS;
+    if (unanswered > 0) {
+      stopPause.abort();
+      stopPause = new AbortController();
+    }
     unanswered = 0;
     isReplaced = false;
-    isFenced = false;
     takeReport(answer.value.report, sentMs);
     if (wasSilent) {
       events.onNote('Endpoint answers again.', { endpoint: entry.id });
@@ -242,8 +263,8 @@
     }
   }
 
-  function noteFenced(): void {
-    isFenced = true;
+  function noteFenced(refused: number): void {
+    refusedFence = Math.max(refusedFence, refused);
     events.onFenced();
   }
 
@@ -278,13 +299,14 @@
     // Answers on different connections may overtake each other.
     if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
     // Leases that the earlier dispatcher gave ended its reach when this fence arrived.
-    if (!foreign.isEmpty() || [...orderEnds.values()].includes(Infinity)) {
+    if (!foreign.isEmpty() || ofEarlierLife.size > 0) {
       lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
     }
     newestReportMs = Math.max(newestReportMs, report.clockMs);
     if (isFirst || (wasInQuestion && !isInQuestion())) events.onChange();
     events.onReport();
     stopUnclaimed(nowMs);
+    stopGivenUp(nowMs);
   }
 
   function takeForeignEnd({ task, run, end: how }: EndedTask, nowMs: number): void {
@@ -307,6 +329,7 @@
     const listed = new Set<string>();
     for (const one of report.running) {
       const key = taskKey(one.task);
+      lateStarts.noteStarted(key, one.run);
       const run = runs.get(key);
       if (run?.number !== one.run) {
         events.onForeignRun({
@@ -327,20 +350,17 @@
       }
     }
     for (const run of [...runs.values()]) {
-      if (!listed.has(run.key)) settleUnlisted(run, report, sentMs);
+      if (!listed.has(run.key)) settleUnlisted(run, sentMs);
     }
     if (foreign.retain((key) => listed.has(`foreign ${key}`))) events.onChange();
   }
 
-  function settleUnlisted(run: Run, report: EndpointReport, sentMs: number): void {
+  function settleUnlisted(run: Run, sentMs: number): void {
     const evidence = {
       askedMs: sentMs,
-      askedAtEndpointMs: endpointClock.reachedMs(sentMs),
-      reportedAtEndpointMs: report.clockMs,
+      sentMs: run.sentMs,
       stopAnsweredMs: stopAnswered.get(run),
       startAnsweredMs: startAnswered.get(run),
-      isInDoubt: run.state === RunStates.IN_DOUBT,
-      orderEndMs: orderEnds.get(run),
     };
     const how = provenEnd(evidence);
     if (how !== undefined) end(run, how, undefined, unlistedProof(evidence));
@@ -368,6 +388,21 @@
     });
   }
 
+  function stopGivenUp(nowMs: number): void {
+    if (nowMs - givenUpStoppedMs < STOP_RETRY_MS) return;
+    givenUpStoppedMs = nowMs;
+    for (const { key, task, run } of givenUpStarts()) {
+      void endpoint.stop({ task, run, fence: fence() }).then((answer) => {
+        if (!closing.signal.aborted && isCarriedOut(answer)) noteStopped(key, run);
+      });
+    }
+  }
+
+  function noteStopped(key: string, run: number): void {
+    lateStarts.noteStopped(key, run);
+    events.onChange();
+  }
+
   /** Another endpoint answers at the address, so that nothing of before runs there. */
   function loseAddress(askedMs: number): void {
     // Every call to the address tells so again.
@@ -375,6 +410,7 @@
     isReplaced = true;
     reportedMs = Math.max(reportedMs ?? askedMs, askedMs);
     forgetLife();
+    lateStarts.clear();
     for (const run of [...runs.values()]) end(run, RunEnds.LAPSED, undefined, EndProofs.REPLACED);
   }
 
@@ -386,8 +422,8 @@
     noteLife('born again', details);
     forgetLife();
     stopAnswered.clear();
-    // Leases were asked for on the clock of the earlier life.
-    for (const run of runs.values()) orderEnds.set(run, Infinity);
+    lateStarts.reopen();
+    for (const run of runs.values()) ofEarlierLife.add(run);
     // The runs of before are over by a report that is asked for from here on; a waiting renewal is not.
     if (runs.size > 0) refresh();
   }
@@ -424,9 +460,12 @@
     }
   }
 
-  /** Whether its start, sent to an earlier life of the endpoint, may still begin a lease there. */
+  /**
+   * Whether its start, sent to an earlier life of the endpoint, may still be carried out there. Its
+   * lease ends on the clock of that life, which says nothing in this one.
+   */
   function mayStartAnyTime(run: Run): boolean {
-    if (startAnswered.has(run) || orderEnds.get(run) !== Infinity) return false;
+    if (startAnswered.has(run) || !ofEarlierLife.has(run)) return false;
     return clock.nowMs() - run.sentMs < LATEST_ORDER_MS;
   }
 
@@ -439,7 +478,7 @@
     if (runs.get(run.key) !== run) return;
     if (proof !== EndProofs.LISTED && proof !== EndProofs.REFUSED) noteConclusion(run, how, proof);
     runs.delete(run.key);
-    orderEnds.delete(run);
+    ofEarlierLife.delete(run);
     stopAnswered.delete(run);
     startAnswered.delete(run);
     pausedUntilMs = 0;
@@ -449,19 +488,12 @@
   function noteConclusion(run: Run, how: RunEnd, proof: EndProof): void {
     const nowMs = clock.nowMs();
     concluded.note(run.key, run.number, proof, nowMs);
-    const orderEndMs = orderEnds.get(run);
-    const reachedMs = endpointClock.reachedMs(nowMs);
-    const isLeaseKnown = orderEndMs !== undefined && reachedMs !== undefined;
     events.onConclusion(run, proof, {
       end: how,
       state: run.state,
       sentAgoMs: Math.round(nowMs - run.sentMs),
       seenAgoMs: startAnswered.has(run) ? Math.round(nowMs - run.seenMs) : undefined,
       reportAgeMs: reportedMs === undefined ? undefined : Math.round(nowMs - reportedMs),
-      startLeasePassedMs:
-        isLeaseKnown && Number.isFinite(orderEndMs)
-          ? Math.round(reachedMs - orderEndMs)
-          : undefined,
     });
   }
 
@@ -481,7 +513,6 @@
     const leaseEndMs = Math.floor((endpointClock.reachedMs(nowMs) ?? 0) + START_LEASE_MS);
     lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
     runs.set(run.key, run);
-    orderEnds.set(run, leaseEndMs);
     void sendStart(run, request.payload, leaseEndMs);
     wake.resolve(undefined);
     return run;
@@ -492,6 +523,7 @@
     const answer = await endpoint.start(order);
     if (closing.signal.aborted || runs.get(run.key) !== run) return;
     if (answer.isErr) {
+      if (!startAnswered.has(run)) lateStarts.note(run.task, run.number, run.sentMs);
       if (run.state !== RunStates.STARTING) return;
       events.onNote('Start got no answer.', {
         endpoint: entry.id,
@@ -507,16 +539,16 @@
       void settleDoubt(run);
       return;
     }
-    takeStartAnswer(run, answer.value);
+    takeStartAnswer(run, answer.value, order.fence);
   }
 
-  function takeStartAnswer(run: Run, answer: OrderAnswer): void {
+  function takeStartAnswer(run: Run, answer: OrderAnswer, sentFence: number): void {
     if (answer === OrderAnswers.ACCEPTED) {
       startAnswered.set(run, clock.nowMs());
       if (run.state === RunStates.STARTING) run.state = RunStates.RUNNING;
       return;
     }
-    if (answer === OrderAnswers.FENCED) noteFenced();
+    if (answer === OrderAnswers.FENCED) noteFenced(sentFence);
     const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
     end(run, RunEnds.NOT_STARTED, answer);
     if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
@@ -526,17 +558,17 @@
   /** Stops a run until an answer proves that the order arrived, then looks whether it is gone. */
   async function settleDoubt(run: Run): Promise<void> {
     while (!closing.signal.aborted && runs.get(run.key) === run) {
-      const answer = await endpoint.stop({ task: run.task, run: run.number, fence: fence() });
+      const sentFence = fence();
+      const order = { task: run.task, run: run.number, fence: sentFence };
+      const answer = await endpoint.stop(order);
       if (closing.signal.aborted || runs.get(run.key) !== run) return;
-      if (answer.isOk && answer.value === OrderAnswers.FENCED) noteFenced();
-      const isCarriedOut =
-        answer.isOk &&
-        (answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED);
-      if (isCarriedOut) {
+      if (answer.isOk && answer.value === OrderAnswers.FENCED) noteFenced(sentFence);
+      if (isCarriedOut(answer)) {
         stopAnswered.set(run, clock.nowMs());
+        noteStopped(run.key, run.number);
         await look(0);
       }
-      if (runs.get(run.key) === run) await timer.sleep(STOP_RETRY_MS);
+      if (runs.get(run.key) === run) await timer.sleep(STOP_RETRY_MS, stopPause.signal);
     }
   }
 
@@ -553,6 +585,7 @@
   }
 
   function claim(task: TaskRef, demand: Resources): Run | typeof RunEnds.DONE | undefined {
+    if (foreign.isBlank()) return undefined;
     const key = taskKey(task);
     if (foreign.hasEndedDone(key)) return RunEnds.DONE;
     const found = foreign.take(key);
@@ -607,8 +640,9 @@
       !entry.isLeaving &&
       unanswered < SILENT_CALLS &&
       !isInQuestion() &&
+      lateStarts.open(clock.nowMs()).length === 0 &&
       !isReplaced &&
-      !isFenced &&
+      fence() > refusedFence &&
       clock.nowMs() >= pausedUntilMs,
     isSilent: () => unanswered >= SILENT_CALLS,
     reportedMs: () => reportedMs,
@@ -616,7 +650,6 @@
     room,
     runs: () => runs.values(),
     foreignRuns: () => foreign.all(),
-    hasForeignRuns: () => !foreign.isEmpty(),
     isEmpty,
     start,
     stop,
@@ -628,3 +661,9 @@
     },
   };
 }
+
+/** Whether a stop was answered and keeps the run from starting later. */
+function isCarriedOut(answer: Result<OrderAnswer, EndpointError>): boolean {
+  if (answer.isErr) return false;
+  return answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED;
+}
