fix(dispatch): let long tasks wait for an endpoint that is fast enough

The expectation is the geometric mean of an estimate and the team's usual time, so the longest tasks look shorter than they are. If one takes 1.8 s on a usual endpoint where 1.2 s of 1.5 s were expected, its job is lost with all its work; on an endpoint 1.6 times as fast it would have ended.

Now a task is started where its expected time is up to half of the caller's time, or where little is to be gained by a faster endpoint. It takes any place in its caller's time when it is late or would be refused otherwise, so that nothing is refused with room that could run it.

The test plays a seeded load before a pool with few fast endpoints.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -58,6 +58,14 @@
     expect(choosePlace([slow, usual].slice(0, 1), long)).toEqual(undefined);
   });
 
+  it('waits for a fast endpoint if an estimate too short by half would miss the caller’s time', () => {
+    const long = placing({ baseMs: 900, objectiveInMs: 1_500 });
+    expect(choosePlace([slow, usual], long)).toEqual(undefined);
+    expect(choosePlace([slow, usual], { ...long, isUrgent: true })?.entry.id).toEqual('usual');
+    const short = placing({ baseMs: 600, objectiveInMs: 1_000 });
+    expect(choosePlace([slow, usual], short)?.entry.id).toEqual('usual');
+  });
+
   it('starts late work where it still ends in the caller’s time', () => {
     const late = placing({ baseMs: 900, objectiveInMs: -10, patienceMs: 1_000 });
     expect(choosePlace([slow, usual], late)?.entry.id).toEqual('usual');
--- /dev/null
+++ b/packages/dispatch/__tests__/loadedPool.ts
@@ -0,0 +1,225 @@
+/**
+ * A dispatcher before a pool of endpoints in memory, under a seeded load of several kinds of jobs.
+ * Sizes, lengths and wrong estimates are log-normal, arrivals are Poisson.
+ */
+import { Result } from 'true-myth';
+import {
+  OrderAnswers,
+  RunEnds,
+  taskKey,
+  type EndedTask,
+  type EndpointEntry,
+  type EndpointNetwork,
+  type RunningTask,
+} from '@celerybarrow/endpoints';
+import { JobStates, type JobOutcome, type LeasedJob } from '@celerybarrow/protocol';
+import { createRandom, type Random } from '@celerybarrow/shared';
+import { createMetrics, type Logger } from '@celerybarrow/telemetry';
+import { createElapsedClock, createManualTimer, type ManualTimer } from '@celerybarrow/timer';
+import { createDispatcher } from '../src/index.js';
+
+export interface JobKind {
+  readonly team: string;
+  readonly priority: number;
+  readonly perSecond: number;
+  readonly meanTasks: number;
+  readonly mostTasks: number;
+  readonly meanMs: number;
+}
+
+export interface LoadedPool {
+  readonly seed: number;
+  readonly endpoints: number;
+  /** Speeds that the endpoints take in turn. */
+  readonly speeds: readonly number[];
+  readonly kinds: readonly JobKind[];
+  /** Factor on all arrivals. */
+  readonly load: number;
+  readonly durationMs: number;
+}
+
+export interface PlayedJob {
+  readonly team: string;
+  readonly tasks: number;
+  readonly taskMs: number;
+  readonly estimateMs: number;
+  outcome?: JobOutcome;
+}
+
+const CORES_PER_TASK = 14_000;
+const CORES_PER_ENDPOINT = 32_000;
+const SPREAD = 0.4;
+const TASK_SPREAD = 0.15;
+const PATIENCE_MS = 1_500;
+const STEP_MS = 50;
+
+function normal(random: Random): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random.next()));
+  return radius * Math.cos(2 * Math.PI * random.next());
+}
+
+/** A log-normal factor with the mean 1. */
+function spreadBy(random: Random, spread: number): number {
+  return Math.exp(spread * normal(random) - (spread * spread) / 2);
+}
+
+function createNetwork(
+  timer: ManualTimer,
+  speedOf: (endpoint: string) => number,
+  taskMsOf: (job: string, index: number) => number,
+): EndpointNetwork {
+  return {
+    open(entry) {
+      const running = new Map<string, { task: RunningTask; startMs: number; ranMs: number }>();
+      const ended: EndedTask[] = [];
+      let wake = (): void => undefined;
+      const end = (key: string, state: EndedTask['end']) => {
+        const one = running.get(key);
+        if (one === undefined) return;
+        running.delete(key);
+        const { task, run } = one.task;
+        ended.push({ number: ended.length + 1, task, run, end: state });
+        wake();
+      };
+      return {
+        async start({ task, run }) {
+          await timer.sleep(1);
+          const ranMs = taskMsOf(task.job, task.index) / speedOf(entry.id);
+          const key = taskKey(task);
+          running.set(key, { task: { task, run, percent: 0 }, startMs: timer.nowMs(), ranMs });
+          timer.onAfter(ranMs, () => {
+            if (running.get(key)?.task.run === run) end(key, RunEnds.DONE);
+          });
+          return Result.ok(OrderAnswers.ACCEPTED);
+        },
+        async stop({ task }) {
+          await timer.sleep(1);
+          end(taskKey(task), RunEnds.STOPPED);
+          return Result.ok(OrderAnswers.ACCEPTED);
+        },
+        async renew({ endsSeen = 0, waitMs }) {
+          await timer.sleep(1);
+          if (ended.length <= endsSeen && waitMs > 0) {
+            await new Promise<void>((resolve) => {
+              const cancel = timer.onAfter(waitMs, resolve);
+              wake = () => {
+                cancel();
+                resolve();
+              };
+            });
+          }
+          const nowMs = timer.nowMs();
+          const report = {
+            clockMs: nowMs + 1_000,
+            bornMs: 1,
+            running: [...running.values()].map(({ task, startMs, ranMs }) => ({
+              ...task,
+              percent: Math.floor((100 * (nowMs - startMs)) / ranMs),
+            })),
+            ended: ended.slice(endsSeen),
+          };
+          return Result.ok({ answer: OrderAnswers.ACCEPTED, report });
+        },
+        close: () => undefined,
+      };
+    },
+  };
+}
+
+function entryOf(id: string): EndpointEntry {
+  const capacity = { cores: CORES_PER_ENDPOINT, memoryMb: 64_000, accelerators: 0 };
+  const place = { service: 's', address: id, dataCentre: 'd', isLeaving: false, labels: [] };
+  return { id, ...place, capacity };
+}
+
+function jobOf(id: string, kind: JobKind, { tasks, estimateMs }: PlayedJob): LeasedJob {
+  const demand = { cores: CORES_PER_TASK, memoryMb: 64, accelerators: 0 };
+  return {
+    id,
+    team: kind.team,
+    service: 's',
+    priority: kind.priority,
+    maxAttempts: 3,
+    objectiveStretch: 1.6,
+    objectiveAllowanceMs: 60,
+    payload: '',
+    steps: [{ tasks, demand, estimateMs, after: [] }],
+    ageMs: 0,
+    remainingMs: PATIENCE_MS,
+  };
+}
+
+/** Plays the load to its end, and tells what became of each job. */
+export async function playLoad(load: LoadedPool): Promise<PlayedJob[]> {
+  const timer = createManualTimer();
+  const random = createRandom(load.seed);
+  const ignore = () => undefined;
+  const played = new Map<string, PlayedJob>();
+  const unevenness = new Map<string, number>();
+  const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  const ids = Array.from({ length: load.endpoints }, (_, index) => `e${index}`);
+  const network = createNetwork(
+    timer,
+    (endpoint) => load.speeds[Number(endpoint.slice(1)) % load.speeds.length] ?? 1,
+    (job, index) => (played.get(job)?.taskMs ?? 1) * (unevenness.get(`${job}/${index}`) ?? 1),
+  );
+  const dispatcher = createDispatcher({
+    network,
+    timer,
+    clock: createElapsedClock(timer),
+    random: createRandom(load.seed + 1),
+    logger,
+    metrics: createMetrics(),
+    fence: () => 1,
+    onFenced: ignore,
+  });
+  dispatcher.follow(ids.map(entryOf));
+  await timer.advance(500);
+
+  function submit(kind: JobKind): void {
+    const id = `j${played.size}`;
+    const tasks = Math.min(
+      kind.mostTasks,
+      Math.max(1, Math.round(kind.meanTasks * spreadBy(random, SPREAD))),
+    );
+    const taskMs = kind.meanMs * spreadBy(random, SPREAD);
+    const estimateMs = taskMs * spreadBy(random, SPREAD);
+    const one: PlayedJob = { team: kind.team, tasks, taskMs, estimateMs };
+    played.set(id, one);
+    for (let index = 0; index < tasks; index += 1) {
+      unevenness.set(`${id}/${index}`, spreadBy(random, TASK_SPREAD));
+    }
+    const job = jobOf(id, kind, one);
+    void dispatcher.submit({ job, gateway: 'g', resubmissions: 0 }).then((outcome) => {
+      one.outcome = outcome;
+    });
+  }
+
+  function arrive(kind: JobKind): void {
+    const perMs = (kind.perSecond * load.load) / 1_000;
+    timer.onAfter(-Math.log(1 - random.next()) / perMs, () => {
+      if (timer.nowMs() >= load.durationMs) return;
+      submit(kind);
+      arrive(kind);
+    });
+  }
+
+  for (const kind of load.kinds) arrive(kind);
+  for (let passed = 0; passed < load.durationMs + PATIENCE_MS; passed += STEP_MS) {
+    dispatcher.noteGateway('g');
+    await timer.advance(STEP_MS);
+  }
+  dispatcher.close();
+  return [...played.values()];
+}
+
+export function servedShare(jobs: readonly PlayedJob[]): number {
+  const done = jobs.filter((job) => job.outcome?.state === JobStates.COMPLETED);
+  return done.length / Math.max(1, jobs.length);
+}
+
+/** The jobs between two shares of all, ordered by work. */
+export function jobsBetween(jobs: readonly PlayedJob[], from: number, until: number): PlayedJob[] {
+  const ordered = [...jobs].sort((a, b) => a.tasks * a.taskMs - b.tasks * b.taskMs);
+  return ordered.slice(Math.floor(jobs.length * from), Math.floor(jobs.length * until));
+}
--- a/packages/dispatch/src/choosePlace.ts
+++ b/packages/dispatch/src/choosePlace.ts
@@ -5,7 +5,9 @@
  * a slow one while short tasks do. A task takes the slowest endpoint on which it still ends well
  * within its limit, so that the fast ones stay free for tasks that need them; if there is none, the
  * one where it ends first. It is not started where it would miss its limit as long as an endpoint
- * that is busy now could still meet it: a start that cannot be in time serves nobody.
+ * that is busy now could still meet it: a start that cannot be in time serves nobody. Estimates are
+ * wrong by a third, so a long task that would take most of its caller's time on a usual endpoint
+ * waits for a fast one, as long as that may still come.
  */
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import type { Resources, Step } from '@celerybarrow/protocol';
@@ -17,6 +19,10 @@
  */
 const SAFE_OBJECTIVE_SHARE = 0.6;
 const SAFE_PATIENCE_SHARE = 0.45;
+/** Part of the caller's time that the expected run may take where nothing better can be awaited. */
+const RELIABLE_PATIENCE_SHARE = 0.5;
+/** Run time on an endpoint, over that on the fastest, up to which it is not worth waiting for less. */
+const COMPARABLE_FACTOR = 1.5;
 /** How much longer a task runs away from the rack of its data. */
 const OTHER_RACK_FACTOR = 1.5;
 
@@ -34,6 +40,8 @@
   readonly patienceMs: number;
   /** Slowness of the fastest endpoint that could run the task, busy or not. */
   readonly leastSlowness: number;
+  /** Whether any endpoint will do on which it is expected to end in its caller's time. */
+  readonly isUrgent?: boolean;
   readonly avoided: ReadonlySet<string>;
   /** Tasks of the same step on an endpoint, for the limit per endpoint. */
   readonly tasksOn: (endpoint: string) => number;
@@ -83,10 +91,19 @@
 }
 
 /** The latest end that is still worth a start: the objective, else the caller's time, else any. */
-function limitOf({ baseMs, leastSlowness, objectiveInMs, patienceMs }: Placing): number {
-  const soonestMs = baseMs * leastSlowness;
-  const limits = [Math.min(objectiveInMs, patienceMs), patienceMs];
-  return limits.find((limitMs) => soonestMs <= limitMs) ?? Infinity;
+function limitOf(placing: Placing): number {
+  const { objectiveInMs, patienceMs, isUrgent = false } = placing;
+  const soonestMs = placing.baseMs * placing.leastSlowness;
+  if (!isUrgent && soonestMs <= Math.min(objectiveInMs, patienceMs)) {
+    return Math.min(objectiveInMs, reliableMs(placing, soonestMs));
+  }
+  return soonestMs <= patienceMs ? patienceMs : Infinity;
+}
+
+/** The longest expected run that ends in the caller's time even if the estimate is too short. */
+function reliableMs({ patienceMs }: Placing, soonestMs: number): number {
+  const wantedMs = Math.max(patienceMs * RELIABLE_PATIENCE_SHARE, soonestMs * COMPARABLE_FACTOR);
+  return Math.min(patienceMs, wantedMs);
 }
 
 export function expectedRunMs(place: Place, { step, baseMs }: Placing): number {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -11,6 +11,7 @@
 import type { EndpointVerdict } from './endpointVerdict.js';
 import { compareJobs } from './jobOrder.js';
 import { isStepOpen, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { isRefused } from './refusal.js';
 import type { RunTimes } from './runTimes.js';
 
 export interface PlannedStart {
@@ -129,8 +130,12 @@
       const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
       const lateMs = isInTime ? 0 : drainMs(ahead, usable, rates.before(undefined, nowMs));
       const waitMs = Math.max(inTimeMs, lateMs);
-      // What cannot be in time any more takes any room in which it still ends in its caller's time.
-      if (!isInTime) starts.push(...placeTasks(record, room, nowMs, true, starts));
+      // What cannot be in time any more takes any room in which it still ends in its caller's time,
+      // and so does what would be refused otherwise.
+      const { arrivedMs, deadlineMs } = record;
+      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs };
+      const isUrgent = !isInTime || isRefused({ ...job, hasRoom: false });
+      if (isUrgent) starts.push(...placeTasks(record, room, nowMs, true, starts));
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
       return { record, starts, waitMs, runMs, hasRoom: starts.length > 0 };
     });
@@ -161,7 +166,7 @@
     record: JobRecord,
     { places, smallest, leastSlowness }: OpenRoom,
     nowMs: number,
-    isLate: boolean,
+    isUrgent: boolean,
     placed: readonly PlannedStart[] = [],
   ): PlannedStart[] {
     const starts: PlannedStart[] = [];
@@ -175,9 +180,10 @@
       const placing = {
         step,
         baseMs: baseMs(record.job, task.ref.step),
-        objectiveInMs: isLate ? patienceMs : record.objectiveMs - nowMs,
+        objectiveInMs: isUrgent ? patienceMs : record.objectiveMs - nowMs,
         patienceMs,
         leastSlowness,
+        isUrgent,
         tasksOn: (endpoint: string) => countOn(record, task, endpoint, [...placed, ...starts]),
       };
       const open = mine.filter((place) => places.includes(place));
