fix(dispatch): refuse by the work ahead of a job and the fastest endpoint

Cause: two things in the expected end of a job that has no room yet grow with its size. And it was expected to run on a usual endpoint, though long tasks are only started on fast ones.

Now the expected wait is that for the work ahead of the job, which is also what Retry-After promises, and its run is the one on the fastest endpoint. Both new tests failed before: the job was refused.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -165,6 +165,36 @@
   });
 });
 
+describe('a large job under too much load', () => {
+  const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+  const steps = (tasks: number, estimateMs: number) => [{ tasks, demand, estimateMs, after: [] }];
+
+  it('is not refused for its own work as if that were queued ahead of it', async () => {
+    const { outcomes, submit, advance } = await open(200, { a: 1, b: 1, c: 1, d: 1 });
+    for (let round = 0; round < 20; round += 1) {
+      for (let index = 0; index < 3; index += 1) submit(job(`${round}-${index}`, { priority: 0 }));
+      if (round === 10) submit(job('wide', { steps: steps(9, 200), objectiveStretch: 8 }));
+      await advance(200);
+    }
+    await advance(1_500);
+    expect(outcomes.wide?.state).toEqual(JobStates.COMPLETED);
+  });
+
+  it('is not refused for its time on a usual endpoint if a fast one would do', async () => {
+    const { outcomes, submit, advance } = await open(900, { fast: 0.6, a: 1, b: 1, c: 1 });
+    const patient = { steps: steps(8, 900), remainingMs: 3_000 };
+    for (let index = 0; index < 12; index += 1) {
+      submit(job(`learn-${index}`, patient));
+      await advance(2_000);
+    }
+    submit(job('busy', patient));
+    await advance(450);
+    submit(job('long', { team: 'u', steps: steps(1, 1_450) }));
+    await advance(1_500);
+    expect(outcomes.long?.state).toEqual(JobStates.COMPLETED);
+  });
+});
+
 describe('a dispatcher that has just begun', () => {
   it('refuses nothing before it knows its endpoints, as after a loss of all instances', async () => {
     const { outcomes, submit, advance, list } = await open(100, { a: 1, b: 1 }, false);
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -22,8 +22,9 @@
 export interface PlannedJob {
   readonly record: JobRecord;
   readonly starts: readonly PlannedStart[];
-  /** Expected wait until the last of its tasks gets room. */
+  /** Expected wait until the work ahead of it has got room. */
   readonly waitMs: number;
+  /** Expected time of its longest chain on the fastest endpoint. */
   readonly runMs: number;
   readonly hasRoom: boolean;
 }
@@ -122,22 +123,22 @@
     const usable = capacity * PACKED_SHARE;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
+      const soonestMs = runMs * Math.min(1, leastSlowness);
       const starts = placeTasks(record, room, nowMs, false);
-      const ahead = workAhead + workLeft * (1 - starts.length / Math.max(1, record.waiting));
       if (starts.length >= record.waiting)
-        return { record, starts, waitMs: 0, runMs, hasRoom: true };
-      const inTimeMs = drainMs(ahead, usable, rates.before(priority, nowMs));
+        return { record, starts, waitMs: 0, runMs: soonestMs, hasRoom: true };
+      const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
       const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
-      const lateMs = isInTime ? 0 : drainMs(ahead, usable, rates.before(undefined, nowMs));
+      const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
       const waitMs = Math.max(inTimeMs, lateMs);
       // What cannot be in time any more takes any room in which it still ends in its caller's time,
       // and so does what would be refused otherwise.
       const { arrivedMs, deadlineMs } = record;
-      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs };
+      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs };
       const isUrgent = !isInTime || isRefused({ ...job, hasRoom: false });
       if (isUrgent) starts.push(...placeTasks(record, room, nowMs, true, starts));
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
-      return { record, starts, waitMs, runMs, hasRoom: starts.length > 0 };
+      return { record, starts, waitMs, runMs: soonestMs, hasRoom: starts.length > 0 };
     });
   }
 
--- a/packages/dispatch/src/refusal.ts
+++ b/packages/dispatch/src/refusal.ts
@@ -18,9 +18,9 @@
   readonly nowMs: number;
   readonly deadlineMs: number;
   readonly arrivedMs: number;
-  /** Expected wait until its last task gets room. */
+  /** Expected wait until the work ahead of it has got room. */
   readonly waitMs: number;
-  /** Expected run time of its longest chain on a usual endpoint. */
+  /** Expected run time of its longest chain on the fastest endpoint. */
   readonly runMs: number;
   /** Whether some room is free for it at this moment. */
   readonly hasRoom: boolean;
