--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -11,6 +11,7 @@
 import type { EndpointVerdict } from './endpointVerdict.js';
 import { compareJobs } from './jobOrder.js';
 import { isStepOpen, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { isRefused } from './refusal.js';
 import type { RunTimes } from './runTimes.js';
 
 export interface PlannedStart {
@@ -21,8 +22,9 @@
 export interface PlannedJob {
   readonly record: JobRecord;
   readonly starts: readonly PlannedStart[];
-  /** Expected wait until the last of its tasks gets room. */
+  /** Expected wait until the work ahead of it has got room. */
   readonly waitMs: number;
+  /** Expected time of its longest chain on the fastest endpoint. */
   readonly runMs: number;
   readonly hasRoom: boolean;
   /** Work of the jobs that go first, in thousandths of core-milliseconds. */
@@ -136,20 +138,22 @@
     const usable = capacity * PACKED_SHARE;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
-      const workBefore = workAhead;
+      const soonestMs = runMs * Math.min(1, leastSlowness);
+      const planned = { record, runMs: soonestMs, workAhead };
       const starts = placeTasks(record, room, nowMs, false);
-      const ahead = workAhead + workLeft * (1 - starts.length / Math.max(1, record.waiting));
-      if (starts.length >= record.waiting)
-        return { record, starts, waitMs: 0, runMs, hasRoom: true, workAhead: workBefore };
-      const inTimeMs = drainMs(ahead, usable, rates.before(priority, nowMs));
+      if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
+      const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
       const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
-      const lateMs = isInTime ? 0 : drainMs(ahead, usable, rates.before(undefined, nowMs));
+      const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
       const waitMs = Math.max(inTimeMs, lateMs);
-      // What cannot be in time any more takes any room in which it still ends in its caller's time.
-      if (!isInTime) starts.push(...placeTasks(record, room, nowMs, true, starts));
+      // What cannot be in time any more takes any room in which it still ends in its caller's time,
+      // and so does what would be refused otherwise.
+      const { arrivedMs, deadlineMs } = record;
+      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs };
+      const isUrgent = !isInTime || isRefused({ ...job, hasRoom: false });
+      if (isUrgent) starts.push(...placeTasks(record, room, nowMs, true, starts));
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
-      const hasStarts = starts.length > 0;
-      return { record, starts, waitMs, runMs, hasRoom: hasStarts, workAhead: workBefore };
+      return { ...planned, starts, waitMs, hasRoom: starts.length > 0 };
     });
   }
 
@@ -178,7 +182,7 @@
     record: JobRecord,
     { places, smallest, leastSlowness }: OpenRoom,
     nowMs: number,
-    isLate: boolean,
+    isUrgent: boolean,
     placed: readonly PlannedStart[] = [],
   ): PlannedStart[] {
     const starts: PlannedStart[] = [];
@@ -192,9 +196,10 @@
       const placing = {
         step,
         baseMs: baseMs(record.job, task.ref.step),
-        objectiveInMs: isLate ? patienceMs : record.objectiveMs - nowMs,
+        objectiveInMs: isUrgent ? patienceMs : record.objectiveMs - nowMs,
         patienceMs,
         leastSlowness,
+        isUrgent,
         tasksOn: (endpoint: string) => countOn(record, task, endpoint, [...placed, ...starts]),
       };
       const open = mine.filter((place) => places.includes(place));
