fix(dispatch): start no task of a handed-over job before every endpoint was asked, also after its run ended

Cause: the survey of a handed-over job counted as done as soon as all its tasks were claimed. When such a run then ended without success (stopped as unclaimed, or taken back), the task was started again at once. The earlier dispatcher, not yet closed, had read the same end and started the task on an endpoint that the new one had not reached. Evidence: placer.spec.ts, "does not start a task again on the end of its earlier run alone", fails before. Change: the survey goes on while all tasks run, without asking more often and without a limit; once a task is missing, the endpoints that have not reported are asked, and the job is lost after 300 ms as before.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -288,6 +288,26 @@
     expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
   });
 
+  // The earlier dispatcher may have seen the end of that run, too, and have started the task elsewhere.
+  it('does not start a task again on the end of its earlier run alone', async () => {
+    const task = { job: 'moved', step: 0, index: 0 };
+    const earlier = { a: { task, run: 1, percent: 10 } };
+    const setup = { isCurrent: false };
+    const { timer, outcomes, submit, advance, started } = await open(
+      100,
+      { a: 1 },
+      { earlier, isListCurrent: () => setup.isCurrent },
+    );
+    await timer.advance(170);
+    const [step] = job('').steps;
+    submit(job('moved', { steps: step === undefined ? [] : [{ ...step, tasks: 1 }] }), 1);
+    await advance(250);
+    expect(started).toEqual([]);
+    setup.isCurrent = true;
+    await advance(400);
+    expect(outcomes['moved']?.state).toEqual(JobStates.COMPLETED);
+  });
+
   it('does not start a task again that an endpoint lists which has joined since', async () => {
     const task = { job: 'again', step: 0, index: 0 };
     const earlier = { b: { task, run: 1, percent: 10 } };
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -54,13 +54,16 @@
     }
     if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
     for (const task of record.tasks) claimTask(record, task);
-    if (!isResubmitted || record.waiting === 0) return;
+    if (!isResubmitted) return;
+    record.surveyed = new Set([...pool.stewards()].map(({ id }) => id));
+    // As long as all its tasks run, the endpoints may take their time.
+    record.claimUntilMs = Infinity;
+    if (record.waiting > 0) askAll(record, nowMs);
+  }
+
+  function askAll(record: JobRecord, nowMs: number): void {
     record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
-    record.surveyed = new Set();
-    for (const steward of pool.stewards()) {
-      record.surveyed.add(steward.id);
-      steward.refresh();
-    }
+    for (const steward of pool.stewards()) steward.refresh();
   }
 
   function claimTask(record: JobRecord, task: TaskRecord): boolean {
@@ -101,7 +104,8 @@
     for (const record of records) {
       if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
       for (const task of record.tasks) claimTask(record, task);
-      if (record.waiting === 0 || isSurveyed(record)) {
+      if (record.waiting > 0 && record.claimUntilMs === Infinity) askAll(record, nowMs);
+      if (isSurveyed(record)) {
         record.claimUntilMs = undefined;
         logger.info('Earlier runs were looked for.', {
           job: record.job.id,
@@ -110,7 +114,7 @@
           tookMs: Math.round(nowMs - record.arrivedMs),
         });
         options.onSettled();
-      } else if (nowMs > record.claimUntilMs) {
+      } else if (record.waiting > 0 && nowMs > record.claimUntilMs) {
         options.onLost(record, 'earlier runs are out of sight');
       }
     }
