test(instance): random faults in virtual time over the real entry, dispatcher and stewards

Several gateways, dispatchers that replace each other, and endpoints that keep the protocol's rules (fence, lease, rejected runs, all forgotten at a restart), with calls that are lost, slow, or carried out seconds later, cuts, restarts, callers that send again, and outdated lists. A task must never be at work on two endpoints. CELERYBARROW_SCHEDULES sets how many seeds are played, CELERYBARROW_SEED the first.

--- /dev/null
+++ b/packages/instance/__tests__/concurrentRuns.spec.ts
@@ -0,0 +1,21 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { simulate } from './simulatedFleet.js';
+
+/** Seeds count up from the first; more are run by hand. */
+const FIRST_SEED = Number(process.env['CELERYBARROW_SEED'] ?? 1);
+const SCHEDULES = Number(process.env['CELERYBARROW_SCHEDULES'] ?? 400);
+
+describe('a task', () => {
+  it('never runs on two endpoints at the same time, whatever is lost', async () => {
+    const overlaps: string[] = [];
+    let starts = 0;
+    for (let seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed += 1) {
+      const result = await simulate(seed);
+      starts += result.starts;
+      overlaps.push(...result.overlaps.map((one) => `seed ${seed}: ${one}`));
+    }
+    expect(starts > SCHEDULES).toEqual(true);
+    expect(overlaps).toEqual([]);
+  });
+});
