--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -57,15 +57,19 @@
     }
     if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
     for (const task of record.tasks) claimTask(record, task);
-    if (!isResubmitted) logUnmatched(record);
-    else if (record.waiting === 0) logSurvey(record, nowMs);
-    if (!isResubmitted || record.waiting === 0) return;
-    record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
-    record.surveyed = new Set();
-    for (const steward of pool.stewards()) {
-      record.surveyed.add(steward.id);
-      steward.refresh();
+    if (!isResubmitted) {
+      logUnmatched(record);
+      return;
     }
+    record.surveyed = new Set([...pool.stewards()].map(({ id }) => id));
+    // As long as all its tasks run, the endpoints may take their time.
+    record.claimUntilMs = Infinity;
+    if (record.waiting > 0) askAll(record, nowMs);
+  }
+
+  function askAll(record: JobRecord, nowMs: number): void {
+    record.claimUntilMs = nowMs + SURVEY_LIMIT_MS;
+    for (const steward of pool.stewards()) steward.refresh();
   }
 
   /** A job that nobody has marked as run before, while runs of it may be out of sight. */
@@ -153,11 +157,12 @@
     for (const record of records) {
       if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
       for (const task of record.tasks) claimTask(record, task);
-      if (record.waiting === 0 || isSurveyed(record)) {
+      if (record.waiting > 0 && record.claimUntilMs === Infinity) askAll(record, nowMs);
+      if (isSurveyed(record)) {
         record.claimUntilMs = undefined;
         logSurvey(record, nowMs);
         options.onSettled();
-      } else if (nowMs > record.claimUntilMs) {
+      } else if (record.waiting > 0 && nowMs > record.claimUntilMs) {
         logger.warn('Earlier runs are out of sight.', {
           job: record.job.id,
           claimed: describeRuns(record),
