fix(endpoints): measure the lapse of leases by the steady clock

Cause: the time that an endpoint's clock has certainly reached was counted by the clock that also counts suspensions, and takes a step of the time of day for one. That clock may run early, which is the safe side for rights and the wrong one for proofs: after a step of 2 s forward one call without an answer was enough to take all runs of an endpoint as lapsed. Evidence: steward.spec.ts, "does not call a run over because the own time of day was set forward", failed before (ended 0.2 s after the step, its lease still running). Change: the steady clock, which a suspension makes late. A renewal after one asks for a lease that is past until the first answer corrects the reading; what ran there has lapsed by then.

--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -24,6 +24,8 @@
 
 async function open(prepare?: (endpoint: ReturnType<typeof createFakeEndpoint>) => void) {
   const timer = createManualTimer();
+  /** How far the own time of day was set forward. */
+  const ahead = { ms: 0 };
   const endpoint = createFakeEndpoint(timer);
   prepare?.(endpoint);
   const own = { fence: 1 };
@@ -44,7 +46,7 @@
     endpoint,
     fence: () => own.fence,
     timer,
-    clock: createElapsedClock(timer),
+    clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + ahead.ms }),
     events: {
       onEnd: (run, end) => ends.push({ run, end, atMs: timer.nowMs() }),
       onFenced: () => undefined,
@@ -57,7 +59,7 @@
   });
   opened.push(steward);
   await timer.advance(20);
-  return { timer, endpoint, steward, ends, notes, proofs, sightings, own };
+  return { timer, endpoint, steward, ends, notes, proofs, sightings, own, ahead };
 }
 
 function startOne(steward: Steward, number = 1): Run {
@@ -261,6 +263,16 @@
     expect(endpoint.renewals.length - before <= 10).toEqual(true);
   });
 
+  it('does not call a run over because the own time of day was set forward', async () => {
+    const { timer, endpoint, steward, ends, ahead } = await open();
+    startOne(steward);
+    await timer.advance(400);
+    ahead.ms = 2_000;
+    endpoint.isSilent = true;
+    await timer.advance(300);
+    expect(ends).toEqual([]);
+  });
+
   it('says whether the stop of an unclaimed run was answered', async () => {
     const { timer, notes } = await open((one) => {
       one.carryOut(order);
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -206,7 +206,7 @@
 
   async function look(waitMs: number): Promise<void> {
     const sentMs = clock.nowMs();
-    const reached = endpointClock.reachedMs(sentMs);
+    const reached = endpointClock.reachedMs(timer.nowMs());
     // Only a call that follows an answer renews: otherwise the leases of a silent endpoint, whose
     // orders may all arrive late, would never certainly end.
     const mayRenew = isServing() && reached !== undefined && unanswered === 0;
@@ -284,7 +284,7 @@
       bornSeenMs = nowMs;
     }
     bornMs = report.bornMs ?? bornMs;
-    endpointClock.read(report.clockMs, nowMs);
+    endpointClock.read(report.clockMs, timer.nowMs());
     const wasInQuestion = isInQuestion();
     reportedMs = Math.max(reportedMs ?? sentMs, sentMs);
     const isFirst = surveyedAtMs === undefined;
@@ -451,7 +451,7 @@
   /** Ends the runs of a silent endpoint once its clock has certainly passed every lease. */
   function lapseSilentRuns(): void {
     if (unanswered === 0) return;
-    const reached = endpointClock.reachedMs(clock.nowMs());
+    const reached = endpointClock.reachedMs(timer.nowMs());
     if (reached === undefined || reached < lastLeaseMs + LAPSE_MARGIN_MS) return;
     if ([...runs.values()].some(mayStartAnyTime)) return;
     foreign.clear();
@@ -510,7 +510,7 @@
       percentAtMs: nowMs,
       seenMs: nowMs,
     };
-    const leaseEndMs = Math.floor((endpointClock.reachedMs(nowMs) ?? 0) + START_LEASE_MS);
+    const leaseEndMs = Math.floor((endpointClock.reachedMs(timer.nowMs()) ?? 0) + START_LEASE_MS);
     lastLeaseMs = Math.max(lastLeaseMs, leaseEndMs);
     runs.set(run.key, run);
     void sendStart(run, request.payload, leaseEndMs);
