fix(entry): hand no job over after its caller has left

Callers: a job whose caller left while it waited for a dispatcher ran all the same, for nobody, until its time was over; sent again meanwhile at a gateway that chose another shard, its tasks ran twice at a time. Cause: findDispatcher looked for a route before it looked at the signal; the withdrawal of that moment had found no dispatcher that knew the job and was not repeated. The test, "is not handed over after its caller has left", failed before (one submission), and passes now.

--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -167,6 +167,19 @@
     expect(withdrawn).toEqual(['j']);
   });
 
+  it('is not handed over after its caller has left', async () => {
+    const { timer, entry, state, submissions } = open([]);
+    const view = state.view;
+    state.view = undefined;
+    const leaving = new AbortController();
+    void entry.submit(createJob(), leaving.signal);
+    await timer.advance(50);
+    leaving.abort();
+    state.view = view;
+    await timer.advance(100);
+    expect(submissions).toEqual([]);
+  });
+
   it('tells when it is given up while a dispatcher may still run it', async () => {
     const { timer, entry, state, warnings } = open([{ state: JobStates.MOVED, reason: '' }]);
     void entry.submit(createJob(), new AbortController().signal);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -151,10 +151,11 @@
     const limitMs = one.sentUnder === undefined ? UNSENT_WAIT_MS : SENT_WAIT_MS;
     const untilMs = sinceMs + Math.min(limitMs, remainingMs(one));
     for (;;) {
+      if (one.signal.aborted) return undefined;
       const route = routeOf(one);
       const view = route?.leading.view();
       if (route !== undefined && view !== undefined && isReady(route)) return view;
-      if (one.signal.aborted || clock.nowMs() >= untilMs) return undefined;
+      if (clock.nowMs() >= untilMs) return undefined;
       if (one.sentUnder === undefined && isTooLate(one.job, remainingMs(one))) return undefined;
       await timer.sleep(LOOK_INTERVAL_MS);
     }
