fix(entry): repeat a withdrawal until it is answered

Cause: the withdrawal was sent once, and a link that is being dialled anew fails at once; the signs of life of the gateway go on, so the right of its jobs does not lapse either. Found by a reviewer, by reading. Now it is repeated every 100 ms until a dispatcher answers or the caller's time is over, when the dispatcher ends the job by itself. The test, "is withdrawn again when its withdrawal was lost", failed before.

--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -40,7 +40,13 @@
   const timer = createManualTimer();
   const submissions: Submission[] = [];
   const withdrawn: string[] = [];
-  const state: { view: View | undefined; isLinkLost: boolean; error: ErrorCode } = {
+  const state: {
+    view: View | undefined;
+    isLinkLost: boolean;
+    error: ErrorCode;
+    /** Answers of a connection that is not lost; with it the job is at another instance. */
+    answer?: (type: string) => Promise<unknown>;
+  } = {
     view: { epoch: 1, round: 0, dispatcher },
     isLinkLost: false,
     error: ErrorCodes.PEER_SILENT,
@@ -57,7 +63,11 @@
     view: () => state.view,
     isDispatching: () => state.view?.dispatcher.instance === 'a',
     isInReach: () => state.view !== undefined,
-    link: () => (state.isLinkLost ? link : undefined),
+    link: () => {
+      const { answer } = state;
+      if (answer !== undefined) return { request: answer } as unknown as PeerLink;
+      return state.isLinkLost ? link : undefined;
+    },
   } as unknown as Leadership;
   const local: LocalDispatch = {
     async submit(submission) {
@@ -180,6 +190,27 @@
     expect(submissions).toEqual([]);
   });
 
+  // Connections of callers and of instances can be reset at the same moment.
+  it('is withdrawn again when its withdrawal was lost', async () => {
+    const { timer, entry, state } = open([]);
+    state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+    const asked: string[] = [];
+    state.answer = async (type) => {
+      asked.push(type);
+      if (type === 'dispatch') await timer.sleep(1e9);
+      const isLost = asked.length === 2;
+      return isLost
+        ? Result.err(new ProtocolError(ErrorCodes.PEER_UNREACHABLE))
+        : Result.ok({ found: true });
+    };
+    const leaving = new AbortController();
+    void entry.submit(createJob(), leaving.signal);
+    await timer.advance(50);
+    leaving.abort();
+    await timer.advance(500);
+    expect(asked).toEqual(['dispatch', 'withdraw', 'withdraw']);
+  });
+
   it('tells when it is given up while a dispatcher may still run it', async () => {
     const { timer, entry, state, warnings } = open([{ state: JobStates.MOVED, reason: '' }]);
     void entry.submit(createJob(), new AbortController().signal);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,8 +3,16 @@
  * elsewhere. When the dispatcher changes, the job goes to the next one, which claims what runs already;
  * a job that was never handed over is refused truthfully, one that may have run is answered as lost.
  */
+import { Result } from 'true-myth';
+import { ErrorCodes } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
-import { JobStates, type JobOutcome, type LeasedJob, type View } from '@celerybarrow/protocol';
+import {
+  JobStates,
+  ProtocolError,
+  type JobOutcome,
+  type LeasedJob,
+  type View,
+} from '@celerybarrow/protocol';
 import type { Leadership } from '@celerybarrow/leadership';
 import type { Logger } from '@celerybarrow/telemetry';
 import { isTooLate } from './leastRun.js';
@@ -15,6 +23,8 @@
 const SENT_WAIT_MS = 900;
 /** Interval at which a waiting job looks for a dispatcher. */
 const LOOK_INTERVAL_MS = 20;
+/** Pause before a withdrawal that got no answer is repeated. */
+const WITHDRAWAL_RETRY_MS = 100;
 /** Time that the answer of the dispatcher may come after the caller's own time. */
 const ANSWER_GRACE_MS = 150;
 /** The dispatcher is usually found again within this time. */
@@ -98,8 +108,7 @@
     };
     open.set(job.id, one);
     const onLeave = () => {
-      const route = routeOf(one);
-      if (route !== undefined) void withdraw(route, job.id, instance);
+      void withdrawUntilAnswered(one);
     };
     signal.addEventListener('abort', onLeave, { once: true });
     try {
@@ -245,29 +254,51 @@
     return { state: JobStates.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS };
   }
 
-  async function withdraw(route: Route, id: string, gateway?: string): Promise<boolean> {
+  /**
+   * Ends the job of a caller that has left. The signs of life of this gateway go on, so a dispatcher
+   * that has not heard the withdrawal would run the job until its caller's time is over.
+   */
+  async function withdrawUntilAnswered(one: OpenJob): Promise<void> {
+    for (let attempt = 1; remainingMs(one) > 0; attempt += 1) {
+      const route = routeOf(one);
+      if (route === undefined) return;
+      const reply = await withdraw(route, one.job.id, instance);
+      if (reply.isOk) return;
+      if (attempt === 1) logUnheard(one, route, reply.error);
+      await timer.sleep(WITHDRAWAL_RETRY_MS);
+    }
+  }
+
+  /** Whether the dispatcher had the job. */
+  async function withdraw(
+    route: Route,
+    id: string,
+    gateway?: string,
+  ): Promise<Result<boolean, ProtocolError>> {
     const local = localOf(route);
-    if (local !== undefined) return local.withdraw(id, gateway);
+    if (local !== undefined) return Result.ok(local.withdraw(id, gateway));
+    const link = route.leading.link();
+    if (link === undefined) return Result.err(new ProtocolError(ErrorCodes.PEER_UNREACHABLE));
     const { shard } = route.leading;
     const ask = gateway === undefined ? { shard, job: id } : { shard, job: id, gateway };
-    const reply = await route.leading
-      .link()
-      ?.request('withdraw', ask, { timeoutMs: UNSENT_WAIT_MS });
-    if (reply?.isOk === true) return reply.value.found;
+    const reply = await link.request('withdraw', ask, { timeoutMs: UNSENT_WAIT_MS });
+    return reply.map(({ found }) => found);
+  }
+
+  function logUnheard(one: OpenJob, { leading }: Route, { message }: ProtocolError): void {
     logger.warn('Withdrawal got no answer.', {
-      job: id,
-      shard,
-      epoch: route.leading.view()?.epoch,
-      dispatcher: route.leading.view()?.dispatcher.instance,
-      reason: reply === undefined ? 'no connection to the dispatcher' : reply.error.message,
+      job: one.job.id,
+      shard: leading.shard,
+      epoch: leading.view()?.epoch,
+      dispatcher: leading.view()?.dispatcher.instance,
+      reason: message,
     });
-    return false;
   }
 
   /** The shard of a job is not known from its id alone, so all are asked. */
   async function cancel(id: string): Promise<boolean> {
     const found = await Promise.all(routes().map((route) => withdraw(route, id)));
-    return found.includes(true);
+    return found.some((reply) => reply.isOk && reply.value);
   }
 
   return {
