fix(entry,instance): ask the shard that an id had before a change of the endpoints

Callers: on a fleet of several shards an id that was sent again could run at two dispatchers at the same time (TWICE). The new shard knows nothing of the earlier runs; that they had ended was taken from the time that had passed since the answer ("sends again later than its earlier runs have ended"), which nothing promises: an endpoint that leaves stops unanswered, but answers renewals, goes on with them. Class: that nothing is known of a run was taken as the proof that it is over. Now a gateway remembers the lists of the last 16 s and asks the dispatcher of a shard that any of them gave the id; the job stays there if it is known, if a run of it is listed or may be, or if there is no answer. A gateway that has just started remembers none: left open. Ruled out: equal weights for all shards, which move ids all the same when a shard loses its last able endpoint, and cost balance after a cut. Ids that no change moved ask nobody.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -65,6 +65,8 @@
   submit(submission: Submission): Promise<JobOutcome>;
   /** Ends a job, if it is still the gateway's; whoever submitted it, when none is named. */
   withdraw(job: string, gateway?: string): boolean;
+  /** Whether a job is open, has just ended, or may have runs that an earlier dispatcher started. */
+  isKnown(job: string): boolean;
   /** A sign of life of a gateway, which renews the right of its jobs to run. */
   noteGateway(gateway: string): void;
   /** Makes the dispatcher use a new list of endpoints. */
@@ -502,6 +504,8 @@
   return {
     submit,
     withdraw,
+    isKnown: (id) =>
+      isClosed || jobs.has(id) || outcomes.find(id) !== undefined || earlierRuns.mayExist(id),
     noteGateway: (gateway) => {
       leases.renew(gateway);
     },
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -28,6 +28,8 @@
   claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void;
   /** Claims the run of a task that is about to start, if any endpoint lists one. */
   claimTask(record: JobRecord, task: TaskRecord): boolean;
+  /** Whether an endpoint lists a run of a job that nobody has claimed, or may still come to do so. */
+  mayExist(job: string): boolean;
   /** Goes on with jobs that waited for the reports, and gives them up when that takes too long. */
   settle(records: Iterable<JobRecord>, nowMs: number): void;
 }
@@ -176,5 +178,12 @@
     }
   }
 
-  return { claim, claimTask, settle };
+  function mayExist(job: string): boolean {
+    if (clock.nowMs() - createdMs <= EARLIER_RUNS_GONE_MS) return true;
+    return [...pool.stewards()].some((steward) =>
+      [...steward.foreignRuns()].some((one) => one.task.job === job),
+    );
+  }
+
+  return { claim, claimTask, mayExist, settle };
 }
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -81,6 +81,7 @@
       withdrawn.push(job);
       return true;
     },
+    isKnown: () => false,
   };
   const ignore = () => undefined;
   const warnings: string[] = [];
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -23,6 +23,8 @@
 const SENT_WAIT_MS = 900;
 /** Interval at which a waiting job looks for a dispatcher. */
 const LOOK_INTERVAL_MS = 20;
+/** How long the dispatcher of another shard may take to say whether it has a job. */
+const LOOK_UP_TIMEOUT_MS = 200;
 /** Pause before a withdrawal that got no answer is repeated. */
 const WITHDRAWAL_RETRY_MS = 100;
 /** Time that the answer of the dispatcher may come after the caller's own time. */
@@ -38,6 +40,7 @@
     heldOn?: readonly string[];
   }): Promise<JobOutcome>;
   withdraw(job: string, gateway?: string): boolean;
+  isKnown(job: string): boolean;
 }
 
 /** The way of a job to the dispatcher of its shard. */
@@ -51,6 +54,8 @@
   readonly instance: string;
   /** The shard of a job; undefined before the shards of the fleet are known. */
   readonly shardOf: (job: LeasedJob) => number | undefined;
+  /** Other shards that the job had a short time ago; none by default. */
+  readonly earlierShardsOf?: (job: LeasedJob) => readonly number[];
   /** The ways to the dispatchers of all shards. */
   readonly routes: () => readonly Route[];
   readonly timer: TimerService;
@@ -95,6 +100,7 @@
 
 export function createEntry(options: EntryOptions): Entry {
   const { instance, shardOf, routes, timer, clock, logger } = options;
+  const earlierShardsOf = options.earlierShardsOf ?? (() => []);
   const open = new Map<string, OpenJob>();
 
   async function submit(job: LeasedJob, signal: AbortSignal): Promise<EntryOutcome> {
@@ -145,9 +151,37 @@
     }
   }
 
-  function routeOf(one: OpenJob): Route | undefined {
-    one.shard ??= shardOf(one.job);
-    return one.shard === undefined ? undefined : routes()[one.shard];
+  function routeOf({ shard }: OpenJob): Route | undefined {
+    return shard === undefined ? undefined : routes()[shard];
+  }
+
+  /** Stays with a shard of before that may have runs of the same id, submitted at any instance. */
+  async function settleShard(one: OpenJob): Promise<void> {
+    if (one.shard !== undefined) return;
+    const shard = shardOf(one.job);
+    if (shard === undefined) return;
+    one.shard = (await findEarlierShard(one.job)) ?? shard;
+  }
+
+  async function findEarlierShard(job: LeasedJob): Promise<number | undefined> {
+    for (const shard of earlierShardsOf(job)) {
+      const route = routes()[shard];
+      if (route === undefined || !(await isKnownAt(route, job.id))) continue;
+      logger.info('Job stays with its earlier shard.', { job: job.id, shard });
+      return shard;
+    }
+    return undefined;
+  }
+
+  /** Whether the dispatcher of a shard may have the job; one that gives no answer may. */
+  async function isKnownAt(route: Route, id: string): Promise<boolean> {
+    const local = localOf(route);
+    if (local !== undefined) return local.isKnown(id);
+    const ask = { shard: route.leading.shard, job: id };
+    const reply = await route.leading
+      .link()
+      ?.request('lookUp', ask, { timeoutMs: LOOK_UP_TIMEOUT_MS });
+    return reply?.isOk !== true || reply.value.isKnown;
   }
 
   function remainingMs(one: OpenJob): number {
@@ -160,6 +194,7 @@
     const limitMs = one.sentUnder === undefined ? UNSENT_WAIT_MS : SENT_WAIT_MS;
     const untilMs = sinceMs + Math.min(limitMs, remainingMs(one));
     for (;;) {
+      await settleShard(one);
       if (one.signal.aborted) return undefined;
       const route = routeOf(one);
       const view = route?.leading.view();
--- a/packages/instance/__tests__/chooseShard.spec.ts
+++ b/packages/instance/__tests__/chooseShard.spec.ts
@@ -40,7 +40,7 @@
 
 function shardsUsed(entries: readonly EndpointEntry[], label?: string): number {
   const used = new Set<number>();
-  const chooser = createShardChooser();
+  const chooser = createShardChooser({ nowMs: () => 0 });
   chooser.follow(entries, SHARDS);
   for (let number = 0; number < 200; number += 1) {
     used.add(chooser.choose(job(`j${number}`, label)));
@@ -72,3 +72,35 @@
     expect(shardsUsed([])).toEqual(SHARDS);
   });
 });
+
+describe('the earlier shards of a job', () => {
+  const entries = [1, 2, 3, 4, 5, 6, 7, 8].map((number) => endpoint(number));
+  const ids = Array.from({ length: 200 }, (_, number) => `j${number}`);
+
+  function followTwo() {
+    const time = { nowMs: 0 };
+    const chooser = createShardChooser({ nowMs: () => time.nowMs });
+    chooser.follow([], SHARDS);
+    chooser.follow(entries, SHARDS);
+    time.nowMs = 60_000;
+    const before = ids.map((id) => chooser.choose(job(id)));
+    chooser.follow([...entries, endpoint(9), endpoint(13)], SHARDS);
+    const after = ids.map((id) => chooser.choose(job(id)));
+    return { time, chooser, before, after };
+  }
+
+  it('are those that a replaced list gave it', () => {
+    const { chooser, before, after } = followTwo();
+    const moved = ids.filter((_id, number) => before[number] !== after[number]);
+    expect(moved.length > 0).toEqual(true);
+    const earlier = ids.map((id) => chooser.earlierShards(job(id)));
+    const expected = before.map((shard, number) => (shard === after[number] ? [] : [shard]));
+    expect(earlier).toEqual(expected);
+  });
+
+  it('no longer count when no run of then can be left', () => {
+    const { time, chooser } = followTwo();
+    time.nowMs += 20_000;
+    expect(ids.flatMap((id) => chooser.earlierShards(job(id)))).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/instance/__tests__/resubmittedShard.spec.ts
@@ -0,0 +1,88 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createDispatcher } from '@celerybarrow/dispatch';
+import type { EndpointEntry } from '@celerybarrow/endpoints';
+import { createEntry } from '@celerybarrow/entry';
+import type { Leadership } from '@celerybarrow/leadership';
+import type { LeasedJob } from '@celerybarrow/protocol';
+import { createMetrics, type Logger } from '@celerybarrow/telemetry';
+import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
+import { createShardChooser } from '../src/chooseShard.js';
+import { createSimulatedEndpoints } from './simulatedEndpoints.js';
+
+const SHARDS = 2;
+const PULSE_MS = 150;
+const PATIENCE_MS = 1_500;
+const RESEND_MS = 1_300;
+const LATE_ORDERS_FROM_MS = 1_000;
+
+function createJob(id: string): LeasedJob {
+  const demand = { cores: 1_000, memoryMb: 1, accelerators: 0 };
+  const steps = [{ tasks: 1, demand, estimateMs: 1_000, after: [] }];
+  const base = { team: 't', service: 's', priority: 0, maxAttempts: 2, payload: '' };
+  const objective = { objectiveStretch: 1.6, objectiveAllowanceMs: 60 };
+  return { id, ...base, ...objective, steps, ageMs: 0, remainingMs: PATIENCE_MS };
+}
+
+/** As the endpoints are named in the directory; neighbours are of different shards. */
+function listed(...hosts: number[]): EndpointEntry[] {
+  const capacity = { cores: 2_000, memoryMb: 1_000, accelerators: 0 };
+  const base = { service: 's', dataCentre: 'd', isLeaving: false, capacity, labels: [] };
+  return hosts.map((host) => ({ id: `i-${host}`, address: `10.0.0.${host}:2`, ...base }));
+}
+
+describe('an id that is sent again on a fleet of several shards', () => {
+  // An endpoint that leaves orders unanswered keeps a run that its renewals prolong.
+  it('does not run at two shards when an endpoint has joined meanwhile', async () => {
+    const timer = createManualTimer();
+    const clock = createElapsedClock(timer);
+    const random = { next: () => 0.8 };
+    const ignore = () => undefined;
+    const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+    const chooser = createShardChooser(timer);
+    const before = listed(2, 3);
+    const after = listed(2, 3, 5);
+    const shardOf = (id: string, entries: EndpointEntry[]) => {
+      chooser.follow(entries, SHARDS);
+      return chooser.choose(createJob(id));
+    };
+    const ids = Array.from({ length: 1_000 }, (_, number) => `j${number}`);
+    const id = ids.find((one) => shardOf(one, before) === 0 && shardOf(one, after) === 1) ?? '';
+    const traits = { judgesByOrder: true, longestTaskMs: 5_000, failShare: 0 };
+    const endpoints = createSimulatedEndpoints(SHARDS, timer, random, traits, ignore);
+    const routes = endpoints.all.map(({ entry }, shard) => {
+      const view = { epoch: 1, round: 0 };
+      const leading = { shard, view: () => view, isDispatching: () => true };
+      const fence = () => 1;
+      const common = { timer, clock, random, logger, metrics: createMetrics() };
+      const network = endpoints.network;
+      const local = createDispatcher({ ...common, network, fence, onFenced: ignore });
+      local.follow([entry]);
+      timer.onEvery(PULSE_MS, () => {
+        local.noteGateway('g');
+      });
+      return { leading: leading as unknown as Leadership, local };
+    });
+    const entry = createEntry({
+      instance: 'g',
+      shardOf: (job) => chooser.choose(job),
+      earlierShardsOf: (job) => chooser.earlierShards(job),
+      routes: () => routes,
+      timer,
+      clock,
+      logger,
+    });
+    chooser.follow(before, SHARDS);
+    await timer.advance(300);
+    void entry.submit(createJob(id), new AbortController().signal);
+    await timer.advance(LATE_ORDERS_FROM_MS);
+    for (const { faults } of endpoints.all.slice(0, 1)) faults.lateOrders = 1;
+    chooser.follow(after, SHARDS);
+    await timer.advance(PATIENCE_MS - LATE_ORDERS_FROM_MS + RESEND_MS);
+    void entry.submit(createJob(id), new AbortController().signal);
+    await timer.advance(3_000);
+    for (const { local } of routes) local.close();
+    expect(endpoints.starts()).toEqual(2);
+    expect(endpoints.overlaps()).toEqual([]);
+  });
+});
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -85,7 +85,7 @@
   let routing: Routing | undefined;
   let isStopping = false;
 
-  const chooser = createShardChooser();
+  const chooser = createShardChooser(timer);
   const endpoints = createEndpointFollower({
     store,
     source: options.endpoints,
@@ -127,6 +127,7 @@
   const entry = createEntry({
     instance: self.instance,
     shardOf: (job) => (leadership.shards().length === 0 ? undefined : chooser.choose(job)),
+    earlierShardsOf: (job) => chooser.earlierShards(job),
     routes: () =>
       leadership.shards().map((leading) => ({ leading, local: dispatch.of(leading.shard) })),
     timer,
@@ -174,6 +175,9 @@
     server.onRequest('withdraw', ({ shard, job, gateway }) => ({
       found: dispatch.of(shard)?.withdraw(job, gateway) ?? false,
     }));
+    server.onRequest('lookUp', ({ shard, job }) => ({
+      isKnown: dispatch.of(shard)?.isKnown(job) ?? true,
+    }));
     await server.listen(address);
     leadership.start();
     void followPrefix({
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -143,6 +143,11 @@
     ask: z.object({ shard: count, job: z.string(), gateway: z.string().optional() }),
     reply: z.object({ found: z.boolean() }),
   },
+  /** Asks whether a dispatcher may have a job, for a gateway that would hand it to another shard. */
+  lookUp: {
+    ask: z.object({ shard: count, job: z.string() }),
+    reply: z.object({ isKnown: z.boolean() }),
+  },
   /** Sign of life of a gateway to its dispatcher. */
   pulse: { ask: pulseSchema, reply: pulseReplySchema },
   /** Asks whether the dispatcher of a view still answers others. */
