fix(dispatch): start nothing at a new dispatcher before its endpoints have reported once

Callers: an id that is sent again just after a change of dispatcher could run twice at the same time (TWICE). Cause: a job that its gateway has not handed over before was not looked for on endpoints that had not reported yet. That its runs had ended was taken from the 1.3 s after which callers send again, but the earlier dispatcher prolongs a run whose stop gets no answer for as long as it lives. The test, "does not start a task again that is sent anew before its endpoint has reported", failed before. Now any job waits for the first reports of all listed endpoints, for 300 ms of the dispatcher's life at most, so that an endpoint that never answers does not hold up the others. That bound is no proof: a run on an endpoint that stays silent for longer can still overlap the next one. Left open: to close it, gateways would have to tell a new dispatcher which jobs they answered without a known end.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -352,6 +352,19 @@
     expect(startedTwice).toEqual([]);
   });
 
+  it('does not start a task again that is sent anew before its endpoint has reported', async () => {
+    const task = { job: 'again', step: 0, index: 0 };
+    const silent = new Set('b');
+    const setup = { earlier: { b: { task, run: 1, percent: 10 } }, silent, isListed: false };
+    const { submit, advance, startedTwice, list } = await open(400, { a: 1, b: 1 }, setup);
+    list();
+    submit(job('again'));
+    await advance(50);
+    silent.delete('b');
+    await advance(600);
+    expect(startedTwice).toEqual([]);
+  });
+
   it('does not start a task again after its endpoint has left the directory unseen', async () => {
     const task = { job: 'moved', step: 0, index: 0 };
     const { dispatcher, submit, advance, startedTwice } = await open(
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -245,6 +245,7 @@
   /** Starts what can start, in order; with nothing free that is little work. */
   function pass(): void {
     const nowMs = clock.nowMs();
+    if (nowMs - createdMs < SURVEY_LIMIT_MS) earlierRuns.settle(jobs.values(), nowMs);
     const waiting = [...jobs.values()].filter((record) => isWaiting(record, nowMs));
     if (waiting.length > 0 && placer.hasRoom(waiting, nowMs)) carryOutPlan(waiting, nowMs);
   }
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -4,7 +4,8 @@
  * Fault pattern: the dispatcher was lost or named anew while jobs ran, and their gateways hand them
  * over to the next one. A job that may have been with a dispatcher just now starts nothing new before
  * every endpoint has said, when asked after the job came, what runs there; if that takes too long the
- * job is given up, since a second run could overlap the first.
+ * job is given up, since a second run could overlap the first. Any other job may have been sent before
+ * as well, at another instance; it waits for the first reports of all endpoints for at most as long.
  */
 import { RunEnds, taskKey } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
@@ -61,6 +62,8 @@
     for (const task of record.tasks) claimTask(record, task);
     if (!isResubmitted) {
       logUnmatched(record);
+      const untilMs = createdMs + SURVEY_LIMIT_MS;
+      if (nowMs < untilMs && !haveAllReported()) record.claimUntilMs = untilMs;
       return;
     }
     record.surveyed = new Set([...pool.stewards()].map(({ id }) => id));
@@ -149,6 +152,12 @@
     return surveyed.size > 0 && [...surveyed].every(hasReported);
   }
 
+  /** Whether every endpoint has said at least once what runs there. */
+  function haveAllReported(): boolean {
+    if (pool.size() === 0 || !options.isListCurrent()) return false;
+    return [...pool.stewards()].every((steward) => steward.reportedMs() !== undefined);
+  }
+
   /** Endpoints of which the survey of a job still waits, those that have left the list included. */
   function silentAmong({ surveyed, arrivedMs }: JobRecord): string[] {
     const isSilent = (id: string) => (pool.find(id)?.reportedMs() ?? -1) < arrivedMs;
@@ -159,6 +168,12 @@
     for (const record of records) {
       if (record.claimUntilMs === undefined || record.outcome !== undefined) continue;
       for (const task of record.tasks) claimTask(record, task);
+      if (!record.mayHaveRun) {
+        if (!haveAllReported() && nowMs < record.claimUntilMs) continue;
+        record.claimUntilMs = undefined;
+        options.onSettled();
+        continue;
+      }
       if (record.waiting > 0 && record.claimUntilMs === Infinity) askAll(record, nowMs);
       if (isSurveyed(record)) {
         record.claimUntilMs = undefined;
