test(scenarios): a scenario that fails prints what led to it

A failure now prints, each part bounded: the steps and answers with their times, the rosters in the platform, what the instances traced of each named job, and the last log lines of all instances in order. The soak prints the same. Loads move to a module of their own.

The tests of the runner read that text from the command's output; before, it ended after the step.

--- a/packages/scenarios/__tests__/runner.spec.ts
+++ b/packages/scenarios/__tests__/runner.spec.ts
@@ -6,6 +6,7 @@
 import { describe, it } from 'node:test';
 import { fileURLToPath } from 'node:url';
 import { expect } from 'earl';
+import { describeLogs } from '../src/describeFailure.js';
 
 const RUNNER = fileURLToPath(new URL('../src/runScenarios.js', import.meta.url));
 const PATIENCE_MS = 20_000;
@@ -15,23 +16,53 @@
 property: 1
 fleet: { dub1: { instances: [e1], endpoints: [{}] } }
 steps:
+  - submit: { as: one, at: e1, home: dub1, tasks: 1, workMs: 20 }
+  - wait: { answered: one }
   - load: { as: callers, home: dub1, perSecond: 5, tasks: 1, workMs: 20 }
   - wait: { loadAnswers: { load: callers, atLeast: 2 } }
   - wait: { loadAnswers: { load: callers, atLeast: 1000 }, withinMs: 300 }
 `;
 
+async function runFailing(): Promise<{ status: number | null; printed: string }> {
+  const file = join(mkdtempSync(join(tmpdir(), 'celerybarrow-')), 'failing.yaml');
+  writeFileSync(file, FAILING);
+  const child = spawn(process.execPath, [RUNNER, file], { stdio: ['ignore', 'pipe', 'inherit'] });
+  let printed = '';
+  child.stdout.on('data', (chunk: Buffer) => (printed += chunk.toString()));
+  const killing = setTimeout(() => child.kill('SIGKILL'), PATIENCE_MS);
+  const [status] = (await once(child, 'close')) as [number | null];
+  clearTimeout(killing);
+  return { status, printed };
+}
+
 describe('the runner of scenarios', () => {
   // A soak whose scenario had failed printed its last line and never ended.
   it('ends when a scenario has failed with its load running', async () => {
-    const file = join(mkdtempSync(join(tmpdir(), 'celerybarrow-')), 'failing.yaml');
-    writeFileSync(file, FAILING);
-    const child = spawn(process.execPath, [RUNNER, file], { stdio: ['ignore', 'pipe', 'inherit'] });
-    let printed = '';
-    child.stdout.on('data', (chunk: Buffer) => (printed += chunk.toString()));
-    const killing = setTimeout(() => child.kill('SIGKILL'), PATIENCE_MS);
-    const [status] = (await once(child, 'exit')) as [number | null];
-    clearTimeout(killing);
+    const { status, printed } = await runFailing();
     expect(printed.startsWith('FAILED')).toEqual(true);
     expect(status).toEqual(1);
   });
+
+  // Two scenarios failed once each in CI, and all that was left of them was one refusal each.
+  it('prints the steps, answers, rosters, traces and logs that led to a failure', async () => {
+    const { printed } = await runFailing();
+    expect(/-- steps and answers\n\d\d:\d\d:\d\d\.\d{3} .*"submit"/.test(printed)).toEqual(true);
+    expect(/ one was answered complete: /.test(printed)).toEqual(true);
+    expect(printed).toInclude('"dataCentre":"dub1"');
+    expect(/-- traces of the jobs\none .*\n.* Claimed in epoch 1\./.test(printed)).toEqual(true);
+    expect(/-- logs\n.* e1 \[daemon\] Started\./.test(printed)).toEqual(true);
+  });
+
+  it('prints at most so many log lines, the newest of all instances in order', () => {
+    const line = (index: number) =>
+      JSON.stringify({ context: { part: 'roster', epoch: index }, message: 'm', time: index });
+    const logs = new Map([
+      ['e1', Array.from({ length: 500 }, (_, index) => line(index * 2))],
+      ['e2', ['not a log line', ...Array.from({ length: 500 }, (_, index) => line(index * 2 + 1))]],
+    ]);
+    const told = describeLogs(logs);
+    expect(told.length < 200).toEqual(true);
+    expect(told.at(-1)).toEqual('00:00:00.999 e2 m epoch=999');
+    expect(told.at(-2)).toEqual('00:00:00.998 e1 m epoch=998');
+  });
 });
--- /dev/null
+++ b/packages/scenarios/src/describeFailure.ts
@@ -0,0 +1,111 @@
+/**
+ * What is told of a scenario that failed, so that its cause can be found from the printed text alone:
+ * the steps and answers with their times, the rosters, what the instances traced of each named job,
+ * and the last log lines of all instances in the order of their times. Every part is bounded.
+ */
+import { request } from 'undici';
+import type { Roster } from '@celerybarrow/protocol';
+import { z } from 'zod';
+
+const LONGEST_LINE = 240;
+const STEPS_TOLD = 60;
+const JOBS_TOLD = 12;
+const EVENTS_OF_A_JOB = 12;
+const LOG_LINES_TOLD = 160;
+const TRACE_TIMEOUT_MS = 1_000;
+/** Fields of every log line that tell nothing here. */
+const COMMON_FIELDS: readonly string[] = ['part', 'instance', 'dataCentre', 'logLevel'];
+
+const logLineSchema = z.object({
+  context: z.record(z.unknown()),
+  message: z.string(),
+  time: z.number(),
+});
+const traceSchema = z.object({ events: z.array(z.string()) });
+
+export interface FailedScenario {
+  /** Steps begun and answers received, each beginning with its time. */
+  readonly events: readonly string[];
+  readonly rosters: readonly Roster[];
+  /** Ids of the named jobs, by name. */
+  readonly jobs: ReadonlyMap<string, string>;
+  /** Addresses of the operators' interfaces of the instances that run. */
+  readonly operate: readonly string[];
+  /** The last log lines of each instance, by name. */
+  readonly logs: ReadonlyMap<string, readonly string[]>;
+}
+
+export async function describeFailure(failed: FailedScenario): Promise<string> {
+  const rosters = failed.rosters.map((roster) => JSON.stringify(roster));
+  const sections: [string, readonly string[]][] = [
+    ['steps and answers', failed.events.slice(-STEPS_TOLD)],
+    ['rosters in the platform', rosters],
+    ['traces of the jobs', await findTraces(failed)],
+    ['logs', describeLogs(failed.logs)],
+  ];
+  return sections
+    .filter(([, lines]) => lines.length > 0)
+    .map(([title, lines]) => [`-- ${title}`, ...lines.map(shorten)].join('\n'))
+    .join('\n');
+}
+
+/** The newest log lines of all instances, in the order of their times. */
+export function describeLogs(logs: ReadonlyMap<string, readonly string[]>): string[] {
+  const lines = [...logs].flatMap(([instance, texts]) =>
+    texts.flatMap((text) => describeLine(instance, text)),
+  );
+  return lines
+    .sort((a, b) => a.time - b.time)
+    .slice(-LOG_LINES_TOLD)
+    .map((line) => line.text);
+}
+
+function describeLine(instance: string, text: string): { time: number; text: string }[] {
+  const line = parseLine(text);
+  if (line === undefined) return [];
+  const { context, message, time } = line;
+  const fields = Object.entries(context)
+    .filter(([name]) => !COMMON_FIELDS.includes(name))
+    .map(([name, value]) => ` ${name}=${String(value)}`);
+  return [{ time, text: `${toTimeOfDay(time)} ${instance} ${message}${fields.join('')}` }];
+}
+
+function parseLine(text: string): z.infer<typeof logLineSchema> | undefined {
+  try {
+    return logLineSchema.safeParse(JSON.parse(text)).data;
+  } catch {
+    return undefined;
+  }
+}
+
+async function findTraces({ jobs, operate }: FailedScenario): Promise<string[]> {
+  const newest = [...jobs].slice(-JOBS_TOLD);
+  const traces = await Promise.all(
+    newest.map(async ([name, id]) => {
+      const found = await Promise.all(operate.map((address) => readTrace(address, id)));
+      const events = [...new Set(found.flat())].sort().slice(-EVENTS_OF_A_JOB);
+      return [`${name} ${id}`, ...events.map((event) => `  ${event}`)];
+    }),
+  );
+  return traces.flat();
+}
+
+async function readTrace(operate: string, id: string): Promise<readonly string[]> {
+  try {
+    const response = await request(`${operate}/v1/jobs/${encodeURIComponent(id)}/trace`, {
+      headersTimeout: TRACE_TIMEOUT_MS,
+      bodyTimeout: TRACE_TIMEOUT_MS,
+    });
+    return traceSchema.safeParse(await response.body.json()).data?.events ?? [];
+  } catch {
+    return [];
+  }
+}
+
+export function toTimeOfDay(wallMs: number): string {
+  return new Date(wallMs).toISOString().slice(11, 23);
+}
+
+function shorten(line: string): string {
+  return line.length > LONGEST_LINE ? `${line.slice(0, LONGEST_LINE)}...` : line;
+}
--- a/packages/scenarios/src/fleet.ts
+++ b/packages/scenarios/src/fleet.ts
@@ -18,6 +18,7 @@
 } from '@celerybarrow/standins';
 import { isHealthy, waitUntil } from './conditions.js';
 import { startEndpoint, type FleetEndpoint } from './fleetEndpoint.js';
+import { createLogTail } from './logTail.js';
 import type { Scenario } from './scenarioSchema.js';
 
 const DAEMON = fileURLToPath(new URL('../../../daemon/bin/celerybarrowd.js', import.meta.url));
@@ -44,6 +45,8 @@
   isRunning(): boolean;
   /** Resolves with the exit status once the process has ended. */
   ended(): Promise<number | null>;
+  /** Its last log lines; none in measurements. */
+  logLines(): readonly string[];
   readonly peerLink: () => LinkStandin | undefined;
   readonly platformLink: LinkStandin;
 }
@@ -61,7 +64,7 @@
   readonly scenario: Scenario;
   /** Distinguishes scenarios that run at the same time, 1 to 250. */
   readonly number: number;
-  /** Folder for the logs of the instances; none are kept when undefined. */
+  /** Folder for the whole logs of the instances; only the last lines are kept when undefined. */
   readonly logFolder?: string | undefined;
   readonly extraSettings?: readonly string[];
   /** For measurements: endpoints are processes of their own and run every service. */
@@ -172,6 +175,8 @@
     { host: `${subnet}.${PLATFORM_LINK_HOST_OFFSET + plan.host}`, port: PLATFORM_PORT },
     platform.address,
   );
+  const isLogged = options.logFolder !== undefined || options.isMeasured !== true;
+  const logTail = createLogTail();
   let child: ChildProcess | undefined;
   let peerLink: LinkStandin | undefined;
   let ended: Promise<number | null> = Promise.resolve(null);
@@ -191,8 +196,9 @@
     };
     const argv = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, value]);
     const started = spawn(process.execPath, [DAEMON, ...argv, ...(options.extraSettings ?? [])], {
-      stdio: ['ignore', 'inherit', options.logFolder === undefined ? 'ignore' : 'pipe'],
+      stdio: ['ignore', 'inherit', isLogged ? 'pipe' : 'ignore'],
     });
+    if (started.stderr !== null) logTail.follow(started.stderr);
     if (options.logFolder !== undefined) {
       started.stderr?.pipe(
         createWriteStream(join(options.logFolder, `${name}.log`), { flags: 'a' }),
@@ -219,6 +225,7 @@
     signal: (signal) => child?.kill(signal),
     isRunning: () => child !== undefined && child.exitCode === null && child.signalCode === null,
     ended: () => ended,
+    logLines: () => logTail.lines(),
     peerLink: () => peerLink,
     platformLink,
   };
--- /dev/null
+++ b/packages/scenarios/src/loads.ts
@@ -0,0 +1,96 @@
+/** Loads of a scenario: callers behind a balancer, whose jobs go to instances that are ready. */
+import { setTimeout as delay } from 'node:timers/promises';
+import type { Answered, Callers } from './callers.js';
+import { isReady } from './conditions.js';
+import type { FleetInstance } from './fleet.js';
+
+const SAMPLES = 3;
+const SAMPLE_LENGTH = 200;
+
+export interface LoadStep {
+  readonly as: string;
+  readonly home: string;
+  readonly perSecond: number;
+  readonly tasks: number;
+  readonly workMs: number;
+}
+
+export interface Loads {
+  start(step: LoadStep): void;
+  /** Sends nothing more and waits for the open answers. */
+  end(name: string): Promise<void>;
+  /** Lets the loads that a scenario left running send nothing more. */
+  stopAll(): void;
+  ended(): Promise<void>;
+  answers(name: string): readonly Answered[];
+  /** Throws when more answers than allowed were not complete. */
+  expectComplete(name: string, allowed: number): void;
+}
+
+interface Load {
+  isRunning: boolean;
+  readonly answers: Answered[];
+  ended: Promise<void>;
+}
+
+export function createLoads(callers: Callers, running: () => readonly FleetInstance[]): Loads {
+  const loads = new Map<string, Load>();
+
+  function start(step: LoadStep): void {
+    const load: Load = { isRunning: true, answers: [], ended: Promise.resolve() };
+    loads.set(step.as, load);
+    load.ended = run(step, load);
+  }
+
+  async function run(step: LoadStep, load: Load): Promise<void> {
+    const sent: Promise<void>[] = [];
+    for (let turn = 0; load.isRunning; turn += 1) {
+      const ready = await readyInstances();
+      const target = ready[turn % Math.max(1, ready.length)];
+      if (target !== undefined) {
+        const created = callers.create({ ...step, kind: 'stamp' });
+        sent.push(callers.send(created, target.listen).then((one) => void load.answers.push(one)));
+      }
+      await delay(1_000 / step.perSecond);
+    }
+    await Promise.all(sent);
+  }
+
+  async function readyInstances(): Promise<FleetInstance[]> {
+    const instances = running();
+    const ready = await Promise.all(instances.map((one) => isReady(one.operate)));
+    return instances.filter((_, index) => ready[index]);
+  }
+
+  function find(name: string): Load {
+    const found = loads.get(name);
+    if (found === undefined) throw new Error(`there is no load ${name} yet`);
+    return found;
+  }
+
+  return {
+    start,
+    async end(name) {
+      const load = find(name);
+      load.isRunning = false;
+      await load.ended;
+    },
+    stopAll() {
+      for (const load of loads.values()) load.isRunning = false;
+    },
+    async ended() {
+      await Promise.all([...loads.values()].map((load) => load.ended));
+    },
+    answers: (name) => find(name).answers,
+    expectComplete(name, allowed) {
+      const incomplete = find(name).answers.filter((one) => one.outcome !== 'complete');
+      if (incomplete.length <= allowed) return;
+      const samples = incomplete
+        .slice(0, SAMPLES)
+        .map((one) => `${one.job.id}: ${one.text.slice(0, SAMPLE_LENGTH)}`);
+      throw new Error(
+        `${incomplete.length} answers of ${name} were not complete: ${samples.join(' | ')}`,
+      );
+    },
+  };
+}
--- a/packages/scenarios/src/runScenario.ts
+++ b/packages/scenarios/src/runScenario.ts
@@ -3,6 +3,7 @@
  * started twice, that every "not run" was true and that every complete answer was whole.
  */
 import { setTimeout as delay } from 'node:timers/promises';
+import { describeError } from '@celerybarrow/shared';
 import {
   countStarts,
   createCallers,
@@ -11,8 +12,10 @@
   type Callers,
   type Job,
 } from './callers.js';
-import { isReady, readStatus, waitUntil } from './conditions.js';
+import { readStatus, waitUntil } from './conditions.js';
+import { describeFailure, toTimeOfDay } from './describeFailure.js';
 import { startFleet, type Fleet, type FleetInstance } from './fleet.js';
+import { createLoads } from './loads.js';
 import { publishServiceFile } from './publishServiceFile.js';
 import type { ExpectStep, Scenario, Step, SubmitStep, WaitStep } from './scenarioSchema.js';
 
@@ -34,7 +37,7 @@
   readonly extraSettings?: readonly string[];
 }
 
-/** Throws with all faults when the scenario does not hold. */
+/** Throws with all faults, and with what led to them, when the scenario does not hold. */
 export async function runScenario(
   scenario: Scenario,
   options: ScenarioOptions,
@@ -52,6 +55,9 @@
       });
     }
     return await stage.conclude();
+  } catch (error) {
+    const report = await stage.describeFailure();
+    throw new Error(`${describeError(error)}\n${report}`, { cause: error });
   } finally {
     stage.stopLoads();
     await callers.close();
@@ -59,17 +65,12 @@
   }
 }
 
-interface Load {
-  isRunning: boolean;
-  readonly answers: Answered[];
-  readonly ended: Promise<void>;
-}
-
 function createStage(scenario: Scenario, fleet: Fleet, callers: Callers) {
   const jobs = new Map<string, Job>();
   const pending = new Map<string, Promise<Answered>>();
   const answered = new Map<string, Answered>();
-  const loads = new Map<string, Load>();
+  const loads = createLoads(callers, runningInstances);
+  const events: string[] = [];
   let version = 0;
 
   async function prepare(): Promise<void> {
@@ -105,7 +106,12 @@
     return published !== undefined;
   }
 
+  function note(event: string): void {
+    events.push(`${toTimeOfDay(Date.now())} ${event}`);
+  }
+
   async function take(step: Step): Promise<void> {
+    note(JSON.stringify(step));
     if ('start' in step) await Promise.all(step.start.map((name) => instance(name).start()));
     else if ('stop' in step) await Promise.all(step.stop.map(stop));
     else if ('beginStop' in step)
@@ -122,8 +128,8 @@
     else if ('resubmit' in step) resubmit(step.resubmit);
     else if ('cancel' in step)
       await callers.cancel(job(step.cancel.job), instance(step.cancel.at).listen);
-    else if ('load' in step) startLoad(step.load);
-    else if ('endLoad' in step) await endLoad(step.endLoad);
+    else if ('load' in step) loads.start(step.load);
+    else if ('endLoad' in step) await loads.end(step.endLoad);
     else if ('endpoint' in step) await changeEndpoint(step.endpoint);
     else if ('publish' in step) await publishStep(step.publish);
     else if ('pause' in step) await delay(step.pause);
@@ -161,57 +167,12 @@
       name,
       answer.then((one) => {
         answered.set(name, one);
+        note(`${name} was answered ${one.outcome ?? 'nothing'}: ${one.text}`);
         return one;
       }),
     );
   }
 
-  /** Callers behind a balancer: each job goes to an instance that is ready. */
-  function startLoad(step: {
-    as: string;
-    home: string;
-    perSecond: number;
-    tasks: number;
-    workMs: number;
-  }): void {
-    const load: Load = { isRunning: true, answers: [], ended: Promise.resolve() };
-    const sent: Promise<void>[] = [];
-    const run = async () => {
-      for (let turn = 0; load.isRunning; turn += 1) {
-        const ready = await readyInstances();
-        const target = ready[turn % Math.max(1, ready.length)];
-        if (target !== undefined) {
-          const created = callers.create({ ...step, kind: 'stamp' });
-          sent.push(
-            callers.send(created, target.listen).then((one) => void load.answers.push(one)),
-          );
-        }
-        await delay(1_000 / step.perSecond);
-      }
-      await Promise.all(sent);
-    };
-    loads.set(step.as, { ...load, ended: Promise.resolve() });
-    const started = run();
-    loads.set(step.as, Object.assign(load, { ended: started }));
-  }
-
-  async function readyInstances(): Promise<FleetInstance[]> {
-    const running = runningInstances();
-    const ready = await Promise.all(running.map((one) => isReady(one.operate)));
-    return running.filter((_, index) => ready[index]);
-  }
-
-  async function endLoad(name: string): Promise<void> {
-    const load = find(loads, name);
-    load.isRunning = false;
-    await load.ended;
-  }
-
-  /** Lets the loads that a scenario left running send nothing more. */
-  function stopLoads(): void {
-    for (const load of loads.values()) load.isRunning = false;
-  }
-
   async function changeEndpoint({ id, state }: { id: string; state: string }): Promise<void> {
     const endpoint = find(fleet.endpoints, id);
     if (state === 'leaving') endpoint.setState('leaving');
@@ -247,9 +208,9 @@
     if (members !== undefined) await waitUntil(what, withinMs, () => hasMembers(members));
     if (awaited !== undefined) await waitUntil(what, withinMs, () => hasVersion(awaited));
     if (loadAnswers !== undefined) {
-      const load = find(loads, loadAnswers.load);
-      const before = load.answers.length;
-      await waitUntil(what, withinMs, () => load.answers.length - before >= loadAnswers.atLeast);
+      const answers = loads.answers(loadAnswers.load);
+      const before = answers.length;
+      await waitUntil(what, withinMs, () => answers.length - before >= loadAnswers.atLeast);
     }
     const idle = step.endpointIdle;
     if (idle !== undefined) await waitForQuiet(idle, withinMs);
@@ -298,25 +259,16 @@
       if (first !== second)
         throw new Error(`the answers differ: ${first ?? ''} and ${second ?? ''}`);
     }
-    if (step.load !== undefined) expectLoad(step.load, step.incomplete ?? 0);
+    if (step.load !== undefined) loads.expectComplete(step.load, step.incomplete ?? 0);
     if (step.startsOf !== undefined) {
       const starts = countStarts(fleet, job(step.startsOf.job).id);
       if (starts > step.startsOf.atMost) throw new Error(`${starts} tasks were started`);
     }
   }
 
-  function expectLoad(name: string, allowed: number): void {
-    const incomplete = find(loads, name).answers.filter((one) => one.outcome !== 'complete');
-    if (incomplete.length <= allowed) return;
-    const samples = incomplete.slice(0, 3).map((one) => one.text.slice(0, 200));
-    throw new Error(
-      `${incomplete.length} answers of ${name} were not complete: ${samples.join(' | ')}`,
-    );
-  }
-
   async function conclude(): Promise<ScenarioReport> {
-    for (const load of loads.values()) load.isRunning = false;
-    await Promise.all([...loads.values()].map((load) => load.ended));
+    loads.stopAll();
+    await loads.ended();
     await Promise.all(pending.values());
     const faults = [
       ...callers.faults,
@@ -345,7 +297,26 @@
     return find(jobs, name);
   }
 
-  return { prepare, take, stopLoads, conclude };
+  function describeStage(): Promise<string> {
+    const rosters = Object.keys(scenario.fleet).flatMap((name) => fleet.roster(name) ?? []);
+    return describeFailure({
+      events,
+      rosters,
+      jobs: new Map([...jobs].map(([name, { id }]) => [name, id])),
+      operate: runningInstances().map((one) => one.operate),
+      logs: new Map([...fleet.instances].map(([name, one]) => [name, one.logLines()])),
+    });
+  }
+
+  return {
+    prepare,
+    take,
+    stopLoads: () => {
+      loads.stopAll();
+    },
+    conclude,
+    describeFailure: describeStage,
+  };
 }
 
 function find<T>(map: ReadonlyMap<string, T>, name: string): T {
