fix(membership): the last member that leaves takes its claims with it

Of two instances one was stopped and still ran a job when the other crashed. It took the crashed one out, found nobody left to hand answers to, counted that as done and left. The empty roster then had one loss and no watermark, so that an instance that joined later would have taken ids of the two as new and started them again.

A leave of the last member now moves the watermark, as its loss does. An instance logs when the watermark moves. Test: the case 'a loss and the leave of the last' failed before.

--- a/packages/membership/__tests__/rosters.spec.ts
+++ b/packages/membership/__tests__/rosters.spec.ts
@@ -50,6 +50,12 @@
     ['two losses before the first is settled', lose(lose(rosterOf('a', 'b', 'c'), 'a'), 'b'), true],
     ['the loss of a sole member', lose(rosterOf('a'), 'a'), true],
     ['a leave and a loss', lose(leaveRoster(rosterOf('a', 'b', 'c'), 'a.1', write), 'b'), false],
+    // An instance that stopped after the crash of its only successor took its claims with it unnoticed.
+    [
+      'a loss and the leave of the last',
+      leaveRoster(lose(rosterOf('a', 'b'), 'a'), 'b.1', write),
+      true,
+    ],
     [
       'the loss of the last settled member beside a new one',
       lose(joinRoster(rosterOf('a'), member('b'), write), 'a'),
--- a/packages/membership/src/rosterChanges.ts
+++ b/packages/membership/src/rosterChanges.ts
@@ -80,9 +80,13 @@
   };
 }
 
-/** Takes out a member that has handed its claims over to its successors. */
+/**
+ * Takes out a member that has handed its claims over to its successors. The last member has none, so
+ * that its claims are lost with it.
+ */
 export function leaveRoster(roster: Roster, incarnation: string, write: RosterWrite): Roster {
   if (!hasMember(roster, incarnation)) return roster;
+  if (roster.members.length === 1) return loseLast(roster, incarnation, write);
   const next = startEpoch(roster, write);
   return {
     ...next,
@@ -92,6 +96,11 @@
   };
 }
 
+function loseLast(roster: Roster, incarnation: string, write: RosterWrite): Roster {
+  const alone = { ...roster, base: [incarnation] };
+  return evictMember(alone, { incarnation, isProven: true }, write);
+}
+
 /** Marks that every member holds the claims of its range, twice over. */
 export function settleRoster(roster: Roster, write: RosterWrite): Roster {
   if (isSettled(roster)) return roster;
--- a/packages/membership/src/rosterKeeper.ts
+++ b/packages/membership/src/rosterKeeper.ts
@@ -46,6 +46,12 @@
     if (!isSameEpoch && roster.dataCentre === dataCentre) {
       logger.info('Adopted a roster.', { epoch: roster.epoch, members: roster.members.length });
     }
+    if (known !== undefined && roster.memoryLostBefore > known.roster.memoryLostBefore) {
+      logger.warn('Claims may be lost; ids created before are answered may-have-run.', {
+        dataCentre: roster.dataCentre,
+        before: new Date(roster.memoryLostBefore).toISOString(),
+      });
+    }
     notify(roster.dataCentre);
     return true;
   }
