fix(claims): a stopping instance hands over anew when the roster changes

Callers saw new jobs answered 503 may-have-run, "Record lost", for 6 s after one planned stop and one crash, and ids that the stopped instance had answered answered may-have-run, "Instance lost".

Cause: the stopping instance handed over once, to the roster of that moment. A member that had just been killed could not take its part, so the whole hand-over counted as failed: the instance took itself out as if it had crashed, a second loss while the first was not settled, and kept its answers to itself. Evidence: 'Stopped.' with handedOver=false in every run of stop-during-crash, also in those that held; what held them is that the roster without the killed member was settled before the job's end. The cession of an epoch that had passed was also accepted by peers without being noted.

A hand-over is now made anew until every successor of one epoch has all records and knows of the cession, within 8 s: the others take a failed member out meanwhile. The instance leaves only in the epoch in which it has handed over, and hands over anew when that has changed. Answers move with the same step. When all others stop too, those that are still there take the records. A stopping instance does not join again.

Ruled out: five lost races to leave, and an instance taken for silent (no such line in any log kept).

--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -44,8 +44,8 @@
   witness(ask: Ask<'claim'>, peer: Greeting): Reply<'claim'>;
   /** Promises to accept no claim of an id in an epoch; `false` if one is held or being made here. */
   pledge(ask: Ask<'pledge'>): Reply<'pledge'>;
-  /** Registers no more claims in this epoch. */
-  cede(): void;
+  /** Registers no more claims. */
+  cede(): Promise<void>;
   hasCeded(): boolean;
 }
 
@@ -229,6 +229,7 @@
     pledge,
     cede() {
       isCeded = true;
+      return Promise.resolve();
     },
     hasCeded: () => isCeded,
   };
--- a/packages/claims/src/handover.ts
+++ b/packages/claims/src/handover.ts
@@ -15,7 +15,6 @@
 } from '@celerybarrow/protocol';
 import {
   activeMembers,
-  hasMember,
   liveSources,
   isSettled,
   rankMembers,
@@ -25,6 +24,7 @@
 } from '@celerybarrow/membership';
 import { rankByRendezvous } from '@celerybarrow/shared';
 import type { Logger } from '@celerybarrow/telemetry';
+import { createCession } from './cession.js';
 import type { ClaimRecord, ClaimStore } from './claimStore.js';
 
 const COPIES = 2;
@@ -40,10 +40,12 @@
   receive(ask: Ask<'transfer'>, peer: Greeting): Reply<'transfer'>;
   /** A peer ceded: its ids and the copies it held move on. */
   onCession(ask: Ask<'cede'>): Promise<Reply<'cede'>>;
-  /** Moves all records to the successors and tells every member; false when some did not answer. */
-  cede(): Promise<boolean>;
-  /** Moves the answers of jobs that ended after the cession. */
-  moveAnswers(): Promise<boolean>;
+  /**
+   * Stops claiming and hands all records and answers over to the successors. Resolves with the epoch
+   * whose members hold them; undefined when nobody could take them within the time. Made again, it
+   * hands over what has ended since.
+   */
+  cede(withinMs: number): Promise<number | undefined>;
   close(): void;
 }
 
@@ -54,8 +56,8 @@
   readonly peers: Peers;
   readonly timer: TimerService;
   readonly logger: Logger;
-  /** Called before the first record is moved on a planned stop. */
-  readonly stopClaiming: () => void;
+  /** Called before the first record is moved on a planned stop; resolves when no claim is pending. */
+  readonly stopClaiming: () => Promise<void>;
 }
 
 interface EpochProgress {
@@ -69,12 +71,14 @@
 export function createHandover(options: HandoverOptions): Handover {
   const { self, store, rosters, peers, timer, logger } = options;
   const closing = new AbortController();
+  const cession = createCession({ ...options, move: moveWithAnswers });
   let progress = createProgress(0);
 
   function follow(): void {
     const view = rosters.own();
     if (view === undefined || view.roster.epoch === progress.epoch) return;
     progress = createProgress(view.roster.epoch);
+    cession.onEpoch();
     const sources = isSettled(view.roster) ? view.roster.members : liveSources(view.roster);
     if (!sources.some((source) => source.incarnation === self.incarnation)) return;
     for (const member of view.roster.members) {
@@ -125,12 +129,13 @@
     epoch: number,
     records: TransferredRecord[],
     complete: boolean,
+    signal: AbortSignal = closing.signal,
   ): Promise<boolean> {
     const ask = { epoch, records, complete };
     const reply = await peers.request(member, 'transfer', ask, {
       timeoutMs: TRANSFER_TIMEOUT_MS,
       connectWaitMs: TRANSFER_TIMEOUT_MS,
-      signal: closing.signal,
+      signal,
     });
     return reply.isOk && reply.value.accepted;
   }
@@ -175,7 +180,8 @@
   async function onCession(ask: Ask<'cede'>): Promise<Reply<'cede'>> {
     rosters.addCeded(ask.epoch, ask.incarnation);
     const view = rosters.own();
-    if (view?.roster.epoch !== ask.epoch) return { accepted: true };
+    // In another epoch the cession was not noted, and its records were moved to other members.
+    if (view?.roster.epoch !== ask.epoch) return { accepted: false };
     return { accepted: await restoreCopies(view) };
   }
 
@@ -195,50 +201,22 @@
     member: Member,
     epoch: number,
     range: TransferredRecord[],
+    signal?: AbortSignal,
   ): Promise<boolean> {
     for (let start = 0; start < range.length; start += RECORDS_IN_A_MESSAGE) {
       const records = range.slice(start, start + RECORDS_IN_A_MESSAGE);
-      if (!(await send(member, epoch, records, false))) return false;
+      if (!(await send(member, epoch, records, false, signal))) return false;
     }
     return true;
   }
 
-  async function cede(): Promise<boolean> {
-    options.stopClaiming();
-    const view = rosters.own();
-    if (view === undefined || !hasMember(view.roster, self.incarnation)) return true;
-    const { epoch } = view.roster;
-    rosters.addCeded(epoch, self.incarnation);
-    const after = rosters.own() ?? view;
-    const successors = activeMembers(after);
-    if (successors.length === 0) return false;
-    if (!(await moveRecords(after))) return false;
-    const told = await Promise.all(successors.map((member) => tellCession(member, epoch)));
-    return told.every(Boolean);
-  }
-
-  function moveAnswers(): Promise<boolean> {
-    const view = rosters.own();
-    return view === undefined ? Promise.resolve(false) : moveRecords(view);
-  }
-
-  async function moveRecords(after: View): Promise<boolean> {
-    const others = activeMembers(after).filter((one) => one.incarnation !== self.incarnation);
-    // Every record is in place before the first member learns of the cession, because from then on
-    // the successors answer for the ids.
-    const moved = await Promise.all(
-      others.map(async (member) => {
-        const range = await collectWithAnswers((id) => isHolder(after, id, member));
-        return sendAll(member, after.roster.epoch, range);
-      }),
-    );
-    return moved.every(Boolean);
-  }
-
-  async function tellCession(member: Member, epoch: number): Promise<boolean> {
-    const ask = { epoch, incarnation: self.incarnation };
-    const reply = await peers.request(member, 'cede', ask, { timeoutMs: TRANSFER_TIMEOUT_MS * 2 });
-    return reply.isOk && reply.value.accepted;
+  async function moveWithAnswers(
+    member: Member,
+    view: View,
+    signal: AbortSignal,
+  ): Promise<boolean> {
+    const range = await collectWithAnswers((id) => isHolder(view, id, member));
+    return sendAll(member, view.roster.epoch, range, signal);
   }
 
   async function collectWithAnswers(
@@ -258,8 +236,7 @@
     hasSettled,
     receive,
     onCession,
-    cede,
-    moveAnswers,
+    cede: (withinMs) => cession.cede(withinMs),
     close() {
       closing.abort();
     },
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -136,9 +136,7 @@
     peers,
     timer,
     logger: createLogger('claims'),
-    stopClaiming: () => {
-      claimRegistry.cede();
-    },
+    stopClaiming: () => claimRegistry.cede(),
   });
   const membership = createMembership({
     self,
@@ -150,6 +148,7 @@
     soleLock,
     logger: createLogger('membership'),
     isDelisted: (instance) => directory.isDelisted(instance),
+    hasCeded: () => claimRegistry.hasCeded(),
     hasSettled: (epoch) => handover.hasSettled(epoch),
   });
   const admission = createAdmission({
--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -27,6 +27,7 @@
   isLastSource,
   joinRoster,
   leaveRoster,
+  rankMembers,
   settleRoster,
   type Heartbeat,
   type Peers,
@@ -36,6 +37,7 @@
   createClaimRegistry,
   createClaimStore,
   createHandover,
+  depart,
   type Handover,
 } from '@celerybarrow/claims';
 import type { Placement } from '@celerybarrow/placement';
@@ -62,6 +64,12 @@
   faults(): readonly string[];
   /** Starts so far, by job. */
   starts(): ReadonlyMap<string, number>;
+  /** Answers so far in the order in which they came, by job. */
+  answers(job: number): readonly Answer[];
+  /** The roster in the platform. */
+  roster(): Roster | undefined;
+  /** The number of a job, from `first` on, whose owner and witness these nodes are. */
+  findJob(owner: number, witness: number, first?: number): number;
 }
 
 const DATA_CENTRE = 'dub1';
@@ -72,6 +80,7 @@
 const ROUTE_ATTEMPTS = 5;
 const ROUTE_PAUSE_MS = 100;
 const SOLE_LEASE_MS = 10_000;
+const HAND_OVER_MS = 8_000;
 
 interface Node {
   readonly member: Member;
@@ -86,11 +95,14 @@
   const timer = createManualTimer(START_MS);
   const random = createRandom(seed);
   const nodes = new Map<number, Node>();
+  /** Nodes that stop, by the index at which another one may have been started since. */
+  const stopping = new Map<number, Node>();
   const all: Node[] = [];
   const cuts = new Set<string>();
   const starts = new Map<string, number>();
   const faults: string[] = [];
   const createdAt = new Map<number, number>();
+  const answers = new Map<string, Answer[]>();
   let stored: Roster | undefined;
   let isPlatformDown = false;
   let soleHolder = { incarnation: '', untilMs: 0 };
@@ -179,7 +191,7 @@
     if (node?.isUp !== true) return;
     const created = createdAt.get(job) ?? timer.wallMs();
     createdAt.set(job, created);
-    const id = `job-${job}`;
+    const id = idOf(job);
     const tasks = [{ name: 't1', kind: 'stamp', payload: '1' }];
     const submission = {
       id,
@@ -191,6 +203,7 @@
     };
     const answer = (await node.jobs.submit(submission)) ?? (await submitToOwner(node, submission));
     if (!node.isUp) return;
+    if (answer !== undefined) answers.set(id, [...(answers.get(id) ?? []), answer]);
     const isNotRun =
       answer !== undefined && 'problem' in answer && answer.problem.outcome === 'not-run';
     if (isNotRun && (starts.get(id) ?? 0) > 0)
@@ -213,6 +226,15 @@
     return undefined;
   }
 
+  function findJob(owner: number, witness: number, first = 0): number {
+    if (stored === undefined) throw new Error('there is no roster yet');
+    for (let job = first; ; job += 1) {
+      const ranked = rankMembers({ roster: stored, ceded: new Set() }, idOf(job));
+      const [one, other] = ranked.map((member) => member.instance);
+      if (one === `e${owner}` && other === `e${witness}`) return job;
+    }
+  }
+
   function evict(by: number, index: number): void {
     const evictor = nodes.get(by);
     const target = nodes.get(index);
@@ -229,20 +251,33 @@
     learn(evictor);
   }
 
-  /** A stopping node cedes, and leaves only when the handover was complete. */
+  /** A stopping node cedes, ends its jobs, and leaves when the handover is complete. */
   async function stop(index: number): Promise<void> {
     const node = nodes.get(index);
     if (node?.isUp !== true) return;
     nodes.delete(index);
-    const isHandedOver = await node.handover.cede();
+    stopping.set(index, node);
+    await node.handover.cede(HAND_OVER_MS);
     while (node.jobs.running() > 0) await timer.sleep(20);
+    await depart({
+      handover: node.handover,
+      withinMs: HAND_OVER_MS,
+      leave: (handedOverIn) => Promise.resolve(leave(node, handedOverIn)),
+    });
+    node.isUp = false;
+  }
+
+  function leave(node: Node, handedOverIn: number | undefined): Result<boolean, Error> {
     const { incarnation } = node.member;
+    if (isPlatformDown) return Result.err(new Error('the platform is down'));
+    learn(node);
     change((roster) => {
-      if (roster === undefined) return roster;
-      if (isHandedOver) return leaveRoster(roster, incarnation, nextWrite());
+      if (roster === undefined || roster.epoch === handedOverIn)
+        return roster && leaveRoster(roster, incarnation, nextWrite());
+      if (handedOverIn !== undefined) return roster;
       return evictMember(roster, { incarnation, isProven: true }, nextWrite());
     });
-    node.isUp = false;
+    return Result.ok(stored === undefined || !hasMember(stored, incarnation));
   }
 
   function join(index: number): void {
@@ -295,7 +330,7 @@
       else if (command.type === 'join') join(command.node);
       else if (command.type === 'stop') void stop(command.node);
       else if (command.type === 'crash') markCrashed(nodes.get(command.node));
-      else if (command.type === 'learn') learnIfUp(nodes.get(command.node));
+      else if (command.type === 'learn') learnAt(command.node);
       else if (command.type === 'cut')
         cuts.add([`e${command.node}`, `e${command.other}`].sort().join('|'));
       else cuts.delete([`e${command.node}`, `e${command.other}`].sort().join('|'));
@@ -305,20 +340,29 @@
       cuts.clear();
       isPlatformDown = false;
       for (let round = 0; round < 4; round += 1) {
-        for (const node of nodes.values()) learnIfUp(node);
+        for (const index of [...nodes.keys(), ...stopping.keys()]) learnAt(index);
         await pass(SETTLING_MS);
       }
       for (const node of all) node.handover.close();
     },
     faults: () => faults,
     starts: () => starts,
+    answers: (job) => answers.get(idOf(job)) ?? [],
+    roster: () => stored,
+    findJob,
   };
 
-  function learnIfUp(node: Node | undefined): void {
-    if (node?.isUp === true) learn(node);
+  function learnAt(index: number): void {
+    for (const node of [nodes.get(index), stopping.get(index)]) {
+      if (node?.isUp === true) learn(node);
+    }
   }
 }
 
+function idOf(job: number): string {
+  return `job-${job}`;
+}
+
 function markCrashed(node: Node | undefined): void {
   if (node !== undefined) node.isUp = false;
 }
@@ -375,9 +419,7 @@
     peers,
     timer,
     logger,
-    stopClaiming: () => {
-      claimRegistry.cede();
-    },
+    stopClaiming: () => claimRegistry.cede(),
   });
   const service = { team: 'editors', limits: {} } as unknown as ServiceFile;
   const configuration = {
--- a/packages/membership/__tests__/soleLock.spec.ts
+++ b/packages/membership/__tests__/soleLock.spec.ts
@@ -52,6 +52,7 @@
     },
     logger,
     isDelisted: () => false,
+    hasCeded: () => false,
     hasSettled: () => false,
   });
   return { timer, rosters, asked, membership };
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -3,6 +3,7 @@
  * rosters as settled and leaves. Works by compare-and-swap, so that of two instances that change
  * the roster at once one succeeds and the other looks again.
  */
+import { Result } from 'true-myth';
 import { describeError, ErrorCodes } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
 import type { Store } from '@celerybarrow/store';
@@ -26,6 +27,7 @@
   type Eviction,
   type RosterWrite,
 } from './rosterChanges.js';
+import type { MembershipError } from './membershipError.js';
 import { createRosterWriter } from './rosterWriter.js';
 import type { RosterKeeper } from './rosterKeeper.js';
 import type { SoleLock } from './soleLock.js';
@@ -42,8 +44,12 @@
 
 export interface Membership {
   isMember(): boolean;
-  /** Takes this instance out of the roster; `isHandedOver` tells whether others hold its claims. */
-  leave(isHandedOver: boolean): Promise<void>;
+  /**
+   * Takes this instance out of the roster. `handedOverIn` is the epoch whose members hold its claims;
+   * when undefined its claims count as lost. Resolves with whether it is out: not when the epoch has
+   * changed since. Errors: ROSTER_UNAVAILABLE, and ROSTER_CHANGED when others were always faster.
+   */
+  leave(handedOverIn: number | undefined): Promise<Result<boolean, MembershipError>>;
   close(): void;
 }
 
@@ -58,6 +64,8 @@
   readonly logger: Logger;
   /** Whether the platform's list of instances once had an instance and no longer has it. */
   readonly isDelisted: (instance: string) => boolean;
+  /** Whether this instance stops and claims nothing more, so that it must not join. */
+  readonly hasCeded: () => boolean;
   /** Whether this member has sent and received all claims of an epoch. */
   readonly hasSettled: (epoch: number) => boolean;
 }
@@ -86,7 +94,8 @@
     if (!hasAnnouncedDataCentre) hasAnnouncedDataCentre = await announceDataCentre();
     if (!hasAnnouncedDataCentre) return false;
     const view = rosters.own();
-    if (view === undefined || !hasMember(view.roster, self.incarnation)) return join();
+    if (view === undefined || !hasMember(view.roster, self.incarnation))
+      return options.hasCeded() || join();
     if (activeMembers(view).length <= 1) await soleLock.acquire(endedHolders);
     const left = view.roster.members.find((member) => hasLeft(member, view.ceded));
     if (left !== undefined) return removeCeded(left);
@@ -263,20 +272,25 @@
     return written.isOk;
   }
 
-  async function leave(isHandedOver: boolean): Promise<void> {
-    closing.abort();
+  async function leave(
+    handedOverIn: number | undefined,
+  ): Promise<Result<boolean, MembershipError>> {
     const eviction = { incarnation: self.incarnation, isProven: true };
-    for (let attempt = 1; attempt <= LEAVE_ATTEMPTS; attempt += 1) {
+    for (let attempt = 1; ; attempt += 1) {
       const left = await writer.change((now, write) => {
-        if (now === undefined) return now;
-        return isHandedOver
-          ? leaveRoster(now, self.incarnation, write)
-          : evictMember(now, eviction, write);
+        if (now === undefined || now.epoch === handedOverIn)
+          return now && leaveRoster(now, self.incarnation, write);
+        return handedOverIn === undefined ? evictMember(now, eviction, write) : now;
       });
-      if (left.isOk) return;
+      if (left.isOk) {
+        const isOut = left.value === undefined || !hasMember(left.value, self.incarnation);
+        if (isOut) closing.abort();
+        return Result.ok(isOut);
+      }
       const { code, message } = left.error;
       logger.warn('Could not leave the roster.', { reason: message, attempt });
-      if (code !== ErrorCodes.ROSTER_CHANGED) return;
+      if (code !== ErrorCodes.ROSTER_CHANGED || attempt >= LEAVE_ATTEMPTS)
+        return Result.err(left.error);
     }
   }
 
