fix(claims): a stopping instance moves no claim that is still pending

A claim that waited for its witness when its owner began to stop was moved to the successors and then given up. Once the owner had ended they could not ask it any more, and answered may-have-run, "Instance lost", for a job that nobody had started.

--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -44,7 +44,7 @@
   witness(ask: Ask<'claim'>, peer: Greeting): Reply<'claim'>;
   /** Promises to accept no claim of an id in an epoch; `false` if one is held or being made here. */
   pledge(ask: Ask<'pledge'>): Reply<'pledge'>;
-  /** Registers no more claims. */
+  /** Registers no more claims; resolves when none is being registered any more. */
   cede(): Promise<void>;
   hasCeded(): boolean;
 }
@@ -227,9 +227,9 @@
     confirm,
     witness,
     pledge,
-    cede() {
+    async cede() {
       isCeded = true;
-      return Promise.resolve();
+      while (registering.size > 0) await timer.sleep(RETRY_PAUSE_MS);
     },
     hasCeded: () => isCeded,
   };
--- a/packages/jobs/__tests__/stopDuringLoss.spec.ts
+++ b/packages/jobs/__tests__/stopDuringLoss.spec.ts
@@ -7,6 +7,9 @@
 const NETWORK_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 /** Time in which a roster settles, or a hand-over that can be done is done. */
 const SETTLING_MS = 2_000;
+/** Steps over the time that a claim takes to be registered. */
+const STEP_MS = 5;
+const STEPS_UNTIL_CLAIMED = 12;
 
 async function begin(nodes: number, seed: number): Promise<Cluster> {
   const cluster = createCluster(seed);
@@ -58,5 +61,33 @@
       expect(outcomes(cluster.answers(after))).toEqual(['complete']);
       expect(cluster.faults()).toEqual([]);
     });
+
+    // The successors got a claim that was given up, and asked its runner after it had ended.
+    it(`doubts no id whose claim is pending when it begins (network ${seed})`, async () => {
+      for (let steps = 1; steps <= STEPS_UNTIL_CLAIMED; steps += 1) {
+        const cluster = await begin(4, seed);
+        const pending = cluster.findJob(0, 1);
+        await takeAll(cluster, [
+          { type: 'submit', job: pending, node: 2, other: 2 },
+          ...Array.from({ length: steps }, (): Command => ({ type: 'pass', ms: STEP_MS })),
+          { type: 'crash', node: 1 },
+          { type: 'stop', node: 0 },
+          { type: 'pass', ms: 600 },
+          { type: 'evict', node: 2, other: 1 },
+          ...learnAll(0, 2, 3),
+          { type: 'pass', ms: SETTLING_MS },
+          ...learnAll(0, 2, 3),
+          { type: 'pass', ms: SETTLING_MS },
+          ...learnAll(2, 3),
+          { type: 'submit', job: pending, node: 3, other: 3 },
+          { type: 'pass', ms: 100 },
+          { type: 'pass', ms: SETTLING_MS },
+        ]);
+        const refusals = outcomes(cluster.answers(pending)).filter((one) => one !== 'complete');
+        expect(refusals).toEqual([]);
+        expect(cluster.answers(pending).length > 0).toEqual(true);
+        expect(cluster.faults()).toEqual([]);
+      }
+    });
   }
 });
