fix(claims): a pending claim does not displace its successor's record

An owner that was cut off, taken out of the roster and back in it answered 503 may-have-run, "Claim contested", for a job whose whole answer its successor had, every time it was asked.

Cause: the store keeps one claim for each id. The record of the successor came with the hand-over of the new epoch while the owner's own claim of that id was still waiting for a witness, and was dropped. The pending claim was given up then, so the owner knew nothing of the id, claimed it anew and was refused by every member that held the record. Nothing ran twice; no wait helped.

The store now keeps both, since it cannot tell which of the two is registered, and the other one takes the place of the claim that is given up; a service whose claim failed looks again when a record is left. Whoever asks the runner learns that it released the claim also when such a record is left.

--- a/packages/claims/src/claimStore.ts
+++ b/packages/claims/src/claimStore.ts
@@ -12,6 +12,8 @@
 
 export interface ClaimRecord {
   claim: Claim;
+  /** The record of another runner, which counts once the present claim is given up. */
+  rival?: ClaimRecord | undefined;
   answer?: Answer | undefined;
   /** Whether this instance ran the job to its end; stays when the answer is forgotten. */
   hasEnded?: boolean;
@@ -21,9 +23,13 @@
   find(id: string): ClaimRecord | undefined;
   /** Adds a claim, or replaces the one that it supersedes. False when another runner holds the id. */
   add(claim: Claim): boolean;
-  /** Adds a record that another instance held; the answer is kept if it is known on either side. */
+  /**
+   * Adds a record that another instance held; the answer is kept if it is known on either side. Of the
+   * claims of two runners at most one is registered, and a store cannot tell which, so both are kept.
+   */
   merge(record: TransferredRecord): void;
   setAnswer(id: string, answer: Answer): void;
+  /** Removes the claim that was given up; another runner's claim of the id takes its place. */
   remove(id: string): void;
   expire(nowMs: number): void;
   records(): IterableIterator<ClaimRecord>;
@@ -35,7 +41,7 @@
   const buckets = new Map<number, Set<string>>();
 
   function insert(claim: Claim): ClaimRecord {
-    const record = { claim };
+    const record: ClaimRecord = { claim };
     byId.set(claim.id, record);
     const key = bucketOf(claim.createdAt);
     const bucket = buckets.get(key) ?? new Set();
@@ -62,6 +68,10 @@
     add,
     merge({ answer, ...claim }) {
       const record = byId.get(claim.id) ?? insert(claim);
+      if (isRival(claim, record.claim)) {
+        record.rival = { claim, answer: answer ?? record.rival?.answer };
+        return;
+      }
       if (claim.supersedes === record.claim.runnerIncarnation) record.claim = claim;
       record.answer ??= answer;
     },
@@ -76,6 +86,7 @@
       if (record === undefined) return;
       byId.delete(id);
       buckets.get(bucketOf(record.claim.createdAt))?.delete(id);
+      if (record.rival !== undefined) insert(record.rival.claim).answer = record.rival.answer;
     },
     expire(nowMs) {
       const oldest = bucketOf(nowMs - RETENTION_MS - RETENTION_MARGIN_MS);
@@ -90,6 +101,12 @@
   };
 }
 
+/** Whether two claims name different runners and neither supersedes the other. */
+function isRival(one: Claim, other: Claim): boolean {
+  if (one.runnerIncarnation === other.runnerIncarnation) return false;
+  return one.supersedes !== other.runnerIncarnation && other.supersedes !== one.runnerIncarnation;
+}
+
 function bucketOf(createdAt: number): number {
   return Math.floor(createdAt / BUCKET_MS);
 }
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -159,7 +159,9 @@
     options.traces.add(id, `Instance ${claim.runner} released the claim.`);
     if (store.find(id)?.claim === claim) store.remove(id);
     if (!isOwner(id)) return undefined;
-    return active.has(id) ? submit(submission) : start(submission, claim.runnerIncarnation);
+    return active.has(id) || store.find(id) !== undefined
+      ? submit(submission)
+      : start(submission, claim.runnerIncarnation);
   }
 
   /** A released claim is forgotten, so that it is never used again. */
@@ -180,7 +182,11 @@
       return { answer: problems.toAnswer(id, problems.otherContent(id)), released: false };
     }
     const answer = await known.answer;
-    return answer === undefined ? { released: !store.find(id) } : { answer, released: false };
+    return answer === undefined ? { released: !isRunner(id) } : { answer, released: false };
+  }
+
+  function isRunner(id: string): boolean {
+    return store.find(id)?.claim.runnerIncarnation === self.incarnation;
   }
 
   /** From here to the registered claim the job is in `active`, so that nobody starts it again. */
@@ -219,7 +225,9 @@
     if (registered.isErr) {
       active.delete(id);
       store.remove(id);
-      if (registered.error.code === ErrorCodes.CLAIM_OUTDATED) return submit(submission);
+      // What another instance holds has become known meanwhile, or the epoch has changed.
+      if (registered.error.code === ErrorCodes.CLAIM_OUTDATED || store.find(id) !== undefined)
+        return submit(submission);
       if (registered.error.code === ErrorCodes.CLAIM_REFUSED)
         return reject(id, problems.claimContested());
       return isOwner(id) ? refuse(id, problems.noWitness()) : undefined;
