fix(claims): a witness that refuses a claim names the claim it holds

An id whose only record was with the witness, because its runner had given the claim up after the answer of the witness was lost, was refused as contested for as long as the epoch lasted. The refusal now carries the claim that stands against it, and the owner asks its runner as for any record. Instances of the version before leave the field out and ignore it.

Test: 'learns from a refusal which runner to ask' failed before.

--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -30,7 +30,8 @@
 
 export interface ClaimRegistry {
   /**
-   * Registers the claim of this instance. Errors: CLAIM_REFUSED when another runner holds the id,
+   * Registers the claim of this instance. Errors: CLAIM_REFUSED when another runner holds the id, whose
+   * claim is then in the store too,
    * CLAIM_UNWITNESSED when no witness answered in time, CLAIM_OUTDATED when the epoch changed. After
    * any of them no task may be started.
    */
@@ -163,7 +164,10 @@
     const reply = await sendTogether(view, witness, claim);
     if (reply === undefined) return 'retry';
     if (reply.epoch !== view.roster.epoch || !reply.accepted) return 'retry';
-    return reply.refused.includes(claim.id) ? 'refused' : 'accepted';
+    if (!reply.refused.includes(claim.id)) return 'accepted';
+    const held = reply.held?.find((one) => one.id === claim.id);
+    if (held !== undefined) store.merge(held);
+    return 'refused';
   }
 
   function sendTogether(
@@ -212,7 +216,9 @@
       (claim) =>
         pledges.has(claim.id, epoch) || !store.add(toClaim(claim, peer, message.runnerPeer)),
     );
-    return { accepted: true, epoch, refused: refused.map((claim) => claim.id) };
+    if (refused.length === 0) return { accepted: true, epoch, refused: [] };
+    const held = refused.flatMap((claim) => store.find(claim.id)?.claim ?? []);
+    return { accepted: true, epoch, refused: refused.map((claim) => claim.id), held };
   }
 
   function pledge({ epoch, id }: Ask<'pledge'>): Reply<'pledge'> {
--- a/packages/protocol/src/keyMap.ts
+++ b/packages/protocol/src/keyMap.ts
@@ -52,4 +52,5 @@
   runnerPeer: 50,
   hops: 51,
   shard: 52,
+  held: 53,
 } as const;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -205,8 +205,16 @@
       runnerPeer: z.string(),
       claims: z.array(ownClaimSchema),
     }),
-    /** `refused` names the ids that the witness would not accept. */
-    reply: z.object({ accepted: z.boolean(), epoch: count, refused: z.array(z.string()) }),
+    /**
+     * `refused` names the ids that the witness would not accept, `held` the claims of other runners
+     * for which it would not.
+     */
+    reply: z.object({
+      accepted: z.boolean(),
+      epoch: count,
+      refused: z.array(z.string()),
+      held: z.array(claimSchema).optional(),
+    }),
   },
   /** Asks a member to accept no claim of an id in an epoch, if it holds none. */
   pledge: {
