fix(endpoints): follow an endpoint closely while a start may arrive there late

Cause: a start got no answer, its stop did, and the task ran elsewhere. 2 s later the endpoint crashed and started again under its id within 0.2 s, idle, so that the next look was up to 1.5 s away. The new life has forgotten the stop and carried the start out.

Now an endpoint is followed by waiting renewals as long as a start without an answer may be carried out there (12 s after it was sent), so that a new life is found within a renewal and the stop is sent again. A start that is listed as ended counts as carried out, and calls for no more looks.

Ruled out as a proof: a start for one life only. What is left is a start that comes between the restart and the first look.

Test: failed before, the new life was not noticed within 350 ms. Looks at an endpoint on which tasks run are the same as before; an idle one with such starts gets one in 280 ms instead of one in 1.5 s, for 12 s.

--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -358,6 +358,34 @@
     expect(steward.isUsable()).toEqual(true);
   });
 
+  // A new life has forgotten the stop, and would carry the start out.
+  it('notices soon that an endpoint has forgotten the stop of a start that may still arrive', async () => {
+    const { timer, endpoint, steward, ends, notes } = await open((one) => {
+      one.areStartsLost = true;
+    });
+    startOne(steward);
+    await timer.advance(1_000);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
+    const before = endpoint.stops.length;
+    endpoint.restart();
+    await timer.advance(350);
+    expect(notes).toInclude('Endpoint began a new life.');
+    expect(endpoint.stops.length > before).toEqual(true);
+    endpoint.carryOut(order);
+    expect(endpoint.running()).toEqual([]);
+  });
+
+  it('looks rarely at an idle endpoint again once no start can arrive late', async () => {
+    const { timer, endpoint, steward } = await open((one) => {
+      one.areStartsLost = true;
+    });
+    startOne(steward);
+    await timer.advance(13_000);
+    const before = endpoint.renewals.length;
+    await timer.advance(3_000);
+    expect(endpoint.renewals.length - before <= 3).toEqual(true);
+  });
+
   // A restart forgets the fence, not who dispatches.
   it('gives no task to an endpoint that restarts after it has obeyed another dispatcher', async () => {
     const { timer, endpoint, steward, own } = await open();
--- a/packages/endpoints/src/lateStarts.ts
+++ b/packages/endpoints/src/lateStarts.ts
@@ -4,7 +4,8 @@
  * Fault pattern: an endpoint that leaves orders unanswered and carries them out seconds later. The
  * lease of the order does not keep it from doing so: the endpoint may judge by the lease that later
  * renewals gave to all that runs there. Only the answer to a stop does, in the same life of the
- * endpoint, since a new life has forgotten what was stopped.
+ * endpoint, since a new life has forgotten what was stopped. So an endpoint with such starts is followed
+ * as closely as one on which tasks run, and what was stopped is stopped again in a new life.
  */
 import { taskKey, type TaskRef } from './leasedEndpoint.js';
 
@@ -22,12 +23,14 @@
   note(task: TaskRef, run: number, sentMs: number): void;
   /** A stop of the run was answered. */
   noteStopped(key: string, run: number): void;
-  /** The start was carried out. */
+  /** The start was carried out, which no order is twice. */
   noteStarted(key: string, run: number): void;
   /** The endpoint has forgotten what was stopped. */
   reopen(): void;
   /** Those of which no stop was answered. */
   open(nowMs: number): readonly LateStart[];
+  /** Whether none can be carried out any more, not even by a new life of the endpoint. */
+  isEmpty(nowMs: number): boolean;
   clear(): void;
 }
 
@@ -37,6 +40,12 @@
   const starts = new Map<string, LateStart & { isStopped: boolean }>();
   const nameOf = (key: string, run: number) => `${key}#${run}`;
 
+  function forgetOld(nowMs: number): void {
+    for (const [name, { sentMs }] of starts) {
+      if (nowMs - sentMs >= LATEST_ORDER_MS) starts.delete(name);
+    }
+  }
+
   return {
     note(task, run, sentMs) {
       const key = taskKey(task);
@@ -54,11 +63,13 @@
     },
     open(nowMs) {
       if (starts.size === 0) return NONE;
-      for (const [name, { sentMs }] of starts) {
-        if (nowMs - sentMs >= LATEST_ORDER_MS) starts.delete(name);
-      }
+      forgetOld(nowMs);
       return [...starts.values()].filter(({ isStopped }) => !isStopped);
     },
+    isEmpty(nowMs) {
+      forgetOld(nowMs);
+      return starts.size === 0;
+    },
     clear() {
       starts.clear();
     },
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -172,7 +172,12 @@
   }
 
   function isIdle(): boolean {
-    return runs.size === 0 && isServing() && unanswered === 0 && !isReplaced;
+    return !isFollowed() && isServing() && unanswered === 0 && !isReplaced;
+  }
+
+  /** Whether tasks run there, or may be started there by an order that is late. */
+  function isFollowed(): boolean {
+    return runs.size > 0 || !lateStarts.isEmpty(clock.nowMs());
   }
 
   async function restIdle(): Promise<void> {
@@ -186,7 +191,7 @@
   }
 
   function renewalWaitMs(): number {
-    if (surveyedAtMs === undefined || runs.size === 0 || unanswered > 0) return 0;
+    if (surveyedAtMs === undefined || !isFollowed() || unanswered > 0) return 0;
     return isServing() ? RENEWAL_WAIT_MS : RETRY_MS;
   }
 
@@ -292,6 +297,7 @@
     for (const one of report.ended) {
       if (one.number <= endsSeen) continue;
       endsSeen = one.number;
+      lateStarts.noteStarted(taskKey(one.task), one.run);
       const run = runs.get(taskKey(one.task));
       if (run?.number === one.run) end(run, one.end);
       else takeForeignEnd(one, nowMs);
