fix(entry): hand no job over whose caller has left while it waited

A gateway without a dispatcher in reach looked for one every 20 ms, and handed the job over as soon as it found one, though the caller had left meanwhile. The withdrawal had gone nowhere, as no dispatcher had the job, so that it ran for its whole time with nobody waiting. The caller, which comes back 1.3 s after it left, can then meet a second run of its tasks if it is served by another dispatcher.

--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -167,6 +167,20 @@
     expect(withdrawn).toEqual(['j']);
   });
 
+  // Its caller comes back later, and finds another dispatcher.
+  it('is not handed over once its caller has left while it waited for a dispatcher', async () => {
+    const { timer, entry, state, submissions } = open([]);
+    state.view = undefined;
+    const leaving = new AbortController();
+    const outcome = entry.submit(createJob(), leaving.signal);
+    await timer.advance(50);
+    leaving.abort();
+    state.view = { epoch: 1, round: 0, dispatcher };
+    await timer.advance(100);
+    expect(submissions).toEqual([]);
+    expect((await outcome).state).toEqual(JobStates.EXPIRED);
+  });
+
   it('tells when it is given up while a dispatcher may still run it', async () => {
     const { timer, entry, state, warnings } = open([{ state: JobStates.MOVED, reason: '' }]);
     void entry.submit(createJob(), new AbortController().signal);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -114,9 +114,9 @@
 
   async function carry(one: OpenJob): Promise<JobOutcome> {
     for (;;) {
-      if (one.signal.aborted) return { state: JobStates.EXPIRED, reason: 'the caller left' };
-      if (remainingMs(one) <= 0) return overtime(one);
+      if (!one.signal.aborted && remainingMs(one) <= 0) return overtime(one);
       const view = await findDispatcher(one);
+      if (one.signal.aborted) return { state: JobStates.EXPIRED, reason: 'the caller left' };
       if (view === undefined) return withoutDispatcher(one);
       if (one.isOutOfSight && view !== one.sentUnder) return outOfSight(one);
       const outcome = await attempt(one, view);
@@ -151,10 +151,11 @@
     const limitMs = one.sentUnder === undefined ? UNSENT_WAIT_MS : SENT_WAIT_MS;
     const untilMs = sinceMs + Math.min(limitMs, remainingMs(one));
     for (;;) {
+      if (one.signal.aborted) return undefined;
       const route = routeOf(one);
       const view = route?.leading.view();
       if (route !== undefined && view !== undefined && isReady(route)) return view;
-      if (one.signal.aborted || clock.nowMs() >= untilMs) return undefined;
+      if (clock.nowMs() >= untilMs) return undefined;
       if (one.sentUnder === undefined && isTooLate(one.job, remainingMs(one))) return undefined;
       await timer.sleep(LOOK_INTERVAL_MS);
     }
