fix(dispatch): start nothing for a job that a dispatcher apart was lost with

What a caller would have seen: tasks of one job at work twice for up to 0.5 s. A data centre with the stored dispatcher is cut off; that dispatcher goes on under its own view, and the entries of its endpoints lapse in the store. It is killed as the cut heals. Its gateways hand their jobs to the dispatcher of the others, which does not list those endpoints, asks all that it lists, and starts the tasks again.

Now a gateway says how long ago it had handed the job to the dispatcher that was lost without a word. If that was after the present one had begun, the two were dispatching at the same time, and the list here proves nothing: runs that are found go on, but nothing is started, and a job with tasks missing is answered as lost after 300 ms.

Ruled out: losing all jobs of a dispatcher that was lost; after an ordinary loss the next one begins later than the job was handed over, and goes on with it.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -58,6 +58,8 @@
   readonly resubmissions: number;
   /** Endpoints on which an earlier dispatcher left runs of the job. */
   readonly heldOn?: readonly string[] | undefined;
+  /** Time since the job was handed to another dispatcher that was lost with it, without a word. */
+  readonly lostHandoverAgoMs?: number | undefined;
 }
 
 export interface Dispatcher {
@@ -207,7 +209,8 @@
     });
   }
 
-  function admit({ job, gateway, resubmissions, heldOn = [] }: Submission): Promise<JobOutcome> {
+  function admit(submission: Submission): Promise<JobOutcome> {
+    const { job, gateway, resubmissions } = submission;
     return new Promise((resolve) => {
       const arrivedMs = clock.nowMs();
       const longestMs = placer.longestChainMs(job);
@@ -220,7 +223,7 @@
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
       rates.note(job.priority, placer.workLeft(record), arrivedMs - job.ageMs, arrivedMs);
-      earlierRuns.claim(record, resubmissions > 0, heldOn);
+      earlierRuns.claim(record, submission);
       if (record.outcome !== undefined) return;
       if (!placer.isRunnable(record)) {
         finish(record, { state: refusalOf(record), reason: 'no endpoint can run it' });
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -4,7 +4,9 @@
  * Fault pattern: the dispatcher was lost or named anew while jobs ran, and their gateways hand them
  * over to the next one. A job that may have been with a dispatcher just now starts nothing new before
  * every endpoint has said, when asked after the job came, what runs there; if that takes too long the
- * job is given up, since a second run could overlap the first.
+ * job is given up, since a second run could overlap the first. So is a job that another dispatcher
+ * got after this one had begun, and was lost with: cut off with its data centre, it had endpoints that
+ * may have left the list here meanwhile.
  */
 import { RunEnds, taskKey } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
@@ -23,9 +25,16 @@
 /** Endpoints that one line names at most. */
 const MAX_NAMED_ENDPOINTS = 5;
 
+/** What a gateway says of the dispatchers that had the job before. */
+export interface Handover {
+  readonly resubmissions: number;
+  readonly heldOn?: readonly string[] | undefined;
+  readonly lostHandoverAgoMs?: number | undefined;
+}
+
 export interface EarlierRuns {
   /** Claims the runs of a job that has just come. */
-  claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void;
+  claim(record: JobRecord, handover: Handover): void;
   /** Claims the run of a task that is about to start, if any endpoint lists one. */
   claimTask(record: JobRecord, task: TaskRecord): boolean;
   /** Goes on with jobs that waited for the reports, and gives them up when that takes too long. */
@@ -49,7 +58,9 @@
   const { pool, clock, logger } = options;
   const createdMs = clock.nowMs();
 
-  function claim(record: JobRecord, isResubmitted: boolean, heldOn: readonly string[]): void {
+  function claim(record: JobRecord, handover: Handover): void {
+    const { heldOn = [], lostHandoverAgoMs } = handover;
+    const isResubmitted = handover.resubmissions > 0;
     const nowMs = clock.nowMs();
     if (heldOn.some((endpoint) => pool.find(endpoint) === undefined)) {
       options.onLost(record, 'an endpoint with its runs is not listed');
@@ -62,6 +73,7 @@
       return;
     }
     record.surveyed = new Set([...pool.stewards()].map(({ id }) => id));
+    record.wasApart = lostHandoverAgoMs !== undefined && nowMs - lostHandoverAgoMs > createdMs;
     // As long as all its tasks run, the endpoints may take their time.
     record.claimUntilMs = Infinity;
     if (record.waiting > 0) askAll(record, nowMs);
@@ -139,9 +151,9 @@
    * Whether every endpoint that was there since the job came has reported since. One that has left the
    * directory meanwhile may still run a task of the job, and has not said so.
    */
-  function isSurveyed({ surveyed, arrivedMs }: JobRecord): boolean {
+  function isSurveyed({ surveyed, wasApart, arrivedMs }: JobRecord): boolean {
     if (surveyed === undefined) return true;
-    if (!options.isListCurrent()) return false;
+    if (wasApart === true || !options.isListCurrent()) return false;
     for (const steward of pool.stewards()) surveyed.add(steward.id);
     const hasReported = (id: string) => (pool.find(id)?.reportedMs() ?? -1) >= arrivedMs;
     return surveyed.size > 0 && [...surveyed].every(hasReported);
@@ -168,6 +180,7 @@
           claimed: describeRuns(record),
           missing: record.waiting,
           unreported: silentAmong(record).join(' '),
+          wasApart: record.wasApart,
           listed: pool.size(),
           dispatcherAgeMs: Math.round(nowMs - createdMs),
         });
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -49,6 +49,8 @@
   claimUntilMs?: number | undefined;
   /** Endpoints that have to say until then what runs there, listed or not. */
   surveyed?: Set<string>;
+  /** Whether a dispatcher apart from this one was lost with it, and may have used other endpoints. */
+  wasApart?: boolean;
   answer: (outcome: JobOutcome) => void;
 }
 
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -157,6 +157,21 @@
     expect(submissions).toEqual([]);
   });
 
+  it('tells the next dispatcher when the one that was lost with it had got it', async () => {
+    const completed = { state: JobStates.COMPLETED, reason: '' };
+    const { timer, entry, state, submissions } = open([completed]);
+    const lost = { ...dispatcher, instance: 'b', incarnation: 'b-1' };
+    state.view = { epoch: 1, round: 0, dispatcher: lost };
+    state.isLinkLost = true;
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(5);
+    state.view = { epoch: 2, round: 0, dispatcher };
+    await timer.advance(100);
+    expect((await outcome).state).toEqual(JobStates.COMPLETED);
+    expect(submissions.map((one) => one.resubmissions)).toEqual([1]);
+    expect((submissions[0]?.lostHandoverAgoMs ?? 0) >= 10).toEqual(true);
+  });
+
   it('ends when its caller leaves', async () => {
     const { timer, entry, withdrawn } = open([]);
     const leaving = new AbortController();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -26,6 +26,7 @@
     gateway: string;
     resubmissions: number;
     heldOn?: readonly string[];
+    lostHandoverAgoMs?: number;
   }): Promise<JobOutcome>;
   withdraw(job: string, gateway?: string): boolean;
 }
@@ -76,6 +77,8 @@
   sentUnder?: View;
   /** A dispatcher apart from the others was lost with the job; endpoints of its may run it. */
   isOutOfSight: boolean;
+  /** The dispatcher that was lost with the job last, without a word, and when it had got the job. */
+  lostWith?: { readonly incarnation: string; readonly sentMs: number };
   /** Endpoints on which runs of the job were left by the dispatchers it moved away from. */
   readonly heldOn: Set<string>;
 }
@@ -171,11 +174,19 @@
   }
 
   async function attempt(one: OpenJob, view: View): Promise<Attempt> {
+    const sentMs = clock.nowMs();
     const remaining = remainingMs(one);
-    const ageMs = one.job.ageMs + (clock.nowMs() - one.startedMs);
-    const job = { ...one.job, ageMs, remainingMs: remaining };
-    const { resubmissions, heldOn } = one;
-    const submission = { job, gateway: instance, resubmissions, heldOn: [...heldOn] };
+    const { incarnation } = view.dispatcher;
+    const { resubmissions, heldOn, lostWith } = one;
+    const submission = {
+      job: { ...one.job, ageMs: one.job.ageMs + (sentMs - one.startedMs), remainingMs: remaining },
+      gateway: instance,
+      resubmissions,
+      heldOn: [...heldOn],
+      ...(lostWith === undefined || lostWith.incarnation === incarnation
+        ? {}
+        : { lostHandoverAgoMs: sentMs - lostWith.sentMs }),
+    };
     const route = routeOf(one);
     const local = route === undefined ? undefined : localOf(route);
     if (local !== undefined) {
@@ -194,6 +205,7 @@
     }
     one.sentUnder = view;
     if (reply.isOk) return settle(one, reply.value);
+    one.lostWith = { incarnation, sentMs };
     // The next dispatcher may not list the endpoints that one apart from the others has used.
     one.isOutOfSight ||= view.round > 0;
     return undefined;
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -135,6 +135,8 @@
       resubmissions: count,
       /** Endpoints on which an earlier dispatcher left runs of the job. */
       heldOn: z.array(z.string()).optional(),
+      /** Time since the job was handed to another dispatcher that was lost with it, without a word. */
+      lostHandoverAgoMs: span.optional(),
     }),
     reply: jobOutcomeSchema,
   },
