--- a/packages/instance/__tests__/resubmittedShard.spec.ts
+++ b/packages/instance/__tests__/resubmittedShard.spec.ts
@@ -51,7 +51,14 @@
     const traits = { judgesByOrder: true, longestTaskMs: 5_000, failShare: 0 };
     const endpoints = createSimulatedEndpoints(SHARDS, timer, random, traits, ignore);
     const routes = endpoints.all.map(({ entry }, shard) => {
-      const view = { epoch: 1, round: 0 };
+      const member = {
+        instance: `d${shard}`,
+        incarnation: `d${shard}`,
+        peer: '',
+        dataCentre: 'd',
+        weight: 1,
+      };
+      const view = { epoch: 1, round: 0, dispatcher: member };
       const leading = { shard, view: () => view, isDispatching: () => true };
       const fence = () => 1;
       const common = { timer, clock, random, logger, metrics: createMetrics() };
