fix(leadership): dial nobody after the instance has closed

Cause, read off such a process by its inspector: a link was dialling. A look or an opinion that ends after the close asks for a link to an instance that has none yet, which is created and dials for ever. No caller suffers: a real process exits. The test failed before (a greeting was sent).

--- /dev/null
+++ b/packages/leadership/__tests__/peerLinks.spec.ts
@@ -0,0 +1,37 @@
+import { once } from 'node:events';
+import { createServer, type AddressInfo } from 'node:net';
+import { describe, it } from 'node:test';
+import { setTimeout as delay } from 'node:timers/promises';
+import { expect } from 'earl';
+import { createTraffic, PROTOCOL_VERSION } from '@celerybarrow/protocol';
+import { createRandom } from '@celerybarrow/shared';
+import { createTimerService } from '@celerybarrow/timer';
+import { createPeerLinks } from '../src/peerLinks.js';
+
+describe('the connections of a closed instance', () => {
+  // A look that ended after the close opened one, and the process never ended.
+  it('are not dialled again', async () => {
+    let greeted = 0;
+    const server = createServer((socket) => {
+      socket.on('data', () => (greeted += 1));
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    const instance = { instance: 'a', incarnation: 'a-1', dataCentre: 'd' };
+    const links = createPeerLinks({
+      greeting: { ...instance, version: PROTOCOL_VERSION },
+      localHost: '127.0.0.1',
+      timer: createTimerService(),
+      random: createRandom(1),
+      traffic: createTraffic(),
+    });
+    links.close();
+    const member = { instance: 'b', incarnation: 'b-1', dataCentre: 'd', weight: 1 };
+    const link = links.to({ ...member, peer: `127.0.0.1:${port}` });
+    await delay(300);
+    link.close();
+    server.close();
+    expect(greeted).toEqual(0);
+  });
+});
--- a/packages/leadership/src/peerLinks.ts
+++ b/packages/leadership/src/peerLinks.ts
@@ -34,6 +34,7 @@
 export function createPeerLinks(options: PeerLinksOptions): PeerLinks {
   const { greeting, localHost, timer, random, traffic } = options;
   const links = new Map<string, PeerLink>();
+  let isClosed = false;
 
   return {
     to(member) {
@@ -52,6 +53,8 @@
         largestReconnectMs: LARGEST_RECONNECT_MS,
       });
       links.set(member.incarnation, created);
+      // Whoever asks while the instance closes would otherwise start one that dials for ever.
+      if (isClosed) created.close();
       return created;
     },
     isConnected: (incarnation) => links.get(incarnation)?.isConnected() === true,
@@ -63,6 +66,7 @@
       }
     },
     close() {
+      isClosed = true;
       for (const link of links.values()) link.close();
     },
   };
