fix(dispatch): wait for a fast endpoint only where it promises a sooner end

What callers saw: a long job alone on an idle pool was answered 504 at the end of its time, or refused after 660 ms with "would wait 0 ms", though an idle endpoint would have ended it in time when it came.

Cause: a task that takes over half of its caller's time on the idle endpoints waited for a fast one without asking when that would have room. Once it counted as late, no idle endpoint could end it in its caller's time any more.

Now such a task waits only if it is expected to end sooner on a busy endpoint, the wait for room included; otherwise it starts on the idle one. When busy endpoints have room is forecast from the progress of their runs, and tasks that wait for the same endpoint have their turns one after another. A promise that fails, as when a more urgent job takes the room, is noticed by the next plan.

Whether a job is urgent no longer depends on what it has started in the same plan, so each task is tried once.

Tests: both of a long job on an idle pool failed before (expired, refused), the forecast's are new. The test of choosePlace that expected the wait says now what it waits for, and that it starts where nothing is promised.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -29,12 +29,14 @@
 
 function placing(change: Partial<Placing>): Placing {
   return {
+    service: 's',
     step: { tasks: 1, demand, estimateMs: 100, after: [] },
     baseMs: 100,
     objectiveInMs: 220,
     patienceMs: 1_400,
     leastSlowness: 0.6,
     avoided: new Set(),
+    awaitedEndMs: () => Infinity,
     tasksOn: () => 0,
     ...change,
   };
@@ -60,8 +62,10 @@
   });
 
   it('waits for a fast endpoint if an estimate too short by half would miss the caller’s time', () => {
-    const long = placing({ baseMs: 900, objectiveInMs: 1_500 });
+    const long = placing({ baseMs: 900, objectiveInMs: 1_500, awaitedEndMs: () => 850 });
     expect(choosePlace([slow, usual], long)).toEqual(undefined);
+    const isTooLate = { ...long, awaitedEndMs: () => Infinity };
+    expect(choosePlace([slow, usual], isTooLate)?.entry.id).toEqual('usual');
     expect(choosePlace([slow, usual], { ...long, isUrgent: true })?.entry.id).toEqual('usual');
     const short = placing({ baseMs: 600, objectiveInMs: 1_000 });
     expect(choosePlace([slow, usual], short)?.entry.id).toEqual('usual');
--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -242,6 +242,37 @@
   });
 });
 
+describe('a job of long tasks on an idle pool', () => {
+  const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+  const steps = (tasks: number) => [{ tasks, demand, estimateMs: 1_400, after: [] }];
+
+  async function openLearned() {
+    const all = await open(1_400, { fast: 0.55, a: 1, b: 1 });
+    for (let index = 0; index < 10; index += 1) {
+      all.submit(job(`learn-${index}`, { steps: steps(18), remainingMs: 9_000 }));
+      await all.advance(9_000);
+    }
+    return all;
+  }
+
+  it('does not expire for a task that waited for a fast endpoint beside idle ones', async () => {
+    const { outcomes, submit, advance } = await openLearned();
+    submit(job('long', { steps: steps(3) }));
+    await advance(2_000);
+    expect(outcomes['long']?.state).toEqual(JobStates.COMPLETED);
+  });
+
+  it('is not refused after it waited for a fast endpoint beside idle ones', async () => {
+    const { outcomes, submit, advance } = await openLearned();
+    submit(job('first', { steps: steps(2) }));
+    await advance(50);
+    submit(job('second', { steps: steps(1) }));
+    await advance(2_000);
+    expect(outcomes['first']?.state).toEqual(JobStates.COMPLETED);
+    expect(outcomes['second']?.state).toEqual(JobStates.COMPLETED);
+  });
+});
+
 describe('a dispatcher that has just begun', () => {
   it('refuses nothing before it knows its endpoints, as after a loss of all instances', async () => {
     const { outcomes, submit, advance, list } = await open(
--- /dev/null
+++ b/packages/dispatch/__tests__/roomForecast.spec.ts
@@ -0,0 +1,67 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { EndpointEntry } from '@celerybarrow/endpoints';
+import type { Placing } from '../src/choosePlace.js';
+import { createRoomForecast, type BusyPlace, type ExpectedEnd } from '../src/roomForecast.js';
+
+const demand = { cores: 14_000, memoryMb: 64, accelerators: 0 };
+const capacity = { cores: 28_000, memoryMb: 1_000, accelerators: 0 };
+const none = { cores: 0, memoryMb: 0, accelerators: 0 };
+
+function entry(id: string, service: string): EndpointEntry {
+  const base = { address: id, dataCentre: 'd', isLeaving: false, labels: [] };
+  return { id, service, capacity, ...base };
+}
+
+function busy(id: string, slowness: number, endsInMs: number[], service = 's'): BusyPlace {
+  const runs: ExpectedEnd[] = endsInMs.map((inMs) => ({ inMs, demand }));
+  return { entry: entry(id, service), slowness, room: none, runs };
+}
+
+const placing: Placing = {
+  service: 's',
+  step: { tasks: 1, demand, estimateMs: 900, after: [] },
+  baseMs: 900,
+  objectiveInMs: 1_500,
+  patienceMs: 1_500,
+  leastSlowness: 0.5,
+  awaitedEndMs: () => Infinity,
+  avoided: new Set(),
+  tasksOn: () => 0,
+};
+
+describe('the forecast of room', () => {
+  it('takes the endpoint with the soonest end, the wait for its room included', () => {
+    const forecast = createRoomForecast(() => [
+      busy('fast', 0.5, [700, 600]),
+      busy('usual', 1, [100, 900]),
+    ]);
+    expect(forecast.soonestEndMs(placing)).toEqual(1_000);
+  });
+
+  it('gives the same room to one of the tasks that wait for it', () => {
+    const forecast = createRoomForecast(() => [busy('fast', 0.5, [300, 800])]);
+    const ends = [1, 2, 3].map(() => {
+      const endMs = forecast.soonestEndMs(placing);
+      forecast.reserve(placing);
+      return endMs;
+    });
+    // The second would have its turn when the first has ended.
+    expect(ends).toEqual([750, 1_200, 1_250]);
+  });
+
+  it('counts what starts now', () => {
+    const place = { ...busy('fast', 0.5, [300]), room: demand };
+    const forecast = createRoomForecast(() => [place]);
+    forecast.noteStart(place, placing);
+    expect(forecast.soonestEndMs(placing)).toEqual(750);
+  });
+
+  it('promises nothing on endpoints of other services, or whose runs nobody can tell of', () => {
+    const forecast = createRoomForecast(() => [
+      busy('other', 0.5, [100], 'another'),
+      busy('unknown', 0.5, [Infinity]),
+    ]);
+    expect(forecast.soonestEndMs(placing)).toEqual(Infinity);
+  });
+});
--- a/packages/dispatch/src/choosePlace.ts
+++ b/packages/dispatch/src/choosePlace.ts
@@ -7,7 +7,8 @@
  * one where it ends first. It is not started where it would miss its limit as long as an endpoint
  * that is busy now could still meet it: a start that cannot be in time serves nobody. Estimates are
  * wrong by a third, so a long task that would take most of its caller's time on a usual endpoint
- * waits for a fast one, as long as that may still come.
+ * waits for a fast one, if it is expected to end sooner there, the wait included. Without such a
+ * prospect it starts while the usual endpoint still serves it.
  */
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import type { Resources, Step } from '@celerybarrow/protocol';
@@ -33,6 +34,7 @@
 }
 
 export interface Placing {
+  readonly service: string;
   readonly step: Step;
   readonly baseMs: number;
   /** Time until the objective, and until the caller leaves. */
@@ -42,6 +44,8 @@
   readonly leastSlowness: number;
   /** Whether any endpoint will do on which it is expected to end in its caller's time. */
   readonly isUrgent?: boolean;
+  /** Time until it is expected to have ended if it waits for room; infinite if that is too late. */
+  readonly awaitedEndMs: () => number;
   readonly avoided: ReadonlySet<string>;
   /** Tasks of the same step on an endpoint, for the limit per endpoint. */
   readonly tasksOn: (endpoint: string) => number;
@@ -75,9 +79,8 @@
   let first: T | undefined;
   let firstMs = Infinity;
   for (const place of places) {
-    if (!fits(place, placing)) continue;
+    if (!hasRoomFor(place.room, placing.step.demand) || !isSuitable(place.entry, placing)) continue;
     const expectedMs = expectedRunMs(place, placing);
-    if (expectedMs > limitMs) continue;
     if (expectedMs <= safeMs && expectedMs > slowestSafeMs) {
       slowestSafe = place;
       slowestSafeMs = expectedMs;
@@ -87,7 +90,8 @@
       firstMs = expectedMs;
     }
   }
-  return slowestSafe ?? first;
+  if (slowestSafe !== undefined || firstMs <= limitMs) return slowestSafe ?? first;
+  return firstMs <= placing.patienceMs && firstMs <= placing.awaitedEndMs() ? first : undefined;
 }
 
 /** The latest end that is still worth a start: the objective, else the caller's time, else any. */
@@ -111,8 +115,9 @@
   return baseMs * place.slowness * (isAway ? OTHER_RACK_FACTOR : 1);
 }
 
-function fits(place: Place, { step, avoided, tasksOn }: Placing): boolean {
-  if (!hasRoomFor(place.room, step.demand) || !isAllowed(place.entry, step)) return false;
-  if (avoided.has(place.entry.id)) return false;
-  return step.perEndpoint === undefined || tasksOn(place.entry.id) < step.perEndpoint;
+/** Whether an endpoint may run the task, with or without room. */
+export function isSuitable(entry: EndpointEntry, placing: Placing): boolean {
+  const { service, step, avoided, tasksOn } = placing;
+  if (entry.service !== service || !isAllowed(entry, step) || avoided.has(entry.id)) return false;
+  return step.perEndpoint === undefined || tasksOn(entry.id) < step.perEndpoint;
 }
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -129,7 +129,14 @@
   });
   const verdict = createEndpointVerdict(() => pool.size());
   const rates = createArrivalRates();
-  const placer = createPlacer({ pool, times, verdict, rates, clock });
+  const placer = createPlacer({
+    pool,
+    times,
+    verdict,
+    rates,
+    clock,
+    find: (run) => byTask.get(run.key),
+  });
   const earlierRuns = createEarlierRuns({
     pool,
     clock,
--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -21,7 +21,7 @@
 /** Up to this factor on the expected time a job is taken to be long; above, the endpoint slow. */
 const LARGEST_ESTIMATE_ERROR = 2.5;
 
-export interface RunProgress {
+export interface RunPace {
   readonly nowMs: number;
   readonly startedMs: number;
   readonly percent: number;
@@ -30,6 +30,9 @@
   readonly seenMs: number;
   /** Expected run time where it runs. */
   readonly expectedMs: number;
+}
+
+export interface RunProgress extends RunPace {
   readonly objectiveMs: number;
   readonly deadlineMs: number;
   readonly moves: number;
@@ -71,7 +74,7 @@
 }
 
 /** Expected time until the run ends. */
-export function remainingMs(run: RunProgress): number {
+export function remainingMs(run: RunPace): number {
   const elapsedMs = run.nowMs - run.startedMs;
   const stillMs = run.seenMs - run.percentAtMs;
   const standsStill = stillMs > Math.max(SHORTEST_STILL_MS, STILL_RUNS * run.expectedMs);
@@ -82,6 +85,6 @@
   return Math.max(0, run.expectedMs - elapsedMs);
 }
 
-function isTelling({ percent, percentAtMs, startedMs }: RunProgress): boolean {
+function isTelling({ percent, percentAtMs, startedMs }: RunPace): boolean {
   return percent >= TELLING_PERCENT && percentAtMs - startedMs >= TELLING_MS;
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -2,16 +2,18 @@
  * Plans which waiting tasks start where, in the order of the jobs, and what each job that stays
  * behind has to expect. It changes nothing itself: the plan is carried out by the dispatcher.
  */
-import type { Steward } from '@celerybarrow/endpoints';
+import { RunStates, type Run, type Steward } from '@celerybarrow/endpoints';
 import type { LeasedJob, Resources } from '@celerybarrow/protocol';
 import type { ElapsedClock } from '@celerybarrow/timer';
 import type { ArrivalRates } from './arrivalRates.js';
-import { choosePlace, hasRoomFor, isAllowed, type Place } from './choosePlace.js';
+import { choosePlace, hasRoomFor, isAllowed, type Place, type Placing } from './choosePlace.js';
 import type { EndpointPool } from './endpointPool.js';
 import type { EndpointVerdict } from './endpointVerdict.js';
 import { compareJobs } from './jobOrder.js';
 import { isStepOpen, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { remainingMs } from './overdueRun.js';
 import { isRefused } from './refusal.js';
+import { createRoomForecast, type ExpectedEnd, type RoomForecast } from './roomForecast.js';
 import type { RunTimes } from './runTimes.js';
 
 export interface PlannedStart {
@@ -66,6 +68,8 @@
   readonly verdict: EndpointVerdict;
   readonly rates: ArrivalRates;
   readonly clock: ElapsedClock;
+  /** The job and task that a run belongs to. */
+  readonly find: (run: Run) => { record: JobRecord; task: TaskRecord } | undefined;
 }
 
 interface OpenPlace extends Place {
@@ -76,6 +80,8 @@
 
 /** Part of the cores that tasks of a third to a half of an endpoint can fill. */
 const PACKED_SHARE = 0.88;
+/** Time that a stop takes. */
+const STOP_MS = 50;
 /** Part of the capacity that is taken to drain the queue even when more work arrives than that. */
 const LEAST_DRAIN_SHARE = 0.04;
 
@@ -90,9 +96,12 @@
   /** The least that any waiting task needs. */
   readonly smallest: Resources;
   readonly leastSlowness: number;
+  readonly forecast: RoomForecast;
 }
 
-export function createPlacer({ pool, times, verdict, rates, clock }: PlacerOptions): Placer {
+export function createPlacer(options: PlacerOptions): Placer {
+  const { pool, times, verdict, rates, clock } = options;
+
   function openPlaces(service: string | undefined, nowMs: number): OpenPlace[] {
     const places: OpenPlace[] = [];
     for (const steward of pool.stewards()) {
@@ -131,17 +140,21 @@
 
   function plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[] {
     const smallest = smallestDemand(waiting);
-    const places = openPlaces(undefined, nowMs).filter((place) => hasRoomFor(place.room, smallest));
+    const usablePlaces = openPlaces(undefined, nowMs);
+    const places = usablePlaces.filter((place) => hasRoomFor(place.room, smallest));
+    const forecast = createRoomForecast(() =>
+      usablePlaces.map(({ entry, slowness, steward }) => {
+        return { entry, slowness, room: steward.room(), runs: expectedEnds(steward, nowMs) };
+      }),
+    );
     const { capacity, leastSlowness } = surveyPool(pool, times, nowMs);
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
-    const room: OpenRoom = { places, smallest, leastSlowness };
+    const room: OpenRoom = { places, smallest, leastSlowness, forecast };
     const usable = capacity * PACKED_SHARE;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
       const soonestMs = runMs * Math.min(1, leastSlowness);
       const planned = { record, runMs: soonestMs, workAhead };
-      const starts = placeTasks(record, room, nowMs, false);
-      if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
       const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
       const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
       const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
@@ -151,12 +164,30 @@
       const { arrivedMs, deadlineMs } = record;
       const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs };
       const isUrgent = !isInTime || isRefused({ ...job, hasRoom: false });
-      if (isUrgent) starts.push(...placeTasks(record, room, nowMs, true, starts));
+      const starts = placeTasks(record, room, nowMs, isUrgent);
+      if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
       return { ...planned, starts, waitMs, hasRoom: starts.length > 0 };
     });
   }
 
+  /** When the runs of an endpoint are expected to end; those that nobody can tell of are left out. */
+  function expectedEnds(steward: Steward, nowMs: number): ExpectedEnd[] {
+    return [...steward.runs()].map((run) => ({
+      demand: run.demand,
+      inMs: expectedEndInMs(run, nowMs),
+    }));
+  }
+
+  function expectedEndInMs(run: Run, nowMs: number): number {
+    if (run.state === RunStates.STOPPING) return STOP_MS;
+    const found = options.find(run);
+    if (found === undefined || run.state === RunStates.IN_DOUBT) return Infinity;
+    const { sentMs: startedMs, percent, percentAtMs, seenMs } = run;
+    const expectedMs = expectedMsOf(found.record, found.task);
+    return remainingMs({ nowMs, startedMs, percent, percentAtMs, seenMs, expectedMs });
+  }
+
   function describe(record: JobRecord, nowMs: number) {
     const runMs = longestChainMs(record.job);
     const workLeft = workLeftOf(record);
@@ -180,36 +211,38 @@
 
   function placeTasks(
     record: JobRecord,
-    { places, smallest, leastSlowness }: OpenRoom,
+    { places, smallest, leastSlowness, forecast }: OpenRoom,
     nowMs: number,
     isUrgent: boolean,
-    placed: readonly PlannedStart[] = [],
   ): PlannedStart[] {
     const starts: PlannedStart[] = [];
     if (places.length === 0) return starts;
-    const mine = places.filter((place) => place.entry.service === record.job.service);
+    const patienceMs = record.deadlineMs - nowMs;
     for (const task of record.tasks) {
       if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
-      if (placed.some((one) => one.task === task)) continue;
       const step = stepOf(record, task);
-      const patienceMs = record.deadlineMs - nowMs;
-      const placing = {
+      const placing: Placing = {
+        service: record.job.service,
         step,
         baseMs: baseMs(record.job, task.ref.step),
-        objectiveInMs: isUrgent ? patienceMs : record.objectiveMs - nowMs,
+        objectiveInMs: record.objectiveMs - nowMs,
         patienceMs,
         leastSlowness,
-        isUrgent,
-        tasksOn: (endpoint: string) => countOn(record, task, endpoint, [...placed, ...starts]),
+        avoided: task.avoided,
+        awaitedEndMs: () => forecast.soonestEndMs(placing),
+        tasksOn: (endpoint: string) => countOn(record, task, endpoint, starts),
       };
-      const open = mine.filter((place) => places.includes(place));
       const place =
-        choosePlace(open, { ...placing, avoided: task.avoided }) ??
-        (hasAvoidedAll(task, open)
-          ? choosePlace(open, { ...placing, avoided: new Set() })
+        placeFor(task, places, placing) ??
+        (isUrgent
+          ? placeFor(task, places, { ...placing, objectiveInMs: patienceMs, isUrgent })
           : undefined);
-      if (place === undefined) break;
+      if (place === undefined) {
+        forecast.reserve(placing);
+        break;
+      }
       starts.push({ task, steward: place.steward });
+      forecast.noteStart(place, placing);
       occupy(places, place, step.demand, smallest);
     }
     return starts;
@@ -219,6 +252,12 @@
     return endpoint === undefined ? undefined : pool.find(endpoint);
   }
 
+  function expectedMsOf(record: JobRecord, task: TaskRecord): number {
+    const steward = placeOf(task.endpoint);
+    const slowness = steward === undefined ? 1 : times.slowness(steward.id, clock.nowMs());
+    return baseMs(record.job, task.ref.step) * Math.min(slowness, 2);
+  }
+
   return {
     hasRoom,
     plan,
@@ -249,11 +288,7 @@
       if (entries.length === 0) return true;
       return record.job.steps.every((step) => entries.some((entry) => isAllowed(entry, step)));
     },
-    expectedMs(record, task) {
-      const steward = placeOf(task.endpoint);
-      const slowness = steward === undefined ? 1 : times.slowness(steward.id, clock.nowMs());
-      return baseMs(record.job, task.ref.step) * Math.min(slowness, 2);
-    },
+    expectedMs: expectedMsOf,
     freshMs(record, task) {
       const { demand } = stepOf(record, task);
       const free = openPlaces(record.job.service, clock.nowMs()).filter(
@@ -318,8 +353,17 @@
   );
 }
 
-function hasAvoidedAll(task: TaskRecord, places: readonly OpenPlace[]): boolean {
-  return task.avoided.size > 0 && places.every((place) => task.avoided.has(place.entry.id));
+/** A place for a task, on an endpoint that it avoids only if there is room on no other. */
+function placeFor(
+  { avoided }: TaskRecord,
+  places: readonly OpenPlace[],
+  placing: Placing,
+): OpenPlace | undefined {
+  const place = choosePlace(places, placing);
+  if (place !== undefined || avoided.size === 0) return place;
+  const open = places.filter(({ entry }) => entry.service === placing.service);
+  if (!open.every(({ entry }) => avoided.has(entry.id))) return undefined;
+  return choosePlace(open, { ...placing, avoided: new Set() });
 }
 
 function occupy(
