fix(dispatch): look for places of all tasks of a job, not only up to the first without one

What callers saw: a job expired beside idle endpoints because one of its tasks waited for a fast one, and a job whose first step needs a whole endpoint did not start its smaller step on the half that was free.

Cause: the plan stopped at the first task of a job that got no place. Those after it can have less demand, another label or other endpoints to avoid, and since tasks wait in turn for a fast endpoint, a later one has a later turn, and better starts on an idle one.

A step is passed over once one of its tasks without endpoints to avoid gets no place, now or in its caller's time; the other tasks of it could not either.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -14,7 +14,7 @@
   type RunningTask,
 } from '@celerybarrow/endpoints';
 import { createMetrics, type Logger } from '@celerybarrow/telemetry';
-import { JobStates, type JobOutcome, type LeasedJob } from '@celerybarrow/protocol';
+import { JobStates, type JobOutcome, type LeasedJob, type Step } from '@celerybarrow/protocol';
 import { createDispatcher, type Dispatcher } from '../src/index.js';
 
 const CORES = 14_000;
@@ -242,37 +242,63 @@
   });
 });
 
-describe('a job of long tasks on an idle pool', () => {
+function longSteps(tasks: number): Step[] {
   const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
-  const steps = (tasks: number) => [{ tasks, demand, estimateMs: 1_400, after: [] }];
+  return [{ tasks, demand, estimateMs: 1_400, after: [] }];
+}
 
-  async function openLearned() {
-    const all = await open(1_400, { fast: 0.55, a: 1, b: 1 });
-    for (let index = 0; index < 10; index += 1) {
-      all.submit(job(`learn-${index}`, { steps: steps(18), remainingMs: 9_000 }));
-      await all.advance(9_000);
-    }
-    return all;
+/** A pool whose callers wait a little longer than its tasks take on a usual endpoint. */
+async function openLongTasks() {
+  const all = await open(1_400, { fast: 0.55, a: 1, b: 1 });
+  for (let index = 0; index < 10; index += 1) {
+    all.submit(job(`learn-${index}`, { steps: longSteps(18), remainingMs: 9_000 }));
+    await all.advance(9_000);
   }
+  return all;
+}
 
+describe('a job of long tasks on an idle pool', () => {
   it('does not expire for a task that waited for a fast endpoint beside idle ones', async () => {
-    const { outcomes, submit, advance } = await openLearned();
-    submit(job('long', { steps: steps(3) }));
+    const { outcomes, submit, advance } = await openLongTasks();
+    submit(job('long', { steps: longSteps(3) }));
     await advance(2_000);
     expect(outcomes['long']?.state).toEqual(JobStates.COMPLETED);
   });
 
   it('is not refused after it waited for a fast endpoint beside idle ones', async () => {
-    const { outcomes, submit, advance } = await openLearned();
-    submit(job('first', { steps: steps(2) }));
+    const { outcomes, submit, advance } = await openLongTasks();
+    submit(job('first', { steps: longSteps(2) }));
     await advance(50);
-    submit(job('second', { steps: steps(1) }));
+    submit(job('second', { steps: longSteps(1) }));
     await advance(2_000);
     expect(outcomes['first']?.state).toEqual(JobStates.COMPLETED);
     expect(outcomes['second']?.state).toEqual(JobStates.COMPLETED);
   });
 });
 
+describe('a task that has to wait', () => {
+  it('does not keep the others of its job from idle endpoints', async () => {
+    const { outcomes, submit, advance } = await openLongTasks();
+    submit(job('first', { steps: longSteps(2) }));
+    await advance(600);
+    submit(job('second', { steps: longSteps(5) }));
+    await advance(2_000);
+    expect(outcomes['second']?.state).toEqual(JobStates.COMPLETED);
+  });
+
+  it('does not keep a smaller task of its job from the room that is left', async () => {
+    const { submit, advance, started } = await open(400, { a: 1, b: 1 });
+    const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+    const step = { tasks: 1, demand, estimateMs: 400, after: [] };
+    submit(job('busy', { steps: [{ ...step, tasks: 3 }] }));
+    await advance(50);
+    const wide = { ...step, demand: { ...demand, cores: 2 * CORES } };
+    submit(job('mixed', { steps: [wide, step] }));
+    await advance(50);
+    expect(started.filter((one) => one.startsWith('mixed')).length).toEqual(1);
+  });
+});
+
 describe('a dispatcher that has just begun', () => {
   it('refuses nothing before it knows its endpoints, as after a loss of all instances', async () => {
     const { outcomes, submit, advance, list } = await open(
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -216,10 +216,13 @@
     isUrgent: boolean,
   ): PlannedStart[] {
     const starts: PlannedStart[] = [];
-    if (places.length === 0) return starts;
+    /** Steps whose tasks get no place now, nor any in their caller's time. */
+    const full = new Set<number>();
     const patienceMs = record.deadlineMs - nowMs;
     for (const task of record.tasks) {
-      if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
+      if (places.length === 0) break;
+      if (task.isDone || task.run !== undefined || full.has(task.ref.step)) continue;
+      if (!isStepOpen(record, task.ref.step)) continue;
       const step = stepOf(record, task);
       const placing: Placing = {
         service: record.job.service,
@@ -238,8 +241,8 @@
           ? placeFor(task, places, { ...placing, objectiveInMs: patienceMs, isUrgent })
           : undefined);
       if (place === undefined) {
-        forecast.reserve(placing);
-        break;
+        if (!forecast.reserve(placing) && task.avoided.size === 0) full.add(task.ref.step);
+        continue;
       }
       starts.push({ task, steward: place.steward });
       forecast.noteStart(place, placing);
--- a/packages/dispatch/src/roomForecast.ts
+++ b/packages/dispatch/src/roomForecast.ts
@@ -24,8 +24,8 @@
   noteStart(place: Place, placing: Placing): void;
   /** Milliseconds until a task that waits for room could have ended; infinite if there is no such place. */
   soonestEndMs(placing: Placing): number;
-  /** Keeps the place of the soonest end for the task. */
-  reserve(placing: Placing): void;
+  /** Keeps the place of the soonest end for the task, if there is one. */
+  reserve(placing: Placing): boolean;
 }
 
 interface Timeline {
@@ -89,7 +89,9 @@
     soonestEndMs: (placing) => soonestTurn(placing)?.endInMs ?? Infinity,
     reserve(placing) {
       const turn = soonestTurn(placing);
-      if (turn !== undefined) take(turn.timeline.place, placing, turn.startInMs);
+      if (turn === undefined) return false;
+      take(turn.timeline.place, placing, turn.startInMs);
+      return true;
     },
   };
 }
