fix(dispatch): refuse what the whole pool could not do in its caller's time

What callers saw: a job of eight tasks of 400 ms before two places, with 1.5 s to go, was taken, started six tasks and expired; its work was lost, and others waited for it.

Cause: took the job's own work out of the wait, where it counted as if it were drained by what more urgent kinds leave of the pool.

Now the time in which all endpoints together can do a job's own work bounds its expected end from below: the end is the later one of wait + longest run and that span. What has room is still never refused.

The reason of a refusal names the expected end as well, since the wait can be 0, and `Job has ended` has `expectedSpanMs`.

The test failed before: six starts, expired.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -113,6 +113,7 @@
     deadlineMs: 1_500,
     waitMs: 2_000,
     runMs: 200,
+    spanMs: 200,
     hasRoom: false,
   };
 
@@ -121,6 +122,12 @@
     expect(isRefused({ ...waiting, waitMs: 100 })).toEqual(false);
   });
 
+  it('refuses what the whole pool could not do in its caller’s time', () => {
+    const wide = { ...waiting, waitMs: 0, spanMs: 1_500 };
+    expect(isRefused(wide)).toEqual(true);
+    expect(isRefused({ ...wide, spanMs: 1_400, waitMs: 1_000 })).toEqual(false);
+  });
+
   it('never refuses what could start now', () => {
     expect(isRefused({ ...waiting, hasRoom: true })).toEqual(false);
   });
--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -227,6 +227,20 @@
     expect(outcomes.wide?.state).toEqual(JobStates.COMPLETED);
   });
 
+  it('is refused, not started, when its own tasks need longer than its caller waits', async () => {
+    const { outcomes, submit, advance, started } = await open(400, { a: 1 });
+    for (let index = 0; index < 10; index += 1) {
+      submit(job(`learn-${index}`, { steps: steps(2, 400) }));
+      await advance(500);
+    }
+    submit(job('busy', { steps: steps(2, 400) }));
+    await advance(50);
+    submit(job('wide', { steps: steps(8, 400) }));
+    await advance(2_000);
+    expect(started.filter((one) => one.startsWith('wide'))).toEqual([]);
+    expect(outcomes['wide']?.state).toEqual(JobStates.REFUSED);
+  });
+
   it('is not refused for its time on a usual endpoint if a fast one would do', async () => {
     const { outcomes, submit, advance } = await open(900, { fast: 0.6, a: 1, b: 1, c: 1 });
     const patient = { steps: steps(8, 900), remainingMs: 3_000 };
--- a/packages/dispatch/src/describeEnd.ts
+++ b/packages/dispatch/src/describeEnd.ts
@@ -25,6 +25,7 @@
     done: tasks.filter((task) => task.isDone).length,
     expectedWaitMs: roundedOrNone(prospect?.waitMs),
     expectedRunMs: roundedOrNone(prospect?.runMs),
+    expectedSpanMs: roundedOrNone(prospect?.spanMs),
     aheadCoreMs: prospect === undefined ? undefined : Math.round(prospect.workAhead / 1_000),
     expectedAgoMs: prospect === undefined ? undefined : Math.round(nowMs - prospect.atMs),
     longestFactor: factors.length === 0 ? undefined : Number(Math.max(...factors).toFixed(2)),
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -40,7 +40,7 @@
 import { createOutcomeMemory } from './outcomeMemory.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
-import { isRefused, retryAfterMs } from './refusal.js';
+import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
 import { createSecondRuns } from './secondRuns.js';
 import { createSurvey } from './survey.js';
@@ -259,18 +259,20 @@
     for (const one of placer.plan(waiting, nowMs)) {
       for (const start of one.starts) startTask(one.record, start.task, start.steward);
       if (one.starts.length > 0) logPlacement(one, nowMs);
-      const { waitMs, runMs, workAhead } = one;
-      if (one.record.waiting > 0) one.record.prospect = { atMs: nowMs, waitMs, runMs, workAhead };
+      const { waitMs, runMs, spanMs, workAhead } = one;
+      const prospect = { atMs: nowMs, waitMs, runMs, spanMs, workAhead };
+      if (one.record.waiting > 0) one.record.prospect = prospect;
       if (one.record.hasStarted || one.record.outcome !== undefined) continue;
       const isHopeless = isRefused({
         nowMs,
         deadlineMs: one.record.deadlineMs,
         arrivedMs: one.record.arrivedMs,
-        waitMs: one.waitMs,
-        runMs: one.runMs,
+        waitMs,
+        runMs,
+        spanMs,
         hasRoom: one.hasRoom || nowMs - createdMs < SURVEY_LIMIT_MS,
       });
-      if (isHopeless) refuse(one.record, one.waitMs);
+      if (isHopeless) refuse(one);
     }
   }
 
@@ -298,11 +300,12 @@
     );
   }
 
-  function refuse(record: JobRecord, waitMs: number): void {
+  function refuse({ record, waitMs, runMs, spanMs }: PlannedJob): void {
     metrics.increment(`refused/${record.job.team}`);
+    const endInMs = expectedEndInMs({ waitMs, runMs, spanMs });
     finish(record, {
       state: refusalOf(record),
-      reason: `would wait ${Math.round(waitMs)} ms`,
+      reason: `would wait ${Math.round(waitMs)} ms and end in ${Math.round(endInMs)} ms`,
       retryAfterMs: retryAfterMs(waitMs, options.random),
     });
   }
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -56,6 +56,7 @@
   readonly atMs: number;
   readonly waitMs: number;
   readonly runMs: number;
+  readonly spanMs: number;
   /** Work of the jobs that go first, without its own. */
   readonly workAhead: number;
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -28,6 +28,8 @@
   readonly waitMs: number;
   /** Expected time of its longest chain on the fastest endpoint. */
   readonly runMs: number;
+  /** Time that its work takes on all endpoints together. */
+  readonly spanMs: number;
   readonly hasRoom: boolean;
   /** Work of the jobs that go first, in thousandths of core-milliseconds. */
   readonly workAhead: number;
@@ -90,6 +92,11 @@
   return workAhead / Math.max(1, capacity * LEAST_DRAIN_SHARE, capacity - arriving);
 }
 
+/** The least time in which all endpoints together can do the work of a job, whatever goes first. */
+function leastSpanMs(work: number, capacity: number): number {
+  return capacity > 0 ? work / capacity : 0;
+}
+
 /** The endpoints on which some waiting task fits. */
 interface OpenRoom {
   readonly places: OpenPlace[];
@@ -154,7 +161,8 @@
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
       const soonestMs = runMs * Math.min(1, leastSlowness);
-      const planned = { record, runMs: soonestMs, workAhead };
+      const spanMs = leastSpanMs(workLeft, capacity);
+      const planned = { record, runMs: soonestMs, spanMs, workAhead };
       const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
       const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
       const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
@@ -162,7 +170,7 @@
       // What cannot be in time any more takes any room in which it still ends in its caller's time,
       // and so does what would be refused otherwise.
       const { arrivedMs, deadlineMs } = record;
-      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs };
+      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs, spanMs };
       const isUrgent = !isInTime || isRefused({ ...job, hasRoom: false });
       const starts = placeTasks(record, room, nowMs, isUrgent);
       if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
--- a/packages/dispatch/src/refusal.ts
+++ b/packages/dispatch/src/refusal.ts
@@ -14,14 +14,20 @@
 /** Refused callers come back spread over this part of the drain time, so as not to come at once. */
 const RETRY_SPREAD = 0.5;
 
-export interface WaitingJob {
-  readonly nowMs: number;
-  readonly deadlineMs: number;
-  readonly arrivedMs: number;
+/** What a job that waits has to expect. */
+export interface JobProspect {
   /** Expected wait until the work ahead of it has got room. */
   readonly waitMs: number;
   /** Expected run time of its longest chain on the fastest endpoint. */
   readonly runMs: number;
+  /** Time that its work takes on all endpoints together; bounds its end from below. */
+  readonly spanMs: number;
+}
+
+export interface WaitingJob extends JobProspect {
+  readonly nowMs: number;
+  readonly deadlineMs: number;
+  readonly arrivedMs: number;
   /** Whether some room is free for it at this moment. */
   readonly hasRoom: boolean;
 }
@@ -29,7 +35,16 @@
 export function isRefused(job: WaitingJob): boolean {
   if (job.hasRoom) return false;
   const patienceMs = (job.deadlineMs - job.arrivedMs) * USABLE_PATIENCE;
-  return job.nowMs + job.waitMs + job.runMs > job.arrivedMs + patienceMs;
+  return job.nowMs + expectedEndInMs(job) > job.arrivedMs + patienceMs;
+}
+
+/**
+ * The wait already counts all that goes first, more urgent newcomers included. A job's own work is
+ * not added to it, as if it were drained by what they leave, but no wait is so short that the pool
+ * could end the job sooner than in its span.
+ */
+export function expectedEndInMs({ waitMs, runMs, spanMs }: JobProspect): number {
+  return Math.max(waitMs + runMs, spanMs);
 }
 
 /** Span after which a refused job would find the queue drained. */
