fix(dispatch): log the claim of an earlier run, not a start that never happened

What on-call staff saw: `Tasks are placed ... places=0/0@b` where nothing was started on b: run 1 on a was claimed. docs/OPERATIONS.md calls two such places the fault, so whoever follows it finds a second run where there is none.

Cause: since a start may turn into the claim of a listed run; the log printed the plan all the same, with the number of the claimed run.

Now the line names what was started, and `Earlier run is claimed in place of a start` names the claim. The test failed before with the place 0/0@b.

--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -222,6 +222,24 @@
     expect([line?.context['listed'], line?.context['unreported']]).toEqual([2, 1]);
   });
 
+  it('do not name a place for a task whose earlier run was claimed at its start', async () => {
+    const { running, submit, advance, lines } = open(['a', 'b']);
+    await advance(2_000);
+    running.set('a', [{ task: { job: 'j', step: 0, index: 0 }, run: 1, percent: 0 }]);
+    await advance(1_600);
+    submit(job('j'));
+    await advance(50);
+    expect(running.get('b')).toEqual(undefined);
+    const places = lines
+      .filter(({ sentence }) => sentence === 'Tasks are placed.')
+      .map(({ context }) => context['places']);
+    expect(places).toEqual([]);
+    const claim = lines.find(
+      ({ sentence }) => sentence === 'Earlier run is claimed in place of a start.',
+    );
+    expect([claim?.context['endpoint'], claim?.context['run']]).toEqual(['a', 1]);
+  });
+
   it('mark the runs of a task after the first in the placements', async () => {
     const { submit, advance, lines } = open(['a']);
     await advance(50);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -39,7 +39,7 @@
 import { createJobSizeRanks } from './jobSizes.js';
 import { createOutcomeMemory } from './outcomeMemory.js';
 import { findOverdueTasks } from './overdueTasks.js';
-import { createPlacer, type PlannedJob } from './placer.js';
+import { createPlacer, type PlannedJob, type PlannedStart } from './placer.js';
 import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
 import { createSecondRuns } from './secondRuns.js';
@@ -257,8 +257,8 @@
   /** Starts what can start, and refuses what can no longer be served. */
   function carryOutPlan(waiting: readonly JobRecord[], nowMs: number): void {
     for (const one of placer.plan(waiting, nowMs)) {
-      for (const start of one.starts) startTask(one.record, start.task, start.steward);
-      if (one.starts.length > 0) logPlacement(one, nowMs);
+      const started = one.starts.filter((start) => startTask(one.record, start));
+      if (started.length > 0) logPlacement({ ...one, starts: started }, nowMs);
       const { waitMs, runMs, spanMs, workAhead } = one;
       const prospect = { atMs: nowMs, waitMs, runMs, spanMs, workAhead };
       if (one.record.waiting > 0) one.record.prospect = prospect;
@@ -315,9 +315,16 @@
     return record.mayHaveRun ? JobStates.LOST : JobStates.REFUSED;
   }
 
-  function startTask(record: JobRecord, task: TaskRecord, steward: Steward): void {
+  /** Starts a task, unless an endpoint lists an earlier run of it, which is claimed instead. */
+  function startTask(record: JobRecord, { task, steward }: PlannedStart): boolean {
     const demand = record.job.steps[task.ref.step]?.demand;
-    if (demand === undefined || earlierRuns.claimTask(record, task)) return;
+    if (demand === undefined) return false;
+    if (earlierRuns.claimTask(record, task)) {
+      const { key, endpoint, run, isDone } = task;
+      const about = { job: record.job.id, task: key, endpoint, run: run?.number, isDone };
+      logger.info('Earlier run is claimed in place of a start.', about);
+      return false;
+    }
     const number = task.nextRun;
     task.nextRun += 1;
     record.waiting -= 1;
@@ -327,6 +334,7 @@
     task.endpoint = steward.id;
     task.run = steward.start({ task: task.ref, number, demand, payload: record.job.payload });
     metrics.increment('starts');
+    return true;
   }
 
   function takeEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void {
