--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -16,7 +16,6 @@
   type OrderAnswer,
   type Run,
   type RunEnd,
-  type Steward,
 } from '@celerybarrow/endpoints';
 import { JobStates, type JobOutcome, type JobState, type LeasedJob } from '@celerybarrow/protocol';
 import type { Logger, Metrics } from '@celerybarrow/telemetry';
@@ -39,7 +38,8 @@
 import { createJobSizeRanks } from './jobSizes.js';
 import { createOutcomeMemory } from './outcomeMemory.js';
 import { findOverdueTasks } from './overdueTasks.js';
-import { createPlacer, type PlannedJob, type PlannedStart } from './placer.js';
+import { createPlacer, type PlannedJob } from './placer.js';
+import type { PlannedStart } from './placeTasks.js';
 import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
 import { createSecondRuns } from './secondRuns.js';
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -6,21 +6,17 @@
 import type { LeasedJob, Resources } from '@celerybarrow/protocol';
 import type { ElapsedClock } from '@celerybarrow/timer';
 import type { ArrivalRates } from './arrivalRates.js';
-import { choosePlace, hasRoomFor, isAllowed, type Place, type Placing } from './choosePlace.js';
+import { hasRoomFor, isAllowed } from './choosePlace.js';
 import type { EndpointPool } from './endpointPool.js';
 import type { EndpointVerdict } from './endpointVerdict.js';
 import { compareJobs } from './jobOrder.js';
-import { isStepOpen, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
 import { remainingMs } from './overdueRun.js';
+import { placeTasks, type OpenPlace, type OpenRoom, type PlannedStart } from './placeTasks.js';
 import { isRefused } from './refusal.js';
-import { createRoomForecast, type ExpectedEnd, type RoomForecast } from './roomForecast.js';
+import { createRoomForecast, type ExpectedEnd } from './roomForecast.js';
 import type { RunTimes } from './runTimes.js';
 
-export interface PlannedStart {
-  readonly task: TaskRecord;
-  readonly steward: Steward;
-}
-
 export interface PlannedJob {
   readonly record: JobRecord;
   readonly starts: readonly PlannedStart[];
@@ -74,12 +70,6 @@
   readonly find: (run: Run) => { record: JobRecord; task: TaskRecord } | undefined;
 }
 
-interface OpenPlace extends Place {
-  room: Resources;
-  allowance: number;
-  readonly steward: Steward;
-}
-
 /** Part of the cores that tasks of a third to a half of an endpoint can fill. */
 const PACKED_SHARE = 0.88;
 /** Time that a stop takes. */
@@ -97,15 +87,6 @@
   return capacity > 0 ? work / capacity : 0;
 }
 
-/** The endpoints on which some waiting task fits. */
-interface OpenRoom {
-  readonly places: OpenPlace[];
-  /** The least that any waiting task needs. */
-  readonly smallest: Resources;
-  readonly leastSlowness: number;
-  readonly forecast: RoomForecast;
-}
-
 export function createPlacer(options: PlacerOptions): Placer {
   const { pool, times, verdict, rates, clock } = options;
 
@@ -172,14 +153,18 @@
       const { arrivedMs, deadlineMs } = record;
       const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs, spanMs };
       const isUrgent = !isInTime || isRefused({ ...job, hasRoom: false });
-      const starts = placeTasks(record, room, nowMs, isUrgent);
+      const starts = placeTasks(record, room, {
+        nowMs,
+        isUrgent,
+        baseMs: (step) => baseMs(record.job, step),
+      });
       if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
       return { ...planned, starts, waitMs, hasRoom: starts.length > 0 };
     });
   }
 
-  /** When the runs of an endpoint are expected to end; those that nobody can tell of are left out. */
+  /** When the runs of an endpoint are expected to end; infinite where nobody can tell. */
   function expectedEnds(steward: Steward, nowMs: number): ExpectedEnd[] {
     return [...steward.runs()].map((run) => ({
       demand: run.demand,
@@ -217,48 +202,6 @@
     }, 0);
   }
 
-  function placeTasks(
-    record: JobRecord,
-    { places, smallest, leastSlowness, forecast }: OpenRoom,
-    nowMs: number,
-    isUrgent: boolean,
-  ): PlannedStart[] {
-    const starts: PlannedStart[] = [];
-    /** Steps whose tasks get no place now, nor any in their caller's time. */
-    const full = new Set<number>();
-    const patienceMs = record.deadlineMs - nowMs;
-    for (const task of record.tasks) {
-      if (places.length === 0) break;
-      if (task.isDone || task.run !== undefined || full.has(task.ref.step)) continue;
-      if (!isStepOpen(record, task.ref.step)) continue;
-      const step = stepOf(record, task);
-      const placing: Placing = {
-        service: record.job.service,
-        step,
-        baseMs: baseMs(record.job, task.ref.step),
-        objectiveInMs: record.objectiveMs - nowMs,
-        patienceMs,
-        leastSlowness,
-        avoided: task.avoided,
-        awaitedEndMs: () => forecast.soonestEndMs(placing),
-        tasksOn: (endpoint: string) => countOn(record, task, endpoint, starts),
-      };
-      const place =
-        placeFor(task, places, placing) ??
-        (isUrgent
-          ? placeFor(task, places, { ...placing, objectiveInMs: patienceMs, isUrgent })
-          : undefined);
-      if (place === undefined) {
-        if (!forecast.reserve(placing) && task.avoided.size === 0) full.add(task.ref.step);
-        continue;
-      }
-      starts.push({ task, steward: place.steward });
-      forecast.noteStart(place, placing);
-      occupy(places, place, step.demand, smallest);
-    }
-    return starts;
-  }
-
   function placeOf(endpoint: string | undefined): Steward | undefined {
     return endpoint === undefined ? undefined : pool.find(endpoint);
   }
@@ -348,47 +291,3 @@
   }
   return { capacity, leastSlowness };
 }
-
-function countOn(
-  record: JobRecord,
-  task: TaskRecord,
-  endpoint: string,
-  starts: readonly PlannedStart[],
-): number {
-  const isSameStep = (one: TaskRecord) => one.ref.step === task.ref.step;
-  const running = record.tasks.filter(
-    (one) => isSameStep(one) && one.run !== undefined && one.endpoint === endpoint,
-  ).length;
-  return (
-    running + starts.filter((one) => isSameStep(one.task) && one.steward.id === endpoint).length
-  );
-}
-
-/** A place for a task, on an endpoint that it avoids only if there is room on no other. */
-function placeFor(
-  { avoided }: TaskRecord,
-  places: readonly OpenPlace[],
-  placing: Placing,
-): OpenPlace | undefined {
-  const place = choosePlace(places, placing);
-  if (place !== undefined || avoided.size === 0) return place;
-  const open = places.filter(({ entry }) => entry.service === placing.service);
-  if (!open.every(({ entry }) => avoided.has(entry.id))) return undefined;
-  return choosePlace(open, { ...placing, avoided: new Set() });
-}
-
-function occupy(
-  places: OpenPlace[],
-  place: OpenPlace,
-  demand: Resources,
-  smallest: Resources,
-): void {
-  place.room = {
-    cores: place.room.cores - demand.cores,
-    memoryMb: place.room.memoryMb - demand.memoryMb,
-    accelerators: place.room.accelerators - demand.accelerators,
-  };
-  place.allowance -= 1;
-  if (place.allowance > 0 && hasRoomFor(place.room, smallest)) return;
-  places.splice(places.indexOf(place), 1);
-}
