fix(dispatch): whether a job can be in time is judged on the endpoint that would serve it

Cause: a job that waits counted as late if its run on a usual endpoint would miss its objective. It would not start there: long tasks wait for a fast endpoint. A late job goes behind all arrivals, so its expected wait was the queue at 4% of the capacity.

Test: refused before ("would wait 7046 ms"), completed now.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -240,6 +240,20 @@
     await advance(1_500);
     expect(outcomes.long?.state).toEqual(JobStates.COMPLETED);
   });
+
+  // Seen on shiftline-sched scale-2, seed 1001892172135: refused for waits of 0.4 to 6 s.
+  it('is not taken for late because it would be on a usual endpoint', async () => {
+    const { outcomes, submit, advance } = await open(900, { fast: 0.6, a: 1, b: 1, c: 1 });
+    for (let index = 0; index < 12; index += 1) {
+      submit(job(`learn-${index}`, { steps: steps(8, 900), remainingMs: 3_000 }));
+      await advance(2_000);
+    }
+    submit(job('ahead', { steps: steps(10, 900), remainingMs: 3_000 }));
+    await advance(50);
+    submit(job('long', { steps: steps(1, 900), remainingMs: 3_000, objectiveStretch: 2 }));
+    await advance(3_000);
+    expect(outcomes.long?.state).toEqual(JobStates.COMPLETED);
+  });
 });
 
 describe('a dispatcher that has just begun', () => {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -143,7 +143,8 @@
       const starts = placeTasks(record, room, nowMs, false);
       if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
       const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
-      const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
+      // Judged on the endpoint that would serve it: a long job does not wait for a usual one.
+      const isInTime = nowMs + inTimeMs + soonestMs <= record.objectiveMs;
       const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
       const waitMs = Math.max(inTimeMs, lateMs);
       // What cannot be in time any more takes any room in which it still ends in its caller's time,
