--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -145,7 +145,8 @@
       const spanMs = leastSpanMs(workLeft, capacity);
       const planned = { record, runMs: soonestMs, spanMs, workAhead };
       const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
-      const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
+      // Judged on the endpoint that would serve it: a long job does not wait for a usual one.
+      const isInTime = nowMs + inTimeMs + soonestMs <= record.objectiveMs;
       const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
       const waitMs = Math.max(inTimeMs, lateMs);
       // What cannot be in time any more takes any room in which it still ends in its caller's time,
