fix(dispatch): a forecast keeps no turn that comes too late, and looks only where a task would wait

A task without a place kept a turn on a busy endpoint even if it would end there after its caller's time: the endpoint then looked taken to the tasks after it.

The runs of an endpoint are now looked at when a task would wait for it, not for all endpoints at once.

--- a/packages/dispatch/__tests__/roomForecast.spec.ts
+++ b/packages/dispatch/__tests__/roomForecast.spec.ts
@@ -15,7 +15,7 @@
 
 function busy(id: string, slowness: number, endsInMs: number[], service = 's'): BusyPlace {
   const runs: ExpectedEnd[] = endsInMs.map((inMs) => ({ inMs, demand }));
-  return { entry: entry(id, service), slowness, room: none, runs };
+  return { entry: entry(id, service), slowness, room: none, runs: () => runs };
 }
 
 const placing: Placing = {
@@ -32,7 +32,7 @@
 
 describe('the forecast of room', () => {
   it('takes the endpoint with the soonest end, the wait for its room included', () => {
-    const forecast = createRoomForecast(() => [
+    const forecast = createRoomForecast([
       busy('fast', 0.5, [700, 600]),
       busy('usual', 1, [100, 900]),
     ]);
@@ -40,7 +40,7 @@
   });
 
   it('gives the same room to one of the tasks that wait for it', () => {
-    const forecast = createRoomForecast(() => [busy('fast', 0.5, [300, 800])]);
+    const forecast = createRoomForecast([busy('fast', 0.5, [300, 800])]);
     const ends = [1, 2, 3].map(() => {
       const endMs = forecast.soonestEndMs(placing);
       forecast.reserve(placing);
@@ -50,15 +50,21 @@
     expect(ends).toEqual([750, 1_200, 1_250]);
   });
 
+  it('keeps no place that would have its turn too late', () => {
+    const forecast = createRoomForecast([busy('fast', 0.5, [1_200])]);
+    expect(forecast.reserve(placing)).toEqual(false);
+    expect(forecast.soonestEndMs(placing)).toEqual(Infinity);
+  });
+
   it('counts what starts now', () => {
     const place = { ...busy('fast', 0.5, [300]), room: demand };
-    const forecast = createRoomForecast(() => [place]);
+    const forecast = createRoomForecast([place]);
     forecast.noteStart(place, placing);
     expect(forecast.soonestEndMs(placing)).toEqual(750);
   });
 
   it('promises nothing on endpoints of other services, or whose runs nobody can tell of', () => {
-    const forecast = createRoomForecast(() => [
+    const forecast = createRoomForecast([
       busy('other', 0.5, [100], 'another'),
       busy('unknown', 0.5, [Infinity]),
     ]);
--- a/packages/dispatch/src/roomForecast.ts
+++ b/packages/dispatch/src/roomForecast.ts
@@ -8,9 +8,9 @@
 import type { Resources } from '@celerybarrow/protocol';
 import { expectedRunMs, hasRoomFor, isSuitable, type Place, type Placing } from './choosePlace.js';
 
-/** An endpoint with what runs there. */
+/** An endpoint with what runs there, looked at only if a task would wait for it. */
 export interface BusyPlace extends Place {
-  readonly runs: readonly ExpectedEnd[];
+  readonly runs: () => readonly ExpectedEnd[];
 }
 
 /** When a run is expected to end, in milliseconds from now, and the room that it leaves. */
@@ -24,12 +24,12 @@
   noteStart(place: Place, placing: Placing): void;
   /** Milliseconds until a task that waits for room could have ended; infinite if there is no such place. */
   soonestEndMs(placing: Placing): number;
-  /** Keeps the place of the soonest end for the task, if there is one. */
+  /** Keeps the place of the soonest end for the task, if there is one in its caller's time. */
   reserve(placing: Placing): boolean;
 }
 
 interface Timeline {
-  readonly place: Place;
+  readonly place: BusyPlace;
   /** What is free now, less what waiting tasks are to get. */
   room: Resources;
   /** In the order of the ends. */
@@ -43,24 +43,22 @@
 }
 
 /** Forecast for one plan; the places are those that may get tasks, busy or not. */
-export function createRoomForecast(listPlaces: () => Iterable<BusyPlace>): RoomForecast {
-  let timelines: Map<string, Timeline> | undefined;
-  const started: [Place, Placing][] = [];
+export function createRoomForecast(places: readonly BusyPlace[]): RoomForecast {
+  const timelines = new Map<string, Timeline>();
+  /** What starts now, by endpoint, until its timeline is needed. */
+  const started = new Map<string, Placing[]>();
 
-  function all(): Map<string, Timeline> {
-    if (timelines !== undefined) return timelines;
-    timelines = new Map();
-    for (const place of listPlaces()) {
-      const ends = [...place.runs].sort((a, b) => a.inMs - b.inMs);
-      timelines.set(place.entry.id, { place, room: place.room, ends });
-    }
-    for (const [place, placing] of started) take(place, placing, 0);
-    return timelines;
+  function timelineOf(place: BusyPlace): Timeline {
+    const known = timelines.get(place.entry.id);
+    if (known !== undefined) return known;
+    const ends = [...place.runs()].sort((a, b) => a.inMs - b.inMs);
+    const timeline = { place, room: place.room, ends };
+    timelines.set(place.entry.id, timeline);
+    for (const placing of started.get(place.entry.id) ?? []) take(timeline, placing, 0);
+    return timeline;
   }
 
-  function take({ entry }: Place, placing: Placing, startInMs: number): void {
-    const timeline = timelines?.get(entry.id);
-    if (timeline === undefined) return;
+  function take(timeline: Timeline, placing: Placing, startInMs: number): void {
     const { demand } = placing.step;
     const inMs = startInMs + expectedRunMs(timeline.place, placing);
     timeline.room = subtract(timeline.room, demand);
@@ -70,27 +68,31 @@
 
   function soonestTurn(placing: Placing): Turn | undefined {
     let soonest: Turn | undefined;
-    for (const timeline of all().values()) {
-      if (!isSuitable(timeline.place.entry, placing)) continue;
-      const runMs = expectedRunMs(timeline.place, placing);
+    for (const place of places) {
+      const runMs = expectedRunMs(place, placing);
       if (runMs >= (soonest?.endInMs ?? placing.patienceMs)) continue;
+      if (!isSuitable(place.entry, placing)) continue;
+      const timeline = timelineOf(place);
       const startInMs = roomInMs(timeline, placing.step.demand);
       const endInMs = startInMs + runMs;
-      if (endInMs < (soonest?.endInMs ?? Infinity)) soonest = { timeline, startInMs, endInMs };
+      if (endInMs <= placing.patienceMs && endInMs < (soonest?.endInMs ?? Infinity)) {
+        soonest = { timeline, startInMs, endInMs };
+      }
     }
     return soonest;
   }
 
   return {
-    noteStart(place, placing) {
-      if (timelines === undefined) started.push([place, placing]);
-      else take(place, placing, 0);
+    noteStart({ entry }, placing) {
+      const timeline = timelines.get(entry.id);
+      if (timeline !== undefined) take(timeline, placing, 0);
+      else started.set(entry.id, [...(started.get(entry.id) ?? []), placing]);
     },
     soonestEndMs: (placing) => soonestTurn(placing)?.endInMs ?? Infinity,
     reserve(placing) {
       const turn = soonestTurn(placing);
       if (turn === undefined) return false;
-      take(turn.timeline.place, placing, turn.startInMs);
+      take(turn.timeline, placing, turn.startInMs);
       return true;
     },
   };
