--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -29,12 +29,14 @@
 
 function placing(change: Partial<Placing>): Placing {
   return {
+    service: 's',
     step: { tasks: 1, demand, estimateMs: 100, after: [] },
     baseMs: 100,
     objectiveInMs: 220,
     patienceMs: 1_400,
     leastSlowness: 0.6,
     avoided: new Set(),
+    awaitedEndMs: () => Infinity,
     tasksOn: () => 0,
     ...change,
   };
@@ -60,8 +62,10 @@
   });
 
   it('waits for a fast endpoint if an estimate too short by half would miss the caller’s time', () => {
-    const long = placing({ baseMs: 900, objectiveInMs: 1_500 });
+    const long = placing({ baseMs: 900, objectiveInMs: 1_500, awaitedEndMs: () => 850 });
     expect(choosePlace([slow, usual], long)).toEqual(undefined);
+    const isTooLate = { ...long, awaitedEndMs: () => Infinity };
+    expect(choosePlace([slow, usual], isTooLate)?.entry.id).toEqual('usual');
     expect(choosePlace([slow, usual], { ...long, isUrgent: true })?.entry.id).toEqual('usual');
     const short = placing({ baseMs: 600, objectiveInMs: 1_000 });
     expect(choosePlace([slow, usual], short)?.entry.id).toEqual('usual');
@@ -109,6 +113,7 @@
     deadlineMs: 1_500,
     waitMs: 2_000,
     runMs: 200,
+    spanMs: 200,
     hasRoom: false,
   };
 
@@ -117,6 +122,12 @@
     expect(isRefused({ ...waiting, waitMs: 100 })).toEqual(false);
   });
 
+  it('refuses what the whole pool could not do in its caller’s time', () => {
+    const wide = { ...waiting, waitMs: 0, spanMs: 1_500 };
+    expect(isRefused(wide)).toEqual(true);
+    expect(isRefused({ ...wide, spanMs: 1_400, waitMs: 1_000 })).toEqual(false);
+  });
+
   it('never refuses what could start now', () => {
     expect(isRefused({ ...waiting, hasRoom: true })).toEqual(false);
   });
--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -14,7 +14,7 @@
   type RunningTask,
 } from '@celerybarrow/endpoints';
 import { createMetrics, type Logger } from '@celerybarrow/telemetry';
-import { JobStates, type JobOutcome, type LeasedJob } from '@celerybarrow/protocol';
+import { JobStates, type JobOutcome, type LeasedJob, type Step } from '@celerybarrow/protocol';
 import { createDispatcher, type Dispatcher } from '../src/index.js';
 
 const CORES = 14_000;
@@ -227,6 +227,20 @@
     expect(outcomes.wide?.state).toEqual(JobStates.COMPLETED);
   });
 
+  it('is refused, not started, when its own tasks need longer than its caller waits', async () => {
+    const { outcomes, submit, advance, started } = await open(400, { a: 1 });
+    for (let index = 0; index < 10; index += 1) {
+      submit(job(`learn-${index}`, { steps: steps(2, 400) }));
+      await advance(500);
+    }
+    submit(job('busy', { steps: steps(2, 400) }));
+    await advance(50);
+    submit(job('wide', { steps: steps(8, 400) }));
+    await advance(2_000);
+    expect(started.filter((one) => one.startsWith('wide'))).toEqual([]);
+    expect(outcomes['wide']?.state).toEqual(JobStates.REFUSED);
+  });
+
   it('is not refused for its time on a usual endpoint if a fast one would do', async () => {
     const { outcomes, submit, advance } = await open(900, { fast: 0.6, a: 1, b: 1, c: 1 });
     const patient = { steps: steps(8, 900), remainingMs: 3_000 };
@@ -240,6 +254,77 @@
     await advance(1_500);
     expect(outcomes.long?.state).toEqual(JobStates.COMPLETED);
   });
+
+  // Seen on shiftline-sched scale-2, seed 1001892172135: refused for waits of 0.4 to 6 s.
+  it('is not taken for late because it would be on a usual endpoint', async () => {
+    const { outcomes, submit, advance } = await open(900, { fast: 0.6, a: 1, b: 1, c: 1 });
+    for (let index = 0; index < 12; index += 1) {
+      submit(job(`learn-${index}`, { steps: steps(8, 900), remainingMs: 3_000 }));
+      await advance(2_000);
+    }
+    submit(job('ahead', { steps: steps(10, 900), remainingMs: 3_000 }));
+    await advance(50);
+    submit(job('long', { steps: steps(1, 900), remainingMs: 3_000, objectiveStretch: 2 }));
+    await advance(3_000);
+    expect(outcomes.long?.state).toEqual(JobStates.COMPLETED);
+  });
+});
+
+function longSteps(tasks: number): Step[] {
+  const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+  return [{ tasks, demand, estimateMs: 1_400, after: [] }];
+}
+
+/** A pool whose callers wait a little longer than its tasks take on a usual endpoint. */
+async function openLongTasks() {
+  const all = await open(1_400, { fast: 0.55, a: 1, b: 1 });
+  for (let index = 0; index < 10; index += 1) {
+    all.submit(job(`learn-${index}`, { steps: longSteps(18), remainingMs: 9_000 }));
+    await all.advance(9_000);
+  }
+  return all;
+}
+
+describe('a job of long tasks on an idle pool', () => {
+  it('does not expire for a task that waited for a fast endpoint beside idle ones', async () => {
+    const { outcomes, submit, advance } = await openLongTasks();
+    submit(job('long', { steps: longSteps(3) }));
+    await advance(2_000);
+    expect(outcomes['long']?.state).toEqual(JobStates.COMPLETED);
+  });
+
+  it('is not refused after it waited for a fast endpoint beside idle ones', async () => {
+    const { outcomes, submit, advance } = await openLongTasks();
+    submit(job('first', { steps: longSteps(2) }));
+    await advance(50);
+    submit(job('second', { steps: longSteps(1) }));
+    await advance(2_000);
+    expect(outcomes['first']?.state).toEqual(JobStates.COMPLETED);
+    expect(outcomes['second']?.state).toEqual(JobStates.COMPLETED);
+  });
+});
+
+describe('a task that has to wait', () => {
+  it('does not keep the others of its job from idle endpoints', async () => {
+    const { outcomes, submit, advance } = await openLongTasks();
+    submit(job('first', { steps: longSteps(2) }));
+    await advance(600);
+    submit(job('second', { steps: longSteps(5) }));
+    await advance(2_000);
+    expect(outcomes['second']?.state).toEqual(JobStates.COMPLETED);
+  });
+
+  it('does not keep a smaller task of its job from the room that is left', async () => {
+    const { submit, advance, started } = await open(400, { a: 1, b: 1 });
+    const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+    const step = { tasks: 1, demand, estimateMs: 400, after: [] };
+    submit(job('busy', { steps: [{ ...step, tasks: 3 }] }));
+    await advance(50);
+    const wide = { ...step, demand: { ...demand, cores: 2 * CORES } };
+    submit(job('mixed', { steps: [wide, step] }));
+    await advance(50);
+    expect(started.filter((one) => one.startsWith('mixed')).length).toEqual(1);
+  });
 });
 
 describe('a dispatcher that has just begun', () => {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -16,7 +16,6 @@
   type OrderAnswer,
   type Run,
   type RunEnd,
-  type Steward,
 } from '@celerybarrow/endpoints';
 import { JobStates, type JobOutcome, type JobState, type LeasedJob } from '@celerybarrow/protocol';
 import type { Logger, Metrics } from '@celerybarrow/telemetry';
@@ -40,7 +39,8 @@
 import { createOutcomeMemory } from './outcomeMemory.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
-import { isRefused, retryAfterMs } from './refusal.js';
+import type { PlannedStart } from './placeTasks.js';
+import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
 import { createSecondRuns } from './secondRuns.js';
 import { createSurvey } from './survey.js';
@@ -133,7 +133,14 @@
   });
   const verdict = createEndpointVerdict(() => pool.size());
   const rates = createArrivalRates();
-  const placer = createPlacer({ pool, times, verdict, rates, clock });
+  const placer = createPlacer({
+    pool,
+    times,
+    verdict,
+    rates,
+    clock,
+    find: (run) => byTask.get(run.key),
+  });
   const earlierRuns = createEarlierRuns({
     pool,
     clock,
@@ -256,20 +263,22 @@
   /** Starts what can start, and refuses what can no longer be served. */
   function carryOutPlan(waiting: readonly JobRecord[], nowMs: number): void {
     for (const one of placer.plan(waiting, nowMs)) {
-      for (const start of one.starts) startTask(one.record, start.task, start.steward);
-      if (one.starts.length > 0) logPlacement(one, nowMs);
-      const { waitMs, runMs, workAhead } = one;
-      if (one.record.waiting > 0) one.record.prospect = { atMs: nowMs, waitMs, runMs, workAhead };
+      const started = one.starts.filter((start) => startTask(one.record, start));
+      if (started.length > 0) logPlacement({ ...one, starts: started }, nowMs);
+      const { waitMs, runMs, spanMs, workAhead } = one;
+      const prospect = { atMs: nowMs, waitMs, runMs, spanMs, workAhead };
+      if (one.record.waiting > 0) one.record.prospect = prospect;
       if (one.record.hasStarted || one.record.outcome !== undefined) continue;
       const isHopeless = isRefused({
         nowMs,
         deadlineMs: one.record.deadlineMs,
         arrivedMs: one.record.arrivedMs,
-        waitMs: one.waitMs,
-        runMs: one.runMs,
+        waitMs,
+        runMs,
+        spanMs,
         hasRoom: one.hasRoom || nowMs - createdMs < SURVEY_LIMIT_MS,
       });
-      if (isHopeless) refuse(one.record, one.waitMs);
+      if (isHopeless) refuse(one);
     }
   }
 
@@ -297,11 +306,12 @@
     );
   }
 
-  function refuse(record: JobRecord, waitMs: number): void {
+  function refuse({ record, waitMs, runMs, spanMs }: PlannedJob): void {
     metrics.increment(`refused/${record.job.team}`);
+    const endInMs = expectedEndInMs({ waitMs, runMs, spanMs });
     finish(record, {
       state: refusalOf(record),
-      reason: `would wait ${Math.round(waitMs)} ms`,
+      reason: `would wait ${Math.round(waitMs)} ms and end in ${Math.round(endInMs)} ms`,
       retryAfterMs: retryAfterMs(waitMs, options.random),
     });
   }
@@ -311,9 +321,16 @@
     return record.mayHaveRun ? JobStates.LOST : JobStates.REFUSED;
   }
 
-  function startTask(record: JobRecord, task: TaskRecord, steward: Steward): void {
+  /** Starts a task, unless an endpoint lists an earlier run of it, which is claimed instead. */
+  function startTask(record: JobRecord, { task, steward }: PlannedStart): boolean {
     const demand = record.job.steps[task.ref.step]?.demand;
-    if (demand === undefined || earlierRuns.claimTask(record, task)) return;
+    if (demand === undefined) return false;
+    if (earlierRuns.claimTask(record, task)) {
+      const { key, endpoint, run, isDone } = task;
+      const about = { job: record.job.id, task: key, endpoint, run: run?.number, isDone };
+      logger.info('Earlier run is claimed in place of a start.', about);
+      return false;
+    }
     const number = task.nextRun;
     task.nextRun += 1;
     record.waiting -= 1;
@@ -323,6 +340,7 @@
     task.endpoint = steward.id;
     task.run = steward.start({ task: task.ref, number, demand, payload: record.job.payload });
     metrics.increment('starts');
+    return true;
   }
 
   function takeEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -2,23 +2,21 @@
  * Plans which waiting tasks start where, in the order of the jobs, and what each job that stays
  * behind has to expect. It changes nothing itself: the plan is carried out by the dispatcher.
  */
-import type { Steward } from '@celerybarrow/endpoints';
+import { RunStates, type Run, type Steward } from '@celerybarrow/endpoints';
 import type { LeasedJob, Resources } from '@celerybarrow/protocol';
 import type { ElapsedClock } from '@celerybarrow/timer';
 import type { ArrivalRates } from './arrivalRates.js';
-import { choosePlace, hasRoomFor, isAllowed, type Place } from './choosePlace.js';
+import { hasRoomFor, isAllowed } from './choosePlace.js';
 import type { EndpointPool } from './endpointPool.js';
 import type { EndpointVerdict } from './endpointVerdict.js';
 import { compareJobs } from './jobOrder.js';
-import { isStepOpen, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { remainingMs } from './overdueRun.js';
+import { placeTasks, type OpenPlace, type OpenRoom, type PlannedStart } from './placeTasks.js';
 import { isRefused } from './refusal.js';
+import { createRoomForecast, type ExpectedEnd } from './roomForecast.js';
 import type { RunTimes } from './runTimes.js';
 
-export interface PlannedStart {
-  readonly task: TaskRecord;
-  readonly steward: Steward;
-}
-
 export interface PlannedJob {
   readonly record: JobRecord;
   readonly starts: readonly PlannedStart[];
@@ -26,6 +24,8 @@
   readonly waitMs: number;
   /** Expected time of its longest chain on the fastest endpoint. */
   readonly runMs: number;
+  /** Time that its work takes on all endpoints together. */
+  readonly spanMs: number;
   readonly hasRoom: boolean;
   /** Work of the jobs that go first, in thousandths of core-milliseconds. */
   readonly workAhead: number;
@@ -66,16 +66,14 @@
   readonly verdict: EndpointVerdict;
   readonly rates: ArrivalRates;
   readonly clock: ElapsedClock;
-}
-
-interface OpenPlace extends Place {
-  room: Resources;
-  allowance: number;
-  readonly steward: Steward;
+  /** The job and task that a run belongs to. */
+  readonly find: (run: Run) => { record: JobRecord; task: TaskRecord } | undefined;
 }
 
 /** Part of the cores that tasks of a third to a half of an endpoint can fill. */
 const PACKED_SHARE = 0.88;
+/** Time that a stop takes. */
+const STOP_MS = 50;
 /** Part of the capacity that is taken to drain the queue even when more work arrives than that. */
 const LEAST_DRAIN_SHARE = 0.04;
 
@@ -84,15 +82,14 @@
   return workAhead / Math.max(1, capacity * LEAST_DRAIN_SHARE, capacity - arriving);
 }
 
-/** The endpoints on which some waiting task fits. */
-interface OpenRoom {
-  readonly places: OpenPlace[];
-  /** The least that any waiting task needs. */
-  readonly smallest: Resources;
-  readonly leastSlowness: number;
+/** The least time in which all endpoints together can do the work of a job, whatever goes first. */
+function leastSpanMs(work: number, capacity: number): number {
+  return capacity > 0 ? work / capacity : 0;
 }
 
-export function createPlacer({ pool, times, verdict, rates, clock }: PlacerOptions): Placer {
+export function createPlacer(options: PlacerOptions): Placer {
+  const { pool, times, verdict, rates, clock } = options;
+
   function openPlaces(service: string | undefined, nowMs: number): OpenPlace[] {
     const places: OpenPlace[] = [];
     for (const steward of pool.stewards()) {
@@ -131,32 +128,60 @@
 
   function plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[] {
     const smallest = smallestDemand(waiting);
-    const places = openPlaces(undefined, nowMs).filter((place) => hasRoomFor(place.room, smallest));
+    const usablePlaces = openPlaces(undefined, nowMs);
+    const places = usablePlaces.filter((place) => hasRoomFor(place.room, smallest));
+    const forecast = createRoomForecast(
+      usablePlaces.map(({ entry, slowness, room, steward }) => {
+        return { entry, slowness, room, runs: () => expectedEnds(steward, nowMs) };
+      }),
+    );
     const { capacity, leastSlowness } = surveyPool(pool, times, nowMs);
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
-    const room: OpenRoom = { places, smallest, leastSlowness };
+    const room: OpenRoom = { places, smallest, leastSlowness, forecast };
     const usable = capacity * PACKED_SHARE;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
       const soonestMs = runMs * Math.min(1, leastSlowness);
-      const planned = { record, runMs: soonestMs, workAhead };
-      const starts = placeTasks(record, room, nowMs, false);
-      if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
+      const spanMs = leastSpanMs(workLeft, capacity);
+      const planned = { record, runMs: soonestMs, spanMs, workAhead };
       const inTimeMs = drainMs(workAhead, usable, rates.before(priority, nowMs));
-      const isInTime = nowMs + inTimeMs + runMs <= record.objectiveMs;
+      // Judged on the endpoint that would serve it: a long job does not wait for a usual one.
+      const isInTime = nowMs + inTimeMs + soonestMs <= record.objectiveMs;
       const lateMs = isInTime ? 0 : drainMs(workAhead, usable, rates.before(undefined, nowMs));
       const waitMs = Math.max(inTimeMs, lateMs);
       // What cannot be in time any more takes any room in which it still ends in its caller's time,
       // and so does what would be refused otherwise.
       const { arrivedMs, deadlineMs } = record;
-      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs };
+      const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: soonestMs, spanMs };
       const isUrgent = !isInTime || isRefused({ ...job, hasRoom: false });
-      if (isUrgent) starts.push(...placeTasks(record, room, nowMs, true, starts));
+      const starts = placeTasks(record, room, {
+        nowMs,
+        isUrgent,
+        baseMs: (step) => baseMs(record.job, step),
+      });
+      if (starts.length >= record.waiting) return { ...planned, starts, waitMs: 0, hasRoom: true };
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
       return { ...planned, starts, waitMs, hasRoom: starts.length > 0 };
     });
   }
 
+  /** When the runs of an endpoint are expected to end; infinite where nobody can tell. */
+  function expectedEnds(steward: Steward, nowMs: number): ExpectedEnd[] {
+    return [...steward.runs()].map((run) => ({
+      demand: run.demand,
+      inMs: expectedEndInMs(run, nowMs),
+    }));
+  }
+
+  function expectedEndInMs(run: Run, nowMs: number): number {
+    if (run.state === RunStates.STOPPING) return STOP_MS;
+    const found = options.find(run);
+    if (found === undefined || run.state === RunStates.IN_DOUBT) return Infinity;
+    const { sentMs: startedMs, percent, percentAtMs, seenMs } = run;
+    const expectedMs = expectedMsOf(found.record, found.task);
+    return remainingMs({ nowMs, startedMs, percent, percentAtMs, seenMs, expectedMs });
+  }
+
   function describe(record: JobRecord, nowMs: number) {
     const runMs = longestChainMs(record.job);
     const workLeft = workLeftOf(record);
@@ -178,47 +203,16 @@
     }, 0);
   }
 
-  function placeTasks(
-    record: JobRecord,
-    { places, smallest, leastSlowness }: OpenRoom,
-    nowMs: number,
-    isUrgent: boolean,
-    placed: readonly PlannedStart[] = [],
-  ): PlannedStart[] {
-    const starts: PlannedStart[] = [];
-    if (places.length === 0) return starts;
-    const mine = places.filter((place) => place.entry.service === record.job.service);
-    for (const task of record.tasks) {
-      if (task.isDone || task.run !== undefined || !isStepOpen(record, task.ref.step)) continue;
-      if (placed.some((one) => one.task === task)) continue;
-      const step = stepOf(record, task);
-      const patienceMs = record.deadlineMs - nowMs;
-      const placing = {
-        step,
-        baseMs: baseMs(record.job, task.ref.step),
-        objectiveInMs: isUrgent ? patienceMs : record.objectiveMs - nowMs,
-        patienceMs,
-        leastSlowness,
-        isUrgent,
-        tasksOn: (endpoint: string) => countOn(record, task, endpoint, [...placed, ...starts]),
-      };
-      const open = mine.filter((place) => places.includes(place));
-      const place =
-        choosePlace(open, { ...placing, avoided: task.avoided }) ??
-        (hasAvoidedAll(task, open)
-          ? choosePlace(open, { ...placing, avoided: new Set() })
-          : undefined);
-      if (place === undefined) break;
-      starts.push({ task, steward: place.steward });
-      occupy(places, place, step.demand, smallest);
-    }
-    return starts;
-  }
-
   function placeOf(endpoint: string | undefined): Steward | undefined {
     return endpoint === undefined ? undefined : pool.find(endpoint);
   }
 
+  function expectedMsOf(record: JobRecord, task: TaskRecord): number {
+    const steward = placeOf(task.endpoint);
+    const slowness = steward === undefined ? 1 : times.slowness(steward.id, clock.nowMs());
+    return baseMs(record.job, task.ref.step) * Math.min(slowness, 2);
+  }
+
   return {
     hasRoom,
     plan,
@@ -249,11 +243,7 @@
       if (entries.length === 0) return true;
       return record.job.steps.every((step) => entries.some((entry) => isAllowed(entry, step)));
     },
-    expectedMs(record, task) {
-      const steward = placeOf(task.endpoint);
-      const slowness = steward === undefined ? 1 : times.slowness(steward.id, clock.nowMs());
-      return baseMs(record.job, task.ref.step) * Math.min(slowness, 2);
-    },
+    expectedMs: expectedMsOf,
     freshMs(record, task) {
       const { demand } = stepOf(record, task);
       const free = openPlaces(record.job.service, clock.nowMs()).filter(
@@ -302,38 +292,3 @@
   }
   return { capacity, leastSlowness };
 }
-
-function countOn(
-  record: JobRecord,
-  task: TaskRecord,
-  endpoint: string,
-  starts: readonly PlannedStart[],
-): number {
-  const isSameStep = (one: TaskRecord) => one.ref.step === task.ref.step;
-  const running = record.tasks.filter(
-    (one) => isSameStep(one) && one.run !== undefined && one.endpoint === endpoint,
-  ).length;
-  return (
-    running + starts.filter((one) => isSameStep(one.task) && one.steward.id === endpoint).length
-  );
-}
-
-function hasAvoidedAll(task: TaskRecord, places: readonly OpenPlace[]): boolean {
-  return task.avoided.size > 0 && places.every((place) => task.avoided.has(place.entry.id));
-}
-
-function occupy(
-  places: OpenPlace[],
-  place: OpenPlace,
-  demand: Resources,
-  smallest: Resources,
-): void {
-  place.room = {
-    cores: place.room.cores - demand.cores,
-    memoryMb: place.room.memoryMb - demand.memoryMb,
-    accelerators: place.room.accelerators - demand.accelerators,
-  };
-  place.allowance -= 1;
-  if (place.allowance > 0 && hasRoomFor(place.room, smallest)) return;
-  places.splice(places.indexOf(place), 1);
-}
