fix(dispatch): a job that cannot end in its caller's time on any endpoint is given up

Cause: a run was taken back only where that saves its caller; a job whose progress shows that nothing can save it went on to the end.

Now a job is given up once the progress of a run says that it is too long, and a fresh run on the fastest endpoint would be too, with the length that other runs of the job have shown; without such runs only when a usual run would be too late as well, since the endpoint may be slow.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -11,7 +11,7 @@
 import { compareJobs, type OrderedJob } from '../src/jobOrder.js';
 import { lengthOfOthers, noteLength, objectiveFor } from '../src/jobLength.js';
 import { createJobRecord } from '../src/jobRecord.js';
-import { isLate, isWorthMoving } from '../src/overdueRun.js';
+import { isHopeless, isLate, isWorthMoving } from '../src/overdueRun.js';
 import { isRefused, retryAfterMs } from '../src/refusal.js';
 import { createRunTimes } from '../src/runTimes.js';
 
@@ -241,6 +241,25 @@
     expect(isWorthMoving({ ...slow, lengthFactor: 1 }, 200)).toEqual(true);
   });
 
+  // Seen on shiftline-sched scale-2: tasks of 1.4 to 2.5 s on a fast endpoint, of callers that wait 1.3 s.
+  it('gives up a task that is too long for every endpoint, as soon as other runs confirm it', () => {
+    const long = { ...run, percent: 20, expectedMs: 700, lengthFactor: 2.4 };
+    expect(isHopeless(long, () => 600)).toEqual(true);
+    expect(isHopeless({ ...long, percent: 27 }, () => 600)).toEqual(false);
+    expect(isHopeless({ ...long, lengthFactor: 1 }, () => 600)).toEqual(false);
+  });
+
+  it('gives up a task without other runs only when a usual run would be too late as well', () => {
+    const long = { ...run, nowMs: 800, percent: 45, percentAtMs: 800, expectedMs: 700 };
+    expect(isHopeless(long, () => 650)).toEqual(false);
+    expect(isHopeless(long, () => 750)).toEqual(true);
+  });
+
+  it('gives up nothing on the word of the first percents', () => {
+    const young = { ...run, percent: 3, percentAtMs: 150, nowMs: 150, lengthFactor: 3 };
+    expect(isHopeless(young, () => 1_400)).toEqual(false);
+  });
+
   it('knows the length of a job from its other runs, and gives it more time for that', () => {
     const timer = createManualTimer();
     const record = createJobRecord(
--- a/packages/dispatch/__tests__/largestJobsShortServed.spec.ts
+++ b/packages/dispatch/__tests__/largestJobsShortServed.spec.ts
@@ -8,29 +8,52 @@
   { team: 'ping', priority: 1, perSecond: 77, meanTasks: 2, mostTasks: 8, meanMs: 200 },
 ];
 const SEEDS = [1, 2, 3, 4];
+/** Seeds with many renders that are too long for their callers on every endpoint. */
+const SEEDS_OF_LONG_JOBS = [29, 30, 31, 32];
+
+interface ServedShares {
+  readonly all: number;
+  readonly largest: number;
+  readonly nextLargest: number;
+}
+
+async function playRenders(seeds: readonly number[]): Promise<ServedShares> {
+  const all: PlayedJob[] = [];
+  const largest: PlayedJob[] = [];
+  const nextLargest: PlayedJob[] = [];
+  for (const seed of seeds) {
+    const jobs = await playLoad({
+      seed,
+      endpoints: 33,
+      speeds: [0.6, 0.6, 0.6, 1.6],
+      kinds: KINDS,
+      load: 0.9,
+      durationMs: 15_000,
+    });
+    const renders = jobs.filter((job) => job.team === 'render');
+    all.push(...renders);
+    largest.push(...jobsBetween(renders, 0.9, 1));
+    nextLargest.push(...jobsBetween(renders, 0.7, 0.9));
+  }
+  return {
+    all: servedShare(all),
+    largest: servedShare(largest),
+    nextLargest: servedShare(nextLargest),
+  };
+}
 
 describe('under load, on a pool with few fast endpoints', () => {
   // Seen on lrd-notes scale-1, seed 1041019181972: 0.35 of the largest tenth served, 0.75 of all.
   it('serves the largest jobs of a kind at least half as often as the whole kind', async () => {
-    const all: PlayedJob[] = [];
-    const largest: PlayedJob[] = [];
-    const nextLargest: PlayedJob[] = [];
-    for (const seed of SEEDS) {
-      const jobs = await playLoad({
-        seed,
-        endpoints: 33,
-        speeds: [0.6, 0.6, 0.6, 1.6],
-        kinds: KINDS,
-        load: 0.9,
-        durationMs: 15_000,
-      });
-      const renders = jobs.filter((job) => job.team === 'render');
-      all.push(...renders);
-      largest.push(...jobsBetween(renders, 0.9, 1));
-      nextLargest.push(...jobsBetween(renders, 0.7, 0.9));
-    }
-    const least = servedShare(all) / 2;
-    expect(servedShare(largest)).toBeGreaterThanOrEqual(least);
-    expect(servedShare(nextLargest)).toBeGreaterThanOrEqual(least);
+    const { all, largest, nextLargest } = await playRenders(SEEDS);
+    expect(largest).toBeGreaterThanOrEqual(all / 2);
+    expect(nextLargest).toBeGreaterThanOrEqual(all / 2);
+  });
+
+  // Seen on shiftline-sched scale-2, seed 1001892172135: 0.28 of the largest tenth, 0.69 of all.
+  it('serves them as often when jobs that nobody could serve take room', async () => {
+    const { all, largest, nextLargest } = await playRenders(SEEDS_OF_LONG_JOBS);
+    expect(largest).toBeGreaterThanOrEqual(all / 2);
+    expect(nextLargest).toBeGreaterThanOrEqual(all / 2);
   });
 });
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -443,7 +443,11 @@
         return isOpen ? found : undefined;
       },
     });
-    for (const { task, standsStill } of overdue) {
+    for (const { record, task, standsStill, isHopeless } of overdue) {
+      if (isHopeless) {
+        finish(record, { state: JobStates.EXPIRED, reason: 'cannot end in its caller’s time' });
+        continue;
+      }
       task.moves += 1;
       task.avoided.add(endpoint);
       if (standsStill) noteStrike(task, 1);
--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -5,6 +5,10 @@
  * and looks healthy. Progress tells: a run that would miss its caller's objective or time, while a
  * fresh run on a sound endpoint would not, is stopped and started there. A move that changes nothing
  * for the caller is work thrown away, and is not made.
+ *
+ * Load pattern: a task that is longer than its caller's time on every endpoint. It serves nobody, and
+ * the job with all its runs takes room from others to the end. It is hopeless once its progress says
+ * that this run is too long, and a fresh one on the fastest endpoint would be too.
  */
 
 /** Time for the proof that the old run has stopped. */
@@ -51,6 +55,20 @@
   return wouldSave(run.objectiveMs) || wouldSave(run.deadlineMs);
 }
 
+/** Whether neither this run nor a fresh one, expected to take so long at least, can end in time. */
+export function isHopeless(run: RunProgress, expectSoonestMs: () => number): boolean {
+  if (!isTelling(run) || run.startedMs + leastTotalMs(run) <= run.deadlineMs) return false;
+  // Without other runs to compare with, the endpoint may be slow and the job of usual length.
+  const soonestMs = expectSoonestMs();
+  const freshMs = run.lengthFactor === undefined ? soonestMs : correctedMs(run, soonestMs);
+  return run.nowMs + freshMs > run.deadlineMs;
+}
+
+/** Time of the whole run if it was about to reach the next percent when it was seen. */
+function leastTotalMs({ percent, percentAtMs, startedMs }: RunProgress): number {
+  return ((percentAtMs - startedMs) * 100) / (percent + 1);
+}
+
 /** Expected time of a fresh run, corrected by what the progress says of the job's length. */
 function correctedMs(run: RunProgress, freshMs: number): number {
   const factor = projectedMs(run) / Math.max(1, run.expectedMs);
--- a/packages/dispatch/src/overdueTasks.ts
+++ b/packages/dispatch/src/overdueTasks.ts
@@ -1,9 +1,12 @@
-/** Finds the tasks on an endpoint whose runs should be taken back, from the reports of its steward. */
+/**
+ * Finds the tasks on an endpoint whose runs should be taken back, or can no longer serve their caller
+ * anywhere, from the reports of its steward.
+ */
 import { RunStates, type Run, type Steward } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
 import type { JobRecord, TaskRecord } from './jobRecord.js';
 import { lengthOfOthers, noteLength, objectiveFor } from './jobLength.js';
-import { isLate, isWorthMoving, toldMs, type RunProgress } from './overdueRun.js';
+import { isHopeless, isLate, isWorthMoving, toldMs, type RunProgress } from './overdueRun.js';
 import type { Placer } from './placer.js';
 
 export interface FoundTask {
@@ -14,6 +17,8 @@
 export interface OverdueTask extends FoundTask {
   /** Whether its progress has stopped, which speaks against the endpoint. */
   readonly standsStill: boolean;
+  /** Whether it cannot end in its caller's time on any endpoint. */
+  readonly isHopeless: boolean;
 }
 
 export interface OverdueOptions {
@@ -60,6 +65,10 @@
   };
   const told = toldMs(progress);
   if (told !== undefined) noteLength(record, task, told, expectedMs);
+  const standsStill = run.seenMs - run.percentAtMs > expectedMs;
+  if (isHopeless(progress, () => placer.soonestMs(record, task))) {
+    return { ...found, standsStill, isHopeless: true };
+  }
   if (!isLate(progress)) return undefined;
   const freshMs = placer.freshMs(record, task);
   if (freshMs === undefined || !isWorthMoving(progress, freshMs)) return undefined;
@@ -72,5 +81,5 @@
     freshMs: Math.round(freshMs),
     lengthFactor,
   });
-  return { ...found, standsStill: run.seenMs - run.percentAtMs > expectedMs };
+  return { ...found, standsStill, isHopeless: false };
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -58,6 +58,8 @@
   expectedMs(record: JobRecord, task: TaskRecord): number;
   /** Expected run time on the best endpoint with room; undefined if none has. */
   freshMs(record: JobRecord, task: TaskRecord): number | undefined;
+  /** Expected run time on the fastest endpoint, busy or not. */
+  soonestMs(record: JobRecord, task: TaskRecord): number;
 }
 
 export interface PlacerOptions {
@@ -264,6 +266,10 @@
       const best = Math.min(...free.map((place) => place.slowness));
       return baseMs(record.job, task.ref.step) * best;
     },
+    soonestMs(record, task) {
+      const { leastSlowness } = surveyPool(pool, times, clock.nowMs());
+      return baseMs(record.job, task.ref.step) * Math.min(1, leastSlowness);
+    },
   };
 }
 
