--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -51,6 +51,8 @@
   surveyed?: Set<string>;
   /** Since when their reports count, on the steady clock. */
   surveyedFromMs?: number;
+  /** Whether a dispatcher apart from this one was lost with it, and may have used other endpoints. */
+  wasApart?: boolean;
   answer: (outcome: JobOutcome) => void;
 }
 
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -157,6 +157,21 @@
     expect(submissions).toEqual([]);
   });
 
+  it('tells the next dispatcher when the one that was lost with it had got it', async () => {
+    const completed = { state: JobStates.COMPLETED, reason: '' };
+    const { timer, entry, state, submissions } = open([completed]);
+    const lost = { ...dispatcher, instance: 'b', incarnation: 'b-1' };
+    state.view = { epoch: 1, round: 0, dispatcher: lost };
+    state.isLinkLost = true;
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(5);
+    state.view = { epoch: 2, round: 0, dispatcher };
+    await timer.advance(100);
+    expect((await outcome).state).toEqual(JobStates.COMPLETED);
+    expect(submissions.map((one) => one.resubmissions)).toEqual([1]);
+    expect((submissions[0]?.lostHandoverAgoMs ?? 0) >= 10).toEqual(true);
+  });
+
   it('ends when its caller leaves', async () => {
     const { timer, entry, withdrawn } = open([]);
     const leaving = new AbortController();
@@ -167,6 +182,20 @@
     expect(withdrawn).toEqual(['j']);
   });
 
+  // Its caller comes back later, and finds another dispatcher.
+  it('is not handed over once its caller has left while it waited for a dispatcher', async () => {
+    const { timer, entry, state, submissions } = open([]);
+    state.view = undefined;
+    const leaving = new AbortController();
+    const outcome = entry.submit(createJob(), leaving.signal);
+    await timer.advance(50);
+    leaving.abort();
+    state.view = { epoch: 1, round: 0, dispatcher };
+    await timer.advance(100);
+    expect(submissions).toEqual([]);
+    expect((await outcome).state).toEqual(JobStates.EXPIRED);
+  });
+
   it('tells when it is given up while a dispatcher may still run it', async () => {
     const { timer, entry, state, warnings } = open([{ state: JobStates.MOVED, reason: '' }]);
     void entry.submit(createJob(), new AbortController().signal);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -26,6 +26,7 @@
     gateway: string;
     resubmissions: number;
     heldOn?: readonly string[];
+    lostHandoverAgoMs?: number;
   }): Promise<JobOutcome>;
   withdraw(job: string, gateway?: string): boolean;
 }
@@ -76,6 +77,8 @@
   sentUnder?: View;
   /** A dispatcher apart from the others was lost with the job; endpoints of its may run it. */
   isOutOfSight: boolean;
+  /** The dispatcher that was lost with the job last, without a word, and when it had got the job. */
+  lostWith?: { readonly incarnation: string; readonly sentMs: number };
   /** Endpoints on which runs of the job were left by the dispatchers it moved away from. */
   readonly heldOn: Set<string>;
 }
@@ -114,9 +117,9 @@
 
   async function carry(one: OpenJob): Promise<JobOutcome> {
     for (;;) {
-      if (one.signal.aborted) return { state: JobStates.EXPIRED, reason: 'the caller left' };
-      if (remainingMs(one) <= 0) return overtime(one);
+      if (!one.signal.aborted && remainingMs(one) <= 0) return overtime(one);
       const view = await findDispatcher(one);
+      if (one.signal.aborted) return { state: JobStates.EXPIRED, reason: 'the caller left' };
       if (view === undefined) return withoutDispatcher(one);
       if (one.isOutOfSight && view !== one.sentUnder) return outOfSight(one);
       const outcome = await attempt(one, view);
@@ -151,10 +154,11 @@
     const limitMs = one.sentUnder === undefined ? UNSENT_WAIT_MS : SENT_WAIT_MS;
     const untilMs = sinceMs + Math.min(limitMs, remainingMs(one));
     for (;;) {
+      if (one.signal.aborted) return undefined;
       const route = routeOf(one);
       const view = route?.leading.view();
       if (route !== undefined && view !== undefined && isReady(route)) return view;
-      if (one.signal.aborted || clock.nowMs() >= untilMs) return undefined;
+      if (clock.nowMs() >= untilMs) return undefined;
       if (one.sentUnder === undefined && isTooLate(one.job, remainingMs(one))) return undefined;
       await timer.sleep(LOOK_INTERVAL_MS);
     }
@@ -170,11 +174,19 @@
   }
 
   async function attempt(one: OpenJob, view: View): Promise<Attempt> {
+    const sentMs = clock.nowMs();
     const remaining = remainingMs(one);
-    const ageMs = one.job.ageMs + (clock.nowMs() - one.startedMs);
-    const job = { ...one.job, ageMs, remainingMs: remaining };
-    const { resubmissions, heldOn } = one;
-    const submission = { job, gateway: instance, resubmissions, heldOn: [...heldOn] };
+    const { incarnation } = view.dispatcher;
+    const { resubmissions, heldOn, lostWith } = one;
+    const submission = {
+      job: { ...one.job, ageMs: one.job.ageMs + (sentMs - one.startedMs), remainingMs: remaining },
+      gateway: instance,
+      resubmissions,
+      heldOn: [...heldOn],
+      ...(lostWith === undefined || lostWith.incarnation === incarnation
+        ? {}
+        : { lostHandoverAgoMs: sentMs - lostWith.sentMs }),
+    };
     const route = routeOf(one);
     const local = route === undefined ? undefined : localOf(route);
     if (local !== undefined) {
@@ -193,6 +205,7 @@
     }
     one.sentUnder = view;
     if (reply.isOk) return settle(one, reply.value);
+    one.lostWith = { incarnation, sentMs };
     // The next dispatcher may not list the endpoints that one apart from the others has used.
     one.isOutOfSight ||= view.round > 0;
     return undefined;
