--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -3,8 +3,16 @@
  * elsewhere. When the dispatcher changes, the job goes to the next one, which claims what runs already;
  * a job that was never handed over is refused truthfully, one that may have run is answered as lost.
  */
+import { Result } from 'true-myth';
+import { ErrorCodes } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
-import { JobStates, type JobOutcome, type LeasedJob, type View } from '@celerybarrow/protocol';
+import {
+  JobStates,
+  ProtocolError,
+  type JobOutcome,
+  type LeasedJob,
+  type View,
+} from '@celerybarrow/protocol';
 import type { Leadership } from '@celerybarrow/leadership';
 import type { Logger } from '@celerybarrow/telemetry';
 import { isTooLate } from './leastRun.js';
@@ -15,6 +23,10 @@
 const SENT_WAIT_MS = 900;
 /** Interval at which a waiting job looks for a dispatcher. */
 const LOOK_INTERVAL_MS = 20;
+/** How long the dispatcher of another shard may take to say whether it has a job. */
+const LOOK_UP_TIMEOUT_MS = 200;
+/** Pause before a withdrawal that got no answer is repeated. */
+const WITHDRAWAL_RETRY_MS = 100;
 /** Time that the answer of the dispatcher may come after the caller's own time. */
 const ANSWER_GRACE_MS = 150;
 /** The dispatcher is usually found again within this time. */
@@ -29,6 +41,7 @@
     lostHandoverAgoMs?: number;
   }): Promise<JobOutcome>;
   withdraw(job: string, gateway?: string): boolean;
+  isKnown(job: string): boolean;
 }
 
 /** The way of a job to the dispatcher of its shard. */
@@ -42,6 +55,8 @@
   readonly instance: string;
   /** The shard of a job; undefined before the shards of the fleet are known. */
   readonly shardOf: (job: LeasedJob) => number | undefined;
+  /** Other shards that the job had a short time ago; none by default. */
+  readonly earlierShardsOf?: (job: LeasedJob) => readonly number[];
   /** The ways to the dispatchers of all shards. */
   readonly routes: () => readonly Route[];
   readonly timer: TimerService;
@@ -88,6 +103,7 @@
 
 export function createEntry(options: EntryOptions): Entry {
   const { instance, shardOf, routes, timer, clock, logger } = options;
+  const earlierShardsOf = options.earlierShardsOf ?? (() => []);
   const open = new Map<string, OpenJob>();
 
   async function submit(job: LeasedJob, signal: AbortSignal): Promise<EntryOutcome> {
@@ -101,8 +117,7 @@
     };
     open.set(job.id, one);
     const onLeave = () => {
-      const route = routeOf(one);
-      if (route !== undefined) void withdraw(route, job.id, instance);
+      void withdrawUntilAnswered(one);
     };
     signal.addEventListener('abort', onLeave, { once: true });
     try {
@@ -139,9 +154,37 @@
     }
   }
 
-  function routeOf(one: OpenJob): Route | undefined {
-    one.shard ??= shardOf(one.job);
-    return one.shard === undefined ? undefined : routes()[one.shard];
+  function routeOf({ shard }: OpenJob): Route | undefined {
+    return shard === undefined ? undefined : routes()[shard];
+  }
+
+  /** Stays with a shard of before that may have runs of the same id, submitted at any instance. */
+  async function settleShard(one: OpenJob): Promise<void> {
+    if (one.shard !== undefined) return;
+    const shard = shardOf(one.job);
+    if (shard === undefined) return;
+    one.shard = (await findEarlierShard(one.job)) ?? shard;
+  }
+
+  async function findEarlierShard(job: LeasedJob): Promise<number | undefined> {
+    for (const shard of earlierShardsOf(job)) {
+      const route = routes()[shard];
+      if (route === undefined || !(await isKnownAt(route, job.id))) continue;
+      logger.info('Job stays with its earlier shard.', { job: job.id, shard });
+      return shard;
+    }
+    return undefined;
+  }
+
+  /** Whether the dispatcher of a shard may have the job; one that gives no answer may. */
+  async function isKnownAt(route: Route, id: string): Promise<boolean> {
+    const local = localOf(route);
+    if (local !== undefined) return local.isKnown(id);
+    const ask = { shard: route.leading.shard, job: id };
+    const reply = await route.leading
+      .link()
+      ?.request('lookUp', ask, { timeoutMs: LOOK_UP_TIMEOUT_MS });
+    return reply?.isOk !== true || reply.value.isKnown;
   }
 
   function remainingMs(one: OpenJob): number {
@@ -154,6 +197,7 @@
     const limitMs = one.sentUnder === undefined ? UNSENT_WAIT_MS : SENT_WAIT_MS;
     const untilMs = sinceMs + Math.min(limitMs, remainingMs(one));
     for (;;) {
+      await settleShard(one);
       if (one.signal.aborted) return undefined;
       const route = routeOf(one);
       const view = route?.leading.view();
@@ -257,29 +301,51 @@
     return { state: JobStates.REFUSED, reason, retryAfterMs: RETRY_AFTER_MS };
   }
 
-  async function withdraw(route: Route, id: string, gateway?: string): Promise<boolean> {
+  /**
+   * Ends the job of a caller that has left. The signs of life of this gateway go on, so a dispatcher
+   * that has not heard the withdrawal would run the job until its caller's time is over.
+   */
+  async function withdrawUntilAnswered(one: OpenJob): Promise<void> {
+    for (let attempt = 1; remainingMs(one) > 0; attempt += 1) {
+      const route = routeOf(one);
+      if (route === undefined) return;
+      const reply = await withdraw(route, one.job.id, instance);
+      if (reply.isOk) return;
+      if (attempt === 1) logUnheard(one, route, reply.error);
+      await timer.sleep(WITHDRAWAL_RETRY_MS);
+    }
+  }
+
+  /** Whether the dispatcher had the job. */
+  async function withdraw(
+    route: Route,
+    id: string,
+    gateway?: string,
+  ): Promise<Result<boolean, ProtocolError>> {
     const local = localOf(route);
-    if (local !== undefined) return local.withdraw(id, gateway);
+    if (local !== undefined) return Result.ok(local.withdraw(id, gateway));
+    const link = route.leading.link();
+    if (link === undefined) return Result.err(new ProtocolError(ErrorCodes.PEER_UNREACHABLE));
     const { shard } = route.leading;
     const ask = gateway === undefined ? { shard, job: id } : { shard, job: id, gateway };
-    const reply = await route.leading
-      .link()
-      ?.request('withdraw', ask, { timeoutMs: UNSENT_WAIT_MS });
-    if (reply?.isOk === true) return reply.value.found;
+    const reply = await link.request('withdraw', ask, { timeoutMs: UNSENT_WAIT_MS });
+    return reply.map(({ found }) => found);
+  }
+
+  function logUnheard(one: OpenJob, { leading }: Route, { message }: ProtocolError): void {
     logger.warn('Withdrawal got no answer.', {
-      job: id,
-      shard,
-      epoch: route.leading.view()?.epoch,
-      dispatcher: route.leading.view()?.dispatcher.instance,
-      reason: reply === undefined ? 'no connection to the dispatcher' : reply.error.message,
+      job: one.job.id,
+      shard: leading.shard,
+      epoch: leading.view()?.epoch,
+      dispatcher: leading.view()?.dispatcher.instance,
+      reason: message,
     });
-    return false;
   }
 
   /** The shard of a job is not known from its id alone, so all are asked. */
   async function cancel(id: string): Promise<boolean> {
     const found = await Promise.all(routes().map((route) => withdraw(route, id)));
-    return found.includes(true);
+    return found.some((reply) => reply.isOk && reply.value);
   }
 
   return {
