--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -11,7 +11,7 @@
  */
 import { RunEnds, taskKey } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
-import type { ElapsedClock } from '@celerybarrow/timer';
+import type { ElapsedClock, SteadyClock } from '@celerybarrow/timer';
 import type { EndpointPool } from './endpointPool.js';
 import { describeRuns, type JobRecord, type TaskRecord } from './jobRecord.js';
 
@@ -34,7 +34,7 @@
 }
 
 export interface EarlierRuns {
-  /** Claims the runs of a job that has just come. */
+  /** Claims the runs of a job that has just come, for the first time or again. */
   claim(record: JobRecord, handover: Handover): void;
   /** Claims the run of a task that is about to start, if any endpoint lists one. */
   claimTask(record: JobRecord, task: TaskRecord): boolean;
@@ -47,6 +47,8 @@
 export interface EarlierRunsOptions {
   readonly pool: EndpointPool;
   readonly clock: ElapsedClock;
+  /** Tells when runs of an earlier dispatcher are gone, and which reports were asked for in time. */
+  readonly steady: SteadyClock;
   readonly logger: Logger;
   /** Whether the pool has every endpoint that an earlier dispatcher may have used. */
   readonly isListCurrent: () => boolean;
@@ -58,8 +60,12 @@
 }
 
 export function createEarlierRuns(options: EarlierRunsOptions): EarlierRuns {
-  const { pool, clock, logger } = options;
-  const createdMs = clock.nowMs();
+  const { pool, clock, steady, logger } = options;
+  const createdMs = steady.nowMs();
+
+  function ageMs(): number {
+    return steady.nowMs() - createdMs;
+  }
 
   function claim(record: JobRecord, handover: Handover): void {
     const { heldOn = [], lostHandoverAgoMs } = handover;
@@ -69,7 +75,7 @@
       options.onLost(record, 'an endpoint with its runs is not listed');
       return;
     }
-    if (!isResubmitted && nowMs - createdMs > EARLIER_RUNS_GONE_MS) return;
+    if (!isResubmitted && ageMs() > EARLIER_RUNS_GONE_MS) return;
     for (const task of record.tasks) claimTask(record, task);
     if (!isResubmitted) {
       logUnmatched(record);
@@ -77,8 +83,10 @@
       if (nowMs < untilMs && !haveAllReported()) record.claimUntilMs = untilMs;
       return;
     }
-    record.surveyed = new Set([...pool.stewards()].map(({ id }) => id));
-    record.wasApart = lostHandoverAgoMs !== undefined && nowMs - lostHandoverAgoMs > createdMs;
+    record.surveyedFromMs = steady.nowMs();
+    record.surveyed ??= new Set();
+    for (const { id } of pool.stewards()) record.surveyed.add(id);
+    record.wasApart ||= lostHandoverAgoMs !== undefined && lostHandoverAgoMs < ageMs();
     // As long as all its tasks run, the endpoints may take their time.
     record.claimUntilMs = Infinity;
     if (record.waiting > 0) askAll(record, nowMs);
@@ -95,7 +103,7 @@
     if (unreported === 0 && record.waiting === record.tasks.length) return;
     logger.info('Job came while earlier runs were looked for.', {
       job: record.job.id,
-      dispatcherAgeMs: Math.round(clock.nowMs() - createdMs),
+      dispatcherAgeMs: Math.round(ageMs()),
       listed: pool.size(),
       unreported,
       claimed: describeRuns(record),
@@ -126,7 +134,7 @@
       listed: pool.size(),
       surveyed: record.surveyed?.size,
       tookMs: Math.round(nowMs - record.arrivedMs),
-      dispatcherAgeMs: Math.round(nowMs - createdMs),
+      dispatcherAgeMs: Math.round(ageMs()),
     });
   }
 
@@ -156,11 +164,11 @@
    * Whether every endpoint that was there since the job came has reported since. One that has left the
    * directory meanwhile may still run a task of the job, and has not said so.
    */
-  function isSurveyed({ surveyed, wasApart, arrivedMs }: JobRecord): boolean {
+  function isSurveyed({ surveyed, wasApart, surveyedFromMs = Infinity }: JobRecord): boolean {
     if (surveyed === undefined) return true;
     if (wasApart === true || !options.isListCurrent()) return false;
     for (const steward of pool.stewards()) surveyed.add(steward.id);
-    const hasReported = (id: string) => (pool.find(id)?.reportedMs() ?? -1) >= arrivedMs;
+    const hasReported = (id: string) => (pool.find(id)?.reportedMs() ?? -1) >= surveyedFromMs;
     return surveyed.size > 0 && [...surveyed].every(hasReported);
   }
 
@@ -171,8 +179,8 @@
   }
 
   /** Endpoints of which the survey of a job still waits, those that have left the list included. */
-  function silentAmong({ surveyed, arrivedMs }: JobRecord): string[] {
-    const isSilent = (id: string) => (pool.find(id)?.reportedMs() ?? -1) < arrivedMs;
+  function silentAmong({ surveyed, surveyedFromMs = Infinity }: JobRecord): string[] {
+    const isSilent = (id: string) => (pool.find(id)?.reportedMs() ?? -1) < surveyedFromMs;
     return [...(surveyed ?? [])].filter(isSilent).slice(0, MAX_NAMED_ENDPOINTS);
   }
 
@@ -199,7 +207,7 @@
           unreported: silentAmong(record).join(' '),
           wasApart: record.wasApart,
           listed: pool.size(),
-          dispatcherAgeMs: Math.round(nowMs - createdMs),
+          dispatcherAgeMs: Math.round(ageMs()),
         });
         options.onLost(record, 'earlier runs are out of sight');
       }
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -42,13 +42,15 @@
   waiting: number;
   hasStarted: boolean;
   /** Whether tasks may have run under an earlier submission or dispatcher. */
-  readonly mayHaveRun: boolean;
+  mayHaveRun: boolean;
   /** Set once the job is decided; its runs are being stopped then. */
   outcome?: JobOutcome;
   /** Until when tasks of an earlier dispatcher's runs may be found; no new runs before. */
   claimUntilMs?: number | undefined;
   /** Endpoints that have to say until then what runs there, listed or not. */
   surveyed?: Set<string>;
+  /** Since when their reports count, on the steady clock. */
+  surveyedFromMs?: number;
   /** Whether a dispatcher apart from this one was lost with it, and may have used other endpoints. */
   wasApart?: boolean;
   answer: (outcome: JobOutcome) => void;
--- a/packages/instance/__tests__/followEndpoints.spec.ts
+++ b/packages/instance/__tests__/followEndpoints.spec.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { Result } from 'true-myth';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
+import { createEndpointDirectory } from '@celerybarrow/dispatch';
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import { createDocuments } from '@celerybarrow/leadership';
 import { createRandom } from '@celerybarrow/shared';
@@ -17,8 +18,14 @@
 }
 
 /** A follower that had a list from another instance, and a store with a newer one. */
-function open(heard: readonly string[], stored: readonly string[]) {
+function open(
+  heard: readonly string[],
+  stored: readonly string[],
+  listedBy: (ids: readonly string[]) => readonly EndpointEntry[] = (ids) => ids.map(entry),
+) {
   const timer = createManualTimer();
+  /** How far the own time of day was set forward. */
+  const ahead = { ms: 0 };
   const documents = createDocuments();
   let lists = 0;
   const store = {
@@ -38,13 +45,13 @@
     source: { prefix: 'e/', read: ({ value }) => entry(value) },
     documents,
     timer,
-    clock: createElapsedClock(timer),
+    clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + ahead.ms }),
     random: createRandom(1),
     onEntries: () => undefined,
   });
-  documents.offer('endpoints', { version: 1, text: JSON.stringify(heard.map(entry)) });
+  documents.offer('endpoints', { version: 1, text: JSON.stringify(listedBy(heard)) });
   const ids = () => follower.entries().map(({ id }) => id);
-  return { timer, follower, ids, lists: () => lists };
+  return { timer, follower, ids, lists: () => lists, ahead };
 }
 
 describe('the list of endpoints of an instance that begins to dispatch', () => {
@@ -75,4 +82,27 @@
     await timer.advance(3_000);
     expect(ids()).toEqual(['a']);
   });
+
+  it('does not lose a living endpoint because the own time of day was set forward', async () => {
+    const { timer, follower, ids, ahead } = open(['a', 'b'], ['a']);
+    follower.start();
+    await timer.advance(STORE_MS);
+    ahead.ms = 3_000;
+    await timer.advance(600);
+    expect(ids()).toEqual(['a', 'b']);
+  });
+
+  it('does not lack a living endpoint whose spoiled entry was removed before it was read', async () => {
+    const listedBy = (heard: readonly string[]) => {
+      const directory = createEndpointDirectory(createElapsedClock(createManualTimer()));
+      for (const id of heard) directory.take(id, entry(id));
+      directory.take('b', undefined);
+      return directory.entries();
+    };
+    const { timer, follower, ids } = open(['a', 'b'], ['a'], listedBy);
+    follower.start();
+    await timer.advance(STORE_MS);
+    expect(follower.isCurrent()).toEqual(true);
+    expect(ids()).toEqual(['a', 'b']);
+  });
 });
