fix(dispatch): compare the age of a dispatcher on one clock after the merge

The merge of main joined two changes without a conflict: the age of a dispatcher is measured by the steady clock, and two new looks at it compared it with the elapsed clock, which counts from another moment. Evidence: placer.spec.ts, "is not taken as known for longer than runs of an earlier dispatcher may last", failed before. The tests of the dispatcher and of the steward run with a steady clock that counts from another moment now, so that a comparison across clocks shows; with both at 0, as before, it did not.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -22,6 +22,8 @@
 const STOP_MS = 50;
 /** Time after which a call to a silent endpoint is given up. */
 const SILENCE_MS = 100;
+/** The steady clock counts from another moment than the elapsed one, as on a machine. */
+const STEADY_START_MS = 100_000;
 const opened: Dispatcher[] = [];
 
 afterEach(() => {
@@ -146,7 +148,7 @@
   );
   const dispatcher = createDispatcher({
     network,
-    timer,
+    timer: { ...timer, nowMs: () => timer.nowMs() + STEADY_START_MS },
     clock: createElapsedClock(timer),
     random: createRandom(1),
     logger,
@@ -480,6 +482,13 @@
     expect(outcomes['moved']?.state).toEqual(JobStates.LOST);
   });
 
+  it('is not taken as known for longer than runs of an earlier dispatcher may last', async () => {
+    const { dispatcher, advance } = await open(100, { a: 1 });
+    expect(dispatcher.isKnown('again')).toEqual(true);
+    await advance(2_000);
+    expect(dispatcher.isKnown('again')).toEqual(false);
+  });
+
   it('starts what is missing once every endpoint was asked anew', async () => {
     const { outcomes, submit, advance } = await open(100, { a: 1, b: 1 });
     await advance(2_000);
--- a/packages/dispatch/src/earlierRuns.ts
+++ b/packages/dispatch/src/earlierRuns.ts
@@ -79,8 +79,8 @@
     for (const task of record.tasks) claimTask(record, task);
     if (!isResubmitted) {
       logUnmatched(record);
-      const untilMs = createdMs + SURVEY_LIMIT_MS;
-      if (nowMs < untilMs && !haveAllReported()) record.claimUntilMs = untilMs;
+      const leftMs = SURVEY_LIMIT_MS - ageMs();
+      if (leftMs > 0 && !haveAllReported()) record.claimUntilMs = nowMs + leftMs;
       return;
     }
     record.surveyedFromMs = steady.nowMs();
@@ -215,7 +215,7 @@
   }
 
   function mayExist(job: string): boolean {
-    if (clock.nowMs() - createdMs <= EARLIER_RUNS_GONE_MS) return true;
+    if (ageMs() <= EARLIER_RUNS_GONE_MS) return true;
     return [...pool.stewards()].some((steward) =>
       [...steward.foreignRuns()].some((one) => one.task.job === job),
     );
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -16,6 +16,8 @@
 const demand = { cores: 14_000, memoryMb: 64, accelerators: 0 };
 const task = { job: 'a', step: 0, index: 0 };
 const order = { task, run: 1, fence: 1 };
+/** The steady clock counts from another moment than the elapsed one, as on a machine. */
+const STEADY_START_MS = 100_000;
 const opened: Steward[] = [];
 
 afterEach(() => {
@@ -45,7 +47,7 @@
     },
     endpoint,
     fence: () => own.fence,
-    timer,
+    timer: { ...timer, nowMs: () => timer.nowMs() + STEADY_START_MS },
     clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + ahead.ms }),
     events: {
       onEnd: (run, end) => ends.push({ run, end, atMs: timer.nowMs() }),
