fix(leadership): take no view after the instance has closed

A takeover that was decided while an instance closed still made it dispatch: its dispatcher began after all others had been stopped, and its timers never ended. A planned stop and a crash end the process, so that callers saw nothing; a test process goes on. Evidence: leadership.spec.ts, "that is decided after the instance has closed names no dispatcher there", failed before. Found while the process of shards.spec.ts (platform) did not end although all its tests had passed.

--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -156,6 +156,14 @@
     expect(leadership.view()?.epoch).toEqual(4);
   });
 
+  // An instance that has closed would begin to dispatch, and its timers never end.
+  it('that is decided after the instance has closed names no dispatcher there', async () => {
+    const { timer, leadership } = await startLeadership({ dispatcher: member('a', 0) });
+    leadership.close();
+    await timer.advance(20);
+    expect(leadership.isDispatching()).toEqual(false);
+  });
+
   // After a cut of a data centre: 0.5 s passed until the others were asked once more.
   it('asks again at once when this instance has just found the store out of reach', async () => {
     const { timer, leadership } = await startLeadership({
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -128,7 +128,7 @@
   }
 
   function takeView(next: View, source: string): void {
-    if (!isNewer(next, view)) return;
+    if (closing.signal.aborted || !isNewer(next, view)) return;
     view = next;
     hearing.restart();
     standingByMs = undefined;
