fix(dispatch): send jobs back that may have waited for a frozen dispatcher

A dispatcher froze for 2 s with a submission unread. Its gateway broke off, the caller left and came back in a data centre that was cut off meanwhile; the woken dispatcher read the submission, which tells spans and no moment and so looked new, raised its fence and started it with its whole time ahead.

A dispatcher that has stood still for over 500 ms (gateways hand a job over after 700 ms of silence) sends back what it reads in the first 100 ms, unless it has the job already. Nothing was started, and the answer says so, so that a gateway that still waits hands the job over again as a new one, without a survey.

Ruled out: counting the stall as age of the job, which refuses callers that have just come.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -43,6 +43,7 @@
 import { isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
 import { createSecondRuns } from './secondRuns.js';
+import { createStallWatch } from './stallWatch.js';
 import { createSurvey } from './survey.js';
 
 /** Interval at which waiting jobs, deadlines and progress are looked at without any event. */
@@ -145,6 +146,7 @@
   });
   const createdMs = clock.nowMs();
   const survey = createSurvey({ pool, clock, logger });
+  const stalls = createStallWatch(clock);
   let isPassDue = false;
   let isClosed = false;
   const stopReviews = timer.onEvery(REVIEW_INTERVAL_MS, review);
@@ -152,8 +154,13 @@
   function submit(submission: Submission): Promise<JobOutcome> {
     if (isClosed)
       return Promise.resolve({ state: JobStates.MOVED, reason: 'no longer dispatching' });
-    leases.renew(submission.gateway);
     const { id } = submission.job;
+    if (stalls.wasStalled() && !jobs.has(id)) {
+      logger.warn('Job is sent back after a stall.', { job: id, gateway: submission.gateway });
+      const reason = 'it may have waited for long';
+      return Promise.resolve({ state: JobStates.MOVED, reason, isUntouched: true });
+    }
+    leases.renew(submission.gateway);
     const kept = outcomes.find(id);
     if (kept !== undefined) return Promise.resolve(kept);
     const known = jobs.get(id);
@@ -457,6 +464,7 @@
   /** Looks at what no event announces: deadlines, silent gateways, claims, waiting jobs. */
   function review(): void {
     const nowMs = clock.nowMs();
+    stalls.tick();
     pool.settle();
     survey.review();
     earlierRuns.settle(jobs.values(), nowMs);
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -112,6 +112,17 @@
     expect(submissions.map((one) => one.resubmissions)).toEqual([0]);
   });
 
+  // A dispatcher that has stood still sends back what may have waited for it.
+  it('is not taken to have run when it was sent back untouched', async () => {
+    const untouched = { state: JobStates.MOVED, reason: '', isUntouched: true };
+    const completed = { state: JobStates.COMPLETED, reason: '' };
+    const { timer, entry, submissions } = open([untouched, completed]);
+    const outcome = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(200);
+    expect((await outcome).state).toEqual(JobStates.COMPLETED);
+    expect(submissions.map((one) => one.resubmissions)).toEqual([0, 0]);
+  });
+
   it('is refused, as never run, when no dispatcher is known', async () => {
     const { timer, entry, state, submissions } = open([]);
     state.view = undefined;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -74,7 +74,7 @@
   shard?: number | undefined;
   resubmissions: number;
   /** The view under which it was handed over last. */
-  sentUnder?: View;
+  sentUnder?: View | undefined;
   /** A dispatcher apart from the others was lost with the job; endpoints of its may run it. */
   isOutOfSight: boolean;
   /** The dispatcher that was lost with the job last, without a word, and when it had got the job. */
@@ -83,8 +83,10 @@
   readonly heldOn: Set<string>;
 }
 
-/** The end of one attempt to have a job run; undefined calls for another attempt. */
-type Attempt = JobOutcome | undefined;
+/** What calls for another attempt to have a job run, and whether this one may have started it. */
+const Again = { TOUCHED: 'touched', UNTOUCHED: 'untouched' } as const;
+/** The end of one attempt to have a job run. */
+type Attempt = JobOutcome | (typeof Again)[keyof typeof Again];
 
 export function createEntry(options: EntryOptions): Entry {
   const { instance, shardOf, routes, timer, clock, logger } = options;
@@ -122,9 +124,11 @@
       if (one.signal.aborted) return { state: JobStates.EXPIRED, reason: 'the caller left' };
       if (view === undefined) return withoutDispatcher(one);
       if (one.isOutOfSight && view !== one.sentUnder) return outOfSight(one);
+      const sentUnder = one.sentUnder;
       const outcome = await attempt(one, view);
-      if (outcome !== undefined) return outcome;
-      // A job that no dispatcher can have received has no earlier runs to look for.
+      if (typeof outcome !== 'string') return outcome;
+      // A job that no dispatcher can have started has no earlier runs to look for.
+      if (outcome === Again.UNTOUCHED) one.sentUnder = sentUnder;
       if (one.sentUnder !== undefined) one.resubmissions += 1;
       if (routeOf(one)?.leading.view() === view) await timer.sleep(LOOK_INTERVAL_MS);
       logger.warn('Job is handed over again.', {
@@ -194,27 +198,27 @@
       return settle(one, await local.submit(submission));
     }
     const link = route?.leading.link();
-    if (route === undefined || link === undefined) return undefined;
+    if (route === undefined || link === undefined) return Again.UNTOUCHED;
     const ask = { shard: route.leading.shard, ...submission };
     const reply = await link.request('dispatch', ask, {
       timeoutMs: remaining + ANSWER_GRACE_MS,
     });
     if (reply.isErr && reply.error.isUnsent) {
       await timer.sleep(LOOK_INTERVAL_MS);
-      return undefined;
+      return Again.UNTOUCHED;
     }
     one.sentUnder = view;
     if (reply.isOk) return settle(one, reply.value);
     one.lostWith = { incarnation, sentMs };
     // The next dispatcher may not list the endpoints that one apart from the others has used.
     one.isOutOfSight ||= view.round > 0;
-    return undefined;
+    return Again.TOUCHED;
   }
 
   function settle(one: OpenJob, outcome: JobOutcome): Attempt {
     if (outcome.state !== JobStates.MOVED) return outcome;
     for (const endpoint of outcome.heldOn ?? []) one.heldOn.add(endpoint);
-    return undefined;
+    return outcome.isUntouched === true ? Again.UNTOUCHED : Again.TOUCHED;
   }
 
   function outOfSight(one: OpenJob): JobOutcome {
--- a/packages/instance/__tests__/simulatedEndpoints.ts
+++ b/packages/instance/__tests__/simulatedEndpoints.ts
@@ -64,6 +64,15 @@
 
 type Answer<T> = Result<T, EndpointError>;
 
+/** The process whose calls reach endpoints, or do not. */
+export interface Caller {
+  reaches(endpoint: string): boolean;
+  /** A time limit that the process counts itself. */
+  onTimeout(delayMs: number, subscriber: () => void): void;
+  /** Hands over an answer when the process reads it. */
+  receive(read: () => void): void;
+}
+
 export interface SimulatedEndpoint {
   readonly entry: EndpointEntry;
   readonly faults: CallFaults;
@@ -185,11 +194,12 @@
       return { answer: OrderAnswers.ACCEPTED, report };
     }
 
-    function order<T>(carryOut: () => T): Promise<Answer<T>> {
-      return call(ORDER_TIMEOUT_MS, faults.late + faults.lateOrders, carryOut);
+    function order<T>(by: Caller, carryOut: () => T): Promise<Answer<T>> {
+      return call(by, ORDER_TIMEOUT_MS, faults.late + faults.lateOrders, carryOut);
     }
 
     function call<T>(
+      by: Caller,
       timeoutMs: number,
       lateShare: number,
       carryOut: () => T | Promise<T>,
@@ -205,16 +215,26 @@
         const silent = () => {
           resolve(Result.err(new EndpointError(ErrorCodes.ENDPOINT_SILENT)));
         };
-        timer.onAfter(timeoutMs, silent);
+        const isOutOfReach = () => control.isCut || !by.reaches(id);
+        by.onTimeout(timeoutMs, silent);
         if (isLost) return;
         timer.onAfter(outMs, () => {
-          if (!isUp && !isLate) silent();
-          if (!isUp || isCut()) return;
+          if (isOutOfReach()) return;
+          if (!isUp && !isLate) by.receive(silent);
+          if (!isUp) return;
           const life = bornMs;
           void Promise.resolve(carryOut()).then((value) => {
-            if (isLate || isAnswerLost || life !== bornMs || isCut()) return;
+            if (isLate || isAnswerLost || isOutOfReach()) return;
+            if (!isUp || life !== bornMs) {
+              by.receive(silent);
+              return;
+            }
             timer.onAfter(backMs, () => {
-              resolve(Result.ok(value));
+              if (!isOutOfReach()) {
+                by.receive(() => {
+                  resolve(Result.ok(value));
+                });
+              }
             });
           });
         });
@@ -243,7 +263,6 @@
     }
 
     const control: SimulatedEndpoint = { entry, faults, isCut: false, crash, restart };
-    const isCut = () => control.isCut;
     return { control, settle, start, stop, renew, order, call };
   }
 
@@ -251,24 +270,35 @@
     endpoints.set(`e${number}`, createOne(`e${number}`));
   }
 
-  const network: EndpointNetwork = {
-    open(entry) {
-      const one = endpoints.get(entry.id);
-      if (one === undefined) throw new RangeError(`no endpoint ${entry.id}`);
-      return {
-        start: (order) => one.order(() => one.start(order)),
-        stop: (order) => one.order(() => one.stop(order)),
-        renew: (order) =>
-          one.call(order.waitMs + RENEWAL_GRACE_MS, one.control.faults.late, () =>
-            one.renew(order),
-          ),
-        close: () => undefined,
-      };
-    },
-  };
+  /** The endpoints as one process sees them. */
+  function networkOf(by: Caller): EndpointNetwork {
+    return {
+      open(entry) {
+        const one = endpoints.get(entry.id);
+        if (one === undefined) throw new RangeError(`no endpoint ${entry.id}`);
+        return {
+          start: (order) => one.order(by, () => one.start(order)),
+          stop: (order) => one.order(by, () => one.stop(order)),
+          renew: (order) =>
+            one.call(by, order.waitMs + RENEWAL_GRACE_MS, one.control.faults.late, () =>
+              one.renew(order),
+            ),
+          close: () => undefined,
+        };
+      },
+    };
+  }
 
   return {
-    network,
+    networkOf,
+    /** The endpoints as a process sees them that is never cut off, nor held up. */
+    network: networkOf({
+      reaches: () => true,
+      onTimeout: (delayMs, subscriber) => timer.onAfter(delayMs, subscriber),
+      receive: (read) => {
+        read();
+      },
+    }),
     all: [...endpoints.values()].map(({ control }) => control),
     /** Pairs of runs of one task that were at work at the same time. */
     overlaps(): string[] {
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -73,6 +73,8 @@
   retryAfterMs: span.optional(),
   /** Endpoints on which runs of the job go on, when it has moved. */
   heldOn: z.array(z.string()).optional(),
+  /** Whether nothing of the job was started under this submission, when it has moved. */
+  isUntouched: z.boolean().optional(),
 });
 
 /** One instance of the fleet. */
