--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -44,12 +44,15 @@
     view: View | undefined;
     isLinkLost: boolean;
     error: ErrorCode;
+    /** How far the own time of day was set forward. */
+    stepMs: number;
     /** Answers of a connection that is not lost; with it the job is at another instance. */
     answer?: (type: string) => Promise<unknown>;
   } = {
     view: { epoch: 1, round: 0, dispatcher },
     isLinkLost: false,
     error: ErrorCodes.PEER_SILENT,
+    stepMs: 0,
   };
   /** A connection to another instance that is lost with every request. */
   const link = {
@@ -91,7 +94,7 @@
     shardOf: () => 0,
     routes: () => [{ leading, local }],
     timer,
-    clock: createElapsedClock(timer),
+    clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + state.stepMs }),
     logger: { debug: ignore, info: ignore, warn, error: ignore },
   });
   return { timer, entry, submissions, withdrawn, state, warnings };
@@ -194,6 +197,20 @@
     expect((submissions[0]?.lostHandoverAgoMs ?? 0) >= 10).toEqual(true);
   });
 
+  it('tells of no longer time since then when the time of day was set forward', async () => {
+    const { timer, entry, state, submissions } = open([]);
+    const lost = { ...dispatcher, instance: 'b', incarnation: 'b-1' };
+    state.view = { epoch: 1, round: 0, dispatcher: lost };
+    state.isLinkLost = true;
+    void entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(5);
+    state.stepMs = 1_000;
+    state.view = { epoch: 2, round: 0, dispatcher };
+    await timer.advance(100);
+    const agoMs = submissions[0]?.lostHandoverAgoMs ?? Infinity;
+    expect(agoMs <= 105).toEqual(true);
+  });
+
   it('ends when its caller leaves', async () => {
     const { timer, entry, withdrawn } = open([]);
     const leaving = new AbortController();
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -191,8 +191,12 @@
     return reply?.isOk !== true || reply.value.isKnown;
   }
 
+  function passedMs(one: OpenJob): number {
+    return clock.nowMs() - one.startedMs;
+  }
+
   function remainingMs(one: OpenJob): number {
-    return one.job.remainingMs - (clock.nowMs() - one.startedMs);
+    return one.job.remainingMs - passedMs(one);
   }
 
   /** Waits until a dispatcher can be reached, within bounds. */
@@ -222,12 +226,13 @@
   }
 
   async function attempt(one: OpenJob, view: View): Promise<Attempt> {
-    const sentMs = clock.nowMs();
+    // What is told of a lost dispatcher proves something, so a step of the time of day must not count.
+    const sentMs = timer.nowMs();
     const remaining = remainingMs(one);
     const { incarnation } = view.dispatcher;
     const { resubmissions, heldOn, lostWith } = one;
     const submission = {
-      job: { ...one.job, ageMs: one.job.ageMs + (sentMs - one.startedMs), remainingMs: remaining },
+      job: { ...one.job, ageMs: one.job.ageMs + passedMs(one), remainingMs: remaining },
       gateway: instance,
       resubmissions,
       heldOn: [...heldOn],
