--- a/packages/dispatch/__tests__/roomForecast.spec.ts
+++ b/packages/dispatch/__tests__/roomForecast.spec.ts
@@ -1,8 +1,13 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { EndpointEntry } from '@celerybarrow/endpoints';
-import type { Placing } from '../src/choosePlace.js';
-import { createRoomForecast, type BusyPlace, type ExpectedEnd } from '../src/roomForecast.js';
+import type { Place, Placing } from '../src/choosePlace.js';
+import {
+  createRoomForecast,
+  type ExpectedEnd,
+  type Occupancy,
+  type RoomForecast,
+} from '../src/roomForecast.js';
 
 const demand = { cores: 14_000, memoryMb: 64, accelerators: 0 };
 const capacity = { cores: 28_000, memoryMb: 1_000, accelerators: 0 };
@@ -13,9 +18,15 @@
   return { id, service, capacity, ...base };
 }
 
+type BusyPlace = Place & Occupancy;
+
+function forecastOf(...places: BusyPlace[]): RoomForecast {
+  return createRoomForecast(places, (place) => place);
+}
+
 function busy(id: string, slowness: number, endsInMs: number[], service = 's'): BusyPlace {
   const runs: ExpectedEnd[] = endsInMs.map((inMs) => ({ inMs, demand }));
-  return { entry: entry(id, service), slowness, room: none, runs: () => runs };
+  return { entry: entry(id, service), slowness, room: none, runs };
 }
 
 const placing: Placing = {
@@ -32,15 +43,12 @@
 
 describe('the forecast of room', () => {
   it('takes the endpoint with the soonest end, the wait for its room included', () => {
-    const forecast = createRoomForecast([
-      busy('fast', 0.5, [700, 600]),
-      busy('usual', 1, [100, 900]),
-    ]);
+    const forecast = forecastOf(busy('fast', 0.5, [700, 600]), busy('usual', 1, [100, 900]));
     expect(forecast.soonestEndMs(placing)).toEqual(1_000);
   });
 
   it('gives the same room to one of the tasks that wait for it', () => {
-    const forecast = createRoomForecast([busy('fast', 0.5, [300, 800])]);
+    const forecast = forecastOf(busy('fast', 0.5, [300, 800]));
     const ends = [1, 2, 3].map(() => {
       const endMs = forecast.soonestEndMs(placing);
       forecast.reserve(placing);
@@ -51,23 +59,23 @@
   });
 
   it('keeps no place that would have its turn too late', () => {
-    const forecast = createRoomForecast([busy('fast', 0.5, [1_200])]);
+    const forecast = forecastOf(busy('fast', 0.5, [1_200]));
     expect(forecast.reserve(placing)).toEqual(false);
     expect(forecast.soonestEndMs(placing)).toEqual(Infinity);
   });
 
   it('counts what starts now', () => {
     const place = { ...busy('fast', 0.5, [300]), room: demand };
-    const forecast = createRoomForecast([place]);
+    const forecast = forecastOf(place);
     forecast.noteStart(place, placing);
     expect(forecast.soonestEndMs(placing)).toEqual(750);
   });
 
   it('promises nothing on endpoints of other services, or whose runs nobody can tell of', () => {
-    const forecast = createRoomForecast([
+    const forecast = forecastOf(
       busy('other', 0.5, [100], 'another'),
       busy('unknown', 0.5, [Infinity]),
-    ]);
+    );
     expect(forecast.soonestEndMs(placing)).toEqual(Infinity);
   });
 });
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -130,11 +130,9 @@
     const smallest = smallestDemand(waiting);
     const usablePlaces = openPlaces(undefined, nowMs);
     const places = usablePlaces.filter((place) => hasRoomFor(place.room, smallest));
-    const forecast = createRoomForecast(
-      usablePlaces.map(({ entry, slowness, room, steward }) => {
-        return { entry, slowness, room, runs: () => expectedEnds(steward, nowMs) };
-      }),
-    );
+    const forecast = createRoomForecast(usablePlaces, ({ steward }) => {
+      return { room: steward.room(), runs: expectedEnds(steward, nowMs) };
+    });
     const { capacity, leastSlowness } = surveyPool(pool, times, nowMs);
     const ordered = waiting.map((record) => describe(record, nowMs)).sort(compareJobs);
     const room: OpenRoom = { places, smallest, leastSlowness, forecast };
--- a/packages/dispatch/src/roomForecast.ts
+++ b/packages/dispatch/src/roomForecast.ts
@@ -8,9 +8,10 @@
 import type { Resources } from '@celerybarrow/protocol';
 import { expectedRunMs, hasRoomFor, isSuitable, type Place, type Placing } from './choosePlace.js';
 
-/** An endpoint with what runs there, looked at only if a task would wait for it. */
-export interface BusyPlace extends Place {
-  readonly runs: () => readonly ExpectedEnd[];
+/** What is free on an endpoint before the plan, and what runs there. */
+export interface Occupancy {
+  readonly room: Resources;
+  readonly runs: readonly ExpectedEnd[];
 }
 
 /** When a run is expected to end, in milliseconds from now, and the room that it leaves. */
@@ -29,7 +30,7 @@
 }
 
 interface Timeline {
-  readonly place: BusyPlace;
+  readonly place: Place;
   /** What is free now, less what waiting tasks are to get. */
   room: Resources;
   /** In the order of the ends. */
@@ -42,17 +43,24 @@
   readonly endInMs: number;
 }
 
-/** Forecast for one plan; the places are those that may get tasks, busy or not. */
-export function createRoomForecast(places: readonly BusyPlace[]): RoomForecast {
+/**
+ * Forecast for one plan; the places are those that may get tasks, busy or not. What occupies one is
+ * looked at only if a task would wait for it.
+ */
+export function createRoomForecast<T extends Place>(
+  places: readonly T[],
+  occupancyOf: (place: T) => Occupancy,
+): RoomForecast {
   const timelines = new Map<string, Timeline>();
   /** What starts now, by endpoint, until its timeline is needed. */
   const started = new Map<string, Placing[]>();
 
-  function timelineOf(place: BusyPlace): Timeline {
+  function timelineOf(place: T): Timeline {
     const known = timelines.get(place.entry.id);
     if (known !== undefined) return known;
-    const ends = [...place.runs()].sort((a, b) => a.inMs - b.inMs);
-    const timeline = { place, room: place.room, ends };
+    const { room, runs } = occupancyOf(place);
+    const ends = [...runs].sort((a, b) => a.inMs - b.inMs);
+    const timeline: Timeline = { place, room, ends };
     timelines.set(place.entry.id, timeline);
     for (const placing of started.get(place.entry.id) ?? []) take(timeline, placing, 0);
     return timeline;
