perf(dispatch): only tasks that wait beside open places keep a turn in the forecast

With many waiting jobs and one open place that serves none of them, each task looked through all endpoints for a turn. A step that no open place would serve is passed over at once again, as before the forecast.

--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -1,6 +1,8 @@
 /**
- * Which waiting tasks of one job start, and where. A task that waits for room keeps its turn in the
- * forecast, so that those after it, of this job or the next ones, do not wait for the same place.
+ * Which waiting tasks of one job start, and where. A task that waits beside open places keeps its
+ * turn in the forecast, so that those after it, of this job or the next ones, do not wait for the
+ * same room. What no open place would serve keeps none: with many waiting jobs that would take most
+ * of the processor time of a plan.
  */
 import type { Steward } from '@celerybarrow/endpoints';
 import type { Resources } from '@celerybarrow/protocol';
@@ -43,7 +45,7 @@
   { nowMs, isUrgent, baseMs }: PlacingTerms,
 ): PlannedStart[] {
   const starts: PlannedStart[] = [];
-  /** Steps whose tasks get no place now, nor any in their caller's time. */
+  /** Steps whose tasks no open place would serve. */
   const full = new Set<number>();
   const patienceMs = record.deadlineMs - nowMs;
   for (const task of record.tasks) {
@@ -51,6 +53,7 @@
     if (task.isDone || task.run !== undefined || full.has(task.ref.step)) continue;
     if (!isStepOpen(record, task.ref.step)) continue;
     const step = stepOf(record, task);
+    let isWaiting = false;
     const placing: Placing = {
       service: record.job.service,
       step,
@@ -59,7 +62,10 @@
       patienceMs,
       leastSlowness,
       avoided: task.avoided,
-      awaitedEndMs: () => forecast.soonestEndMs(placing),
+      awaitedEndMs: () => {
+        isWaiting = true;
+        return forecast.soonestEndMs(placing);
+      },
       tasksOn: (endpoint: string) => countOn(record, task, endpoint, starts),
     };
     const place =
@@ -68,7 +74,8 @@
         ? placeFor(task, places, { ...placing, objectiveInMs: patienceMs, isUrgent })
         : undefined);
     if (place === undefined) {
-      if (!forecast.reserve(placing) && task.avoided.size === 0) full.add(task.ref.step);
+      if (isWaiting) forecast.reserve(placing);
+      else if (task.avoided.size === 0) full.add(task.ref.step);
       continue;
     }
     starts.push({ task, steward: place.steward });
