--- a/packages/scenarios/src/runScenario.ts
+++ b/packages/scenarios/src/runScenario.ts
@@ -74,7 +74,7 @@
   let version = 0;
 
   async function prepare(): Promise<void> {
-    await publishRate();
+    await waitUntil('the service is published', START_PATIENCE_MS, () => publishRate());
     await waitUntil(
       'every instance is a member and has the configuration',
       START_PATIENCE_MS,
