fix(jobs): a runner that was silent for a while is asked again

Beside a load of 27 on 8 cores a rolling stop failed once: a job was answered 503 may-have-run, "Instance lost: instance e2 held the job and ended", while e2 lived. It had been starved for 4 s, taken out of the roster, and its connection given up after 3 s of silence; the owner took that for its end.

A runner whose process has not certainly ended is now asked once more, waiting up to 3 s for a connection. Asking does no harm: what it released it has released. Callers of a frozen runner wait that much longer for the same refusal.

--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -133,7 +133,7 @@
       incarnation: `e${index}.${all.length}`,
       peer: '127.0.0.1:1',
     };
-    const node = createNode(member, { timer, random, send, countStart, holdsSoleLock });
+    const node = createNode(member, { timer, random, send, isUp, countStart, holdsSoleLock });
     nodes.set(index, node);
     all.push(node);
     return node;
@@ -157,6 +157,10 @@
     return reply === undefined || !hasReturned ? silent() : Result.ok(reply);
   }
 
+  function isUp(member: Member): boolean {
+    return all.some((node) => node.member.incarnation === member.incarnation && node.isUp);
+  }
+
   /** False when the message is lost: its sender or receiver was cut off until it timed out. */
   async function travel(from: Member, to: Member): Promise<boolean> {
     await timer.sleep(1 + random.next() * LONGEST_DELAY_MS);
@@ -380,6 +384,7 @@
     type: RequestType,
     ask: unknown,
   ) => Promise<Result<unknown, ProtocolError>>;
+  readonly isUp: (member: Member) => boolean;
   readonly countStart: (id: string) => void;
   readonly holdsSoleLock: (incarnation: string) => boolean;
 }
@@ -391,6 +396,7 @@
   const peers = {
     request: <T extends RequestType>(to: Member, type: T, ask: Ask<T>) =>
       options.send(self, to, type, ask) as Promise<Result<Reply<T>, ProtocolError>>,
+    linkTo: (to: Member) => ({ isGone: () => !options.isUp(to) }),
   } as unknown as Peers;
   const heartbeat = {
     isReachable: () => true,
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -2,6 +2,7 @@
  * The jobs of one instance. A submission that reaches its owner joins the job that runs, gets the
  * answer of the one that ended, or is admitted, claimed and run; there is never a second run.
  */
+import type { Result } from 'true-myth';
 import { Outcomes } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
 import type {
@@ -10,6 +11,7 @@
   Claim,
   Member,
   Problem,
+  ProtocolError,
   Reply,
   Submission,
 } from '@celerybarrow/protocol';
@@ -147,12 +149,7 @@
       peer: claim.runnerPeer,
     };
     const timeoutMs = submission.deadlineMs ?? LONGEST_JOB_MS;
-    const joined = await options.peers.request(
-      runner,
-      'join',
-      { id, digest },
-      { timeoutMs, connectWaitMs: INTAKE_PATIENCE_MS },
-    );
+    const joined = await askRunner(runner, { id, digest }, timer.nowMs() + timeoutMs);
     if (joined.isErr) return reject(id, problems.runnerLost(claim.runner));
     if (joined.value.answer !== undefined) return joined.value.answer;
     if (!joined.value.released) return reject(id, problems.runnerLost(claim.runner));
@@ -164,6 +161,19 @@
       : start(submission, claim.runnerIncarnation);
   }
 
+  /** A runner that was silent but has not ended is asked once more; a claim is released only once. */
+  async function askRunner(
+    runner: Member,
+    ask: Ask<'join'>,
+    endMs: number,
+  ): Promise<Result<Reply<'join'>, ProtocolError>> {
+    const wait = () => ({ timeoutMs: endMs - timer.nowMs(), connectWaitMs: INTAKE_PATIENCE_MS });
+    const first = await options.peers.request(runner, 'join', ask, wait());
+    if (first.isOk || timer.nowMs() >= endMs) return first;
+    if (options.peers.linkTo(runner).isGone()) return first;
+    return options.peers.request(runner, 'join', ask, wait());
+  }
+
   /** A released claim is forgotten, so that it is never used again. */
   function join({ id, digest }: Ask<'join'>): Promise<Reply<'join'>> {
     const known = active.get(id);
