fix(claims): no refusal as not run across a change of the epoch

Cause: the last ask of a witness outlasted the owner's absence from the roster. The registry looked at the epoch only before an ask, so the claim ended as unwitnessed, not as outdated; the owner, a member again but without the records of the new epoch, had a member confirm that new epoch and said not-run.

A confirmation holds only for the epoch in which it was asked for; otherwise the answer is may-have-run. Tests: the two new cases of claimRegistry.spec.ts failed before.

--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -37,8 +37,8 @@
    */
   register(claim: Claim, patienceMs?: number): Promise<Result<Claim, ClaimError>>;
   /**
-   * Whether no later epoch can have run an id that this instance owns: another member has just
-   * confirmed that it is still in the same epoch, or this one surely holds the sole lock.
+   * Whether no later epoch can have run an id that this instance owns in the present one: another
+   * member has just confirmed that it is still in that epoch, or this one surely holds the sole lock.
    */
   confirm(id: string): Promise<boolean>;
   /** Answers the claims of another member. */
@@ -117,14 +117,19 @@
       tried.add(witness.incarnation);
       await timer.sleep(RETRY_PAUSE_MS);
     } while (timer.nowMs() < giveUpMs);
-    return Result.err(new ClaimError(ErrorCodes.CLAIM_UNWITNESSED, claim.id));
+    const isSameEpoch = rosters.own()?.roster.epoch === epoch;
+    const code = isSameEpoch ? ErrorCodes.CLAIM_UNWITNESSED : ErrorCodes.CLAIM_OUTDATED;
+    return Result.err(new ClaimError(code, claim.id));
   }
 
   async function confirm(id: string): Promise<boolean> {
     const tried = new Set<string>();
+    const epoch = rosters.own()?.roster.epoch;
     for (let attempt = 0; attempt < CONFIRM_ATTEMPTS; attempt += 1) {
       const view = rosters.own();
       if (view === undefined || isCeded || !hasMember(view.roster, self.incarnation)) return false;
+      // An owner that was out of the roster in between does not know what ran meanwhile.
+      if (view.roster.epoch !== epoch) return false;
       const [witness, isSole] = chooseWitness(view, id, tried);
       if (isSole) return soleLock.heldUntilMs() > 0;
       if (witness === undefined) return false;
