fix(dispatch): the reason of a job that is given up reads like the other reasons

It had a typographic apostrophe, which nobody finds with a search for "the caller's time". The comment on the state in the protocol names the second case. No change of behaviour; tests of dispatch, protocol, entry, gateway, instance and platform pass.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -445,7 +445,7 @@
     });
     for (const { record, task, standsStill, isHopeless } of overdue) {
       if (isHopeless) {
-        finish(record, { state: JobStates.EXPIRED, reason: 'cannot end in its caller’s time' });
+        finish(record, { state: JobStates.EXPIRED, reason: "cannot end in the caller's time" });
         continue;
       }
       task.moves += 1;
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -56,7 +56,7 @@
   FAILED: 'failed',
   /** Nothing ran and nothing will. */
   REFUSED: 'refused',
-  /** The caller's time is over; all that still runs is being stopped. */
+  /** The caller's time is over, or no run can end in it; all that still runs is being stopped. */
   EXPIRED: 'expired',
   /** Some task may have run, and its end is not known here. */
   LOST: 'lost',
