feat(telemetry): tell of stops without an answer, and of runs that end after their job was answered

A reviewer who followed docs/OPERATIONS.md on paper could not find the end of a first run whose job had been answered, nor why it had not been stopped: no line told either. Both are rare lines. Tests: observability.spec.ts and steward.spec.ts; neither line existed before.

--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -274,6 +274,19 @@
     expect(typeof line?.context['aheadCoreMs']).toEqual('number');
     expect(metrics.counters()['outcome-by-size/t/unknown/refused']).toEqual(1);
   });
+
+  it('tells when a run has ended whose job was answered before', async () => {
+    const { running, submit, advance, lines } = open(['a']);
+    await advance(400);
+    submit(job('j', { remainingMs: 100 }));
+    await advance(150);
+    running.set('a', []);
+    await advance(400);
+    const about = (sentence: string) => lines.findIndex((line) => line.sentence === sentence);
+    const end = lines[about('Run of an answered job has ended.')];
+    expect(about('Job has ended.') < about('Run of an answered job has ended.')).toEqual(true);
+    expect([end?.context['job'], end?.context['run']]).toEqual(['j', 1]);
+  });
 });
 
 describe('the size of a job among those of its team', () => {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -362,12 +362,25 @@
     if (found?.task.run !== run) return;
     const { record, task } = found;
     task.run = undefined;
+    if (record.outcome !== undefined) logEndAfterAnswer(record, task, run, end);
     if (end === RunEnds.DONE) takeDone(record, task, run);
     else takeOtherEnd(record, task, run, end, answer);
     forgetIfOver(record);
     schedulePass();
   }
 
+  /** The same id may have come again meanwhile, so the end of its earlier run has to be found. */
+  function logEndAfterAnswer(record: JobRecord, task: TaskRecord, run: Run, end: RunEnd): void {
+    logger.info('Run of an answered job has ended.', {
+      job: record.job.id,
+      task: task.key,
+      run: run.number,
+      endpoint: task.endpoint,
+      end,
+      sentAgoMs: Math.round(clock.nowMs() - run.sentMs),
+    });
+  }
+
   function takeDone(record: JobRecord, task: TaskRecord, run: Run): void {
     const endpoint = task.endpoint ?? '';
     verdict.noteDone(endpoint);
--- a/packages/endpoints/__tests__/steward.spec.ts
+++ b/packages/endpoints/__tests__/steward.spec.ts
@@ -226,6 +226,16 @@
     expect(proofs).toEqual([EndProofs.STOP_ANSWERED, EndProofs.UNLISTED]);
   });
 
+  it('tells once that a stop got no answer', async () => {
+    const { timer, endpoint, steward, notes } = await open();
+    const run = startOne(steward);
+    await timer.advance(50);
+    endpoint.areStopsLost = true;
+    steward.stop(run);
+    await timer.advance(600);
+    expect(notes).toEqual(['Stop got no answer.']);
+  });
+
   it('says nothing of the proof when the endpoint has listed the end', async () => {
     const { timer, endpoint, steward, proofs } = await open();
     startOne(steward);
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -586,11 +586,12 @@
 
   /** Stops a run until an answer proves that the order arrived, then looks whether it is gone. */
   async function settleDoubt(run: Run): Promise<void> {
-    while (!closing.signal.aborted && runs.get(run.key) === run) {
+    for (let attempt = 1; !closing.signal.aborted && runs.get(run.key) === run; attempt += 1) {
       const sentFence = fence();
       const order = { task: run.task, run: run.number, fence: sentFence };
       const answer = await endpoint.stop(order);
       if (closing.signal.aborted || runs.get(run.key) !== run) return;
+      if (answer.isErr && attempt === 1) noteUnansweredStop(run, answer.error.message);
       if (answer.isOk && answer.value === OrderAnswers.FENCED) noteFenced(sentFence);
       if (isCarriedOut(answer)) {
         stopAnswered.set(run, timer.nowMs());
@@ -603,6 +604,17 @@
     }
   }
 
+  function noteUnansweredStop(run: Run, reason: string): void {
+    events.onNote('Stop got no answer.', {
+      endpoint: entry.id,
+      job: run.task.job,
+      task: run.key,
+      run: run.number,
+      state: run.state,
+      reason,
+    });
+  }
+
   /** Its machine may be cut off or gone; further starts there would only be in doubt as well. */
   function isInQuestion(): boolean {
     return (reportedMs ?? 0) < questionedMs;
