fix(entry): end the repeated withdrawal of a job when its id is sent again

Callers: a caller whose connection was reset together with that of its gateway to the dispatcher, and that sent the id again at once at the same gateway, was answered 504: the repeated withdrawal of the first submission ended the second, which the dispatcher cannot tell from it. The test failed before (a second withdraw after the second dispatch).

--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -256,6 +256,27 @@
     expect(asked).toEqual(['dispatch', 'withdraw', 'withdraw']);
   });
 
+  it('is not ended by the withdrawal of an earlier caller that was lost, when sent again', async () => {
+    const { timer, entry, state } = open([]);
+    state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+    const asked: string[] = [];
+    state.answer = async (type) => {
+      asked.push(type);
+      if (type === 'dispatch') await timer.sleep(1e9);
+      return asked.length === 2
+        ? Result.err(new ProtocolError(ErrorCodes.PEER_UNREACHABLE))
+        : Result.ok({ found: true });
+    };
+    const leaving = new AbortController();
+    void entry.submit(createJob(), leaving.signal);
+    await timer.advance(50);
+    leaving.abort();
+    await timer.advance(30);
+    void entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(500);
+    expect(asked).toEqual(['dispatch', 'withdraw', 'dispatch']);
+  });
+
   it('tells when it is given up while a dispatcher may still run it', async () => {
     const { timer, entry, state, warnings } = open([{ state: JobStates.MOVED, reason: '' }]);
     void entry.submit(createJob(), new AbortController().signal);
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -312,12 +312,14 @@
 
   /**
    * Ends the job of a caller that has left. The signs of life of this gateway go on, so a dispatcher
-   * that has not heard the withdrawal would run the job until its caller's time is over.
+   * that has not heard the withdrawal would run the job until its caller's time is over. It ends when
+   * the id is sent again here, as the dispatcher could not tell the two submissions apart.
    */
   async function withdrawUntilAnswered(one: OpenJob): Promise<void> {
     for (let attempt = 1; remainingMs(one) > 0; attempt += 1) {
       const route = routeOf(one);
-      if (route === undefined) return;
+      const newest = open.get(one.job.id) ?? one;
+      if (route === undefined || newest !== one) return;
       const reply = await withdraw(route, one.job.id, instance);
       if (reply.isOk) return;
       if (attempt === 1) logUnheard(one, route, reply.error);
