--- a/packages/instance/src/chooseShard.ts
+++ b/packages/instance/src/chooseShard.ts
@@ -10,7 +10,12 @@
  */
 import { isAllowed } from '@celerybarrow/dispatch';
 import type { EndpointEntry } from '@celerybarrow/endpoints';
-import { shardOfEndpoint, shardOfJob } from '@celerybarrow/leadership';
+import {
+  createShardDraw,
+  shardOfEndpoint,
+  shardOfJob,
+  type ShardDraw,
+} from '@celerybarrow/leadership';
 import type { LeasedJob } from '@celerybarrow/protocol';
 import type { TimerService } from '@celerybarrow/timer';
 
@@ -58,7 +63,7 @@
     current = groupEndpoints(entries, shards);
   }
 
-  function chooseBy(groups: Groups, job: LeasedJob): number {
+  function chooseBy(groups: Groups, job: LeasedJob, drawOf: ShardDraw): number {
     const shards = Array.from({ length: count }, (_none, shard) => ({ shard, capacity: 0 }));
     for (const group of groups) {
       const cores = coresFor(group, job);
@@ -66,18 +71,19 @@
     }
     const able = shards.filter(({ capacity }) => capacity > 0);
     const all = shards.map(({ shard }) => ({ shard, capacity: 1 }));
-    return shardOfJob(job.id, able.length === 0 ? all : able);
+    return shardOfJob(job.id, able.length === 0 ? all : able, drawOf);
   }
 
   return {
     follow,
-    choose: (job) => (count === 1 ? 0 : chooseBy(current, job)),
+    choose: (job) => (count === 1 ? 0 : chooseBy(current, job, createShardDraw(job.id))),
     earlierShards(job) {
       if (count === 1) return [];
       const nowMs = timer.nowMs();
       const recent = replaced.filter(({ atMs }) => nowMs - atMs < REPLACED_LIST_COUNTS_MS);
-      const shards = new Set(recent.reverse().map(({ groups }) => chooseBy(groups, job)));
-      shards.delete(chooseBy(current, job));
+      const drawOf = createShardDraw(job.id);
+      const shards = new Set(recent.reverse().map(({ groups }) => chooseBy(groups, job, drawOf)));
+      shards.delete(chooseBy(current, job, drawOf));
       return [...shards];
     },
   };
--- a/packages/leadership/src/index.ts
+++ b/packages/leadership/src/index.ts
@@ -6,7 +6,14 @@
   type FleetLeadershipOptions,
 } from './fleetLeadership.js';
 export type { Leadership } from './leadership.js';
-export { countShards, shardOfEndpoint, shardOfJob, type ShardCapacity } from './shards.js';
+export {
+  countShards,
+  createShardDraw,
+  shardOfEndpoint,
+  shardOfJob,
+  type ShardCapacity,
+  type ShardDraw,
+} from './shards.js';
 export { dispatcherKey } from './storedView.js';
 export {
   decideTakeover,
--- a/packages/leadership/src/shards.ts
+++ b/packages/leadership/src/shards.ts
@@ -24,16 +24,31 @@
   readonly capacity: number;
 }
 
-/** The shard of a job among those that could run it, by weighted rendezvous hash. */
-export function shardOfJob(job: string, shards: readonly ShardCapacity[]): number {
-  const scoreOf = ({ shard, capacity }: ShardCapacity) => {
-    const uniform = (weigh(job, String(shard)) + 1) / (LARGEST_HASH + 2);
-    return capacity / -Math.log(uniform);
+/** The draw of a job for a shard: exponentially distributed, and always the same. */
+export type ShardDraw = (shard: number) => number;
+
+/** Draws once for each shard, however many lists of shards are looked at. */
+export function createShardDraw(job: string): ShardDraw {
+  const draws = new Map<number, number>();
+  return (shard) => {
+    const known = draws.get(shard);
+    if (known !== undefined) return known;
+    const draw = -Math.log((weigh(job, String(shard)) + 1) / (LARGEST_HASH + 2));
+    draws.set(shard, draw);
+    return draw;
   };
+}
+
+/** The shard of a job among those that could run it, by weighted rendezvous hash. */
+export function shardOfJob(
+  job: string,
+  shards: readonly ShardCapacity[],
+  drawOf: ShardDraw = createShardDraw(job),
+): number {
   let best = { shard: 0, score: -Infinity };
-  for (const one of shards) {
-    const score = scoreOf(one);
-    if (score > best.score) best = { shard: one.shard, score };
+  for (const { shard, capacity } of shards) {
+    const score = capacity / drawOf(shard);
+    if (score > best.score) best = { shard, score };
   }
   return best.shard;
 }
