fix(instance): no job has had a shard by the empty list before the first

Callers: just after an instance had started, jobs that only some shards can run could be sent to one that cannot, and be refused though another would have served them: by the empty list all shards count alike, and the real list replaced it. The test failed before.

--- a/packages/instance/__tests__/chooseShard.spec.ts
+++ b/packages/instance/__tests__/chooseShard.spec.ts
@@ -98,6 +98,14 @@
     expect(earlier).toEqual(expected);
   });
 
+  it('are none before the first list of endpoints', () => {
+    const chooser = createShardChooser({ nowMs: () => 0 });
+    chooser.follow([], SHARDS);
+    chooser.follow([...entries, endpoint(9, { labels: ['rare'] })], SHARDS);
+    const asked = ids.filter((id) => chooser.earlierShards(job(id, 'rare')).length > 0);
+    expect(asked.length).toEqual(0);
+  });
+
   it('no longer count when no run of then can be left', () => {
     const { time, chooser } = followTwo();
     time.nowMs += 20_000;
--- a/packages/instance/src/chooseShard.ts
+++ b/packages/instance/src/chooseShard.ts
@@ -56,9 +56,9 @@
   function follow(entries: readonly EndpointEntry[], shards: number): void {
     const nowMs = timer.nowMs();
     replaced = replaced.filter(({ atMs }) => nowMs - atMs < REPLACED_LIST_COUNTS_MS);
-    // No job has a shard before their number is settled.
+    // No job has a shard before their number is settled, and no endpoint before the first list.
     if (shards !== count) replaced = [];
-    else replaced.push({ groups: current, atMs: nowMs });
+    else if (current.length > 0) replaced.push({ groups: current, atMs: nowMs });
     count = shards;
     current = groupEndpoints(entries, shards);
   }
