fix(dispatch): do not answer as never run what runs by an earlier dispatcher

Callers could be told 503, nothing ran, of a job of several steps whose first step an earlier dispatcher had started, when no endpoint could run a later one any more: the refusal looked only at what the gateway had said, not at the runs that had just been claimed. The test failed before (refused).

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -439,6 +439,20 @@
     expect(startedTwice).toEqual([]);
   });
 
+  it('is not answered as never run when an earlier run of it was claimed', async () => {
+    const task = { job: 'again', step: 0, index: 0 };
+    const setup = { earlier: { b: { task, run: 1, percent: 10 } } };
+    const { submit, advance, outcomes } = await open(400, { a: 1, b: 1 }, setup);
+    const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+    const steps = [
+      { tasks: 1, demand, estimateMs: 200, after: [] },
+      { tasks: 1, demand, estimateMs: 200, after: [0], label: 'gone' },
+    ];
+    submit(job('again', { steps }));
+    await advance(100);
+    expect(outcomes['again']?.state).toEqual(JobStates.LOST);
+  });
+
   it('does not start a task again that is sent anew before its endpoint has reported', async () => {
     const task = { job: 'again', step: 0, index: 0 };
     const silent = new Set('b');
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -332,7 +332,7 @@
 
   /** Only a job that never ran anywhere is refused; of others the end is not known here. */
   function refusalOf(record: JobRecord): JobState {
-    return record.mayHaveRun ? JobStates.LOST : JobStates.REFUSED;
+    return record.mayHaveRun || record.hasStarted ? JobStates.LOST : JobStates.REFUSED;
   }
 
   /** Starts a task, unless an endpoint lists an earlier run of it, which is claimed instead. */
