fix(dispatch,endpoints): give a job up only by progress on the endpoint's own clock

Callers could be answered 504 for a job that would have ended in time: the check that gives hopeless jobs up counted from the moment the start was sent to the moment a report was read, so that a slow start order or a report that was read late, as after a stall, looked like a long task. Unlike a move that is wrong, this cannot be taken back. Now the rate is measured between two reports, by the endpoint's clock, and the end counts from when the newest of them was written at the earliest: what the own clock is ahead is at least what it was when any report was asked for. givenUpInTime.spec.ts: both tests failed before (expired). Open: an endpoint that turns fast again in the middle of a run ends it sooner than its rate says.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -227,6 +227,14 @@
     moves: 0,
   };
 
+  /** Reports at the start and after a while, read as soon as they were asked for. */
+  function listed(percent: number, clockMs: number) {
+    return {
+      firstListing: { clockMs: 0, percent: 0, writtenMs: 0 },
+      newestListing: { clockMs, percent, writtenMs: clockMs },
+    };
+  }
+
   it('takes back a run whose progress says that it will be late, if a fresh one is not', () => {
     expect(isLate(run)).toEqual(true);
     expect(isWorthMoving(run, 200)).toEqual(true);
@@ -254,20 +262,22 @@
 
   // Seen on shiftline-sched scale-2: tasks of 1.4 to 2.5 s on a fast endpoint, of callers that wait 1.3 s.
   it('gives up a task that is too long for every endpoint, as soon as other runs confirm it', () => {
-    const long = { ...run, percent: 20, expectedMs: 700, lengthFactor: 2.4 };
+    const long = { ...run, ...listed(20, 400), percent: 20, expectedMs: 700, lengthFactor: 2.4 };
     expect(isHopeless(long, () => 600)).toEqual(true);
-    expect(isHopeless({ ...long, percent: 27 }, () => 600)).toEqual(false);
+    expect(isHopeless({ ...long, ...listed(27, 400), percent: 27 }, () => 600)).toEqual(false);
     expect(isHopeless({ ...long, lengthFactor: 1 }, () => 600)).toEqual(false);
   });
 
   it('gives up a task without other runs only when a usual run would be too late as well', () => {
-    const long = { ...run, nowMs: 800, percent: 45, percentAtMs: 800, expectedMs: 700 };
+    const seen = { ...listed(45, 800), percent: 45, percentAtMs: 800 };
+    const long = { ...run, ...seen, nowMs: 800, expectedMs: 700 };
     expect(isHopeless(long, () => 650)).toEqual(false);
     expect(isHopeless(long, () => 750)).toEqual(true);
   });
 
   it('gives up nothing on the word of the first percents', () => {
-    const young = { ...run, percent: 3, percentAtMs: 150, nowMs: 150, lengthFactor: 3 };
+    const seen = { ...listed(3, 150), percent: 3, percentAtMs: 150 };
+    const young = { ...run, ...seen, nowMs: 150, lengthFactor: 3 };
     expect(isHopeless(young, () => 1_400)).toEqual(false);
   });
 
--- /dev/null
+++ b/packages/dispatch/__tests__/givenUpInTime.spec.ts
@@ -0,0 +1,153 @@
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { Result } from 'true-myth';
+import {
+  OrderAnswers,
+  RunEnds,
+  type EndedTask,
+  type EndpointEntry,
+  type EndpointNetwork,
+  type RunningTask,
+} from '@celerybarrow/endpoints';
+import { JobStates, type JobOutcome, type LeasedJob } from '@celerybarrow/protocol';
+import { createRandom } from '@celerybarrow/shared';
+import { createMetrics, type Logger } from '@celerybarrow/telemetry';
+import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
+import { createDispatcher, type Dispatcher } from '../src/index.js';
+
+const RUN_MS = 500;
+const AGE_MS = 2_000;
+const opened: Dispatcher[] = [];
+
+afterEach(() => {
+  for (const dispatcher of opened.splice(0)) dispatcher.close();
+});
+
+const entry: EndpointEntry = {
+  id: 'e0',
+  service: 's',
+  address: 'e0',
+  dataCentre: 'd',
+  isLeaving: false,
+  labels: [],
+  capacity: { cores: 2_000, memoryMb: 64, accelerators: 0 },
+};
+
+function job(remainingMs: number): LeasedJob {
+  const demand = { cores: 1_000, memoryMb: 1, accelerators: 0 };
+  return {
+    id: 'j',
+    team: 't',
+    service: 's',
+    priority: 0,
+    maxAttempts: 1,
+    objectiveStretch: 1.6,
+    objectiveAllowanceMs: 60,
+    payload: '',
+    steps: [{ tasks: 1, demand, estimateMs: 400, after: [] }],
+    ageMs: 0,
+    remainingMs,
+  };
+}
+
+interface Delays {
+  /** How long an order to start takes to its endpoint. */
+  readonly startMs?: number;
+  /** How much later a report is read than it was written, while the task runs. */
+  readonly reportMs?: number;
+}
+
+async function run(remainingMs: number, { startMs = 1, reportMs = 0 }: Delays) {
+  const timer = createManualTimer();
+  const ignore = () => undefined;
+  const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  const running = new Map<string, { readonly one: RunningTask; readonly atMs: number }>();
+  const ended: EndedTask[] = [];
+  const network: EndpointNetwork = {
+    open: () => ({
+      async start({ task, run: number }) {
+        await timer.sleep(startMs);
+        const one = { task, run: number, percent: 0 };
+        running.set('j', { one, atMs: timer.nowMs() });
+        timer.onAfter(RUN_MS, () => {
+          if (!running.delete('j')) return;
+          ended.push({ number: 1, task, run: number, end: RunEnds.DONE });
+        });
+        return Result.ok(OrderAnswers.ACCEPTED);
+      },
+      async stop({ task, run: number }) {
+        await timer.sleep(1);
+        if (running.delete('j')) {
+          ended.push({ number: 1, task, run: number, end: RunEnds.STOPPED });
+        }
+        return Result.ok(OrderAnswers.ACCEPTED);
+      },
+      async renew({ endsSeen = 0, waitMs }) {
+        for (let waited = -1; waited < waitMs; waited += 5) {
+          if (ended.some((one) => one.number > endsSeen)) break;
+          await timer.sleep(5);
+        }
+        const nowMs = timer.nowMs();
+        const report = {
+          clockMs: nowMs,
+          bornMs: 1,
+          running: [...running.values()].map(({ one, atMs }) => ({
+            ...one,
+            percent: Math.floor(((nowMs - atMs) * 100) / RUN_MS),
+          })),
+          ended: ended.filter((one) => one.number > endsSeen),
+        };
+        if (running.size > 0) await timer.sleep(reportMs);
+        return Result.ok({ answer: OrderAnswers.ACCEPTED, report });
+      },
+      close: ignore,
+    }),
+  };
+  const dispatcher = createDispatcher({
+    network,
+    timer,
+    clock: createElapsedClock(timer),
+    random: createRandom(1),
+    logger,
+    metrics: createMetrics(),
+    fence: () => 1,
+    onFenced: ignore,
+  });
+  opened.push(dispatcher);
+  dispatcher.follow([entry]);
+  await timer.advance(AGE_MS);
+  const outcomes: JobOutcome[] = [];
+  const submission = { job: job(remainingMs), gateway: 'g', resubmissions: 0 };
+  const sentMs = timer.nowMs();
+  let endedMs = 0;
+  void dispatcher.submit(submission).then((outcome) => {
+    outcomes.push(outcome);
+    endedMs = timer.nowMs() - sentMs;
+  });
+  for (let passed = 0; passed < 1_500; passed += 10) {
+    dispatcher.noteGateway('g');
+    await timer.advance(10);
+  }
+  return { outcomes, endedMs };
+}
+
+describe('a job of which the progress says that it cannot end in time', () => {
+  it('is served when nothing delays orders and reports', async () => {
+    const { outcomes } = await run(950, {});
+    expect(outcomes.map(({ state }) => state)).toEqual([JobStates.COMPLETED]);
+  });
+
+  it('is not given up because the order to start took long', async () => {
+    const { outcomes } = await run(950, { startMs: 300 });
+    expect(outcomes.map(({ state, reason }) => `${state}: ${reason}`)).toEqual([
+      `${JobStates.COMPLETED}: all tasks are done`,
+    ]);
+  });
+
+  it('is not given up because a report was read late', async () => {
+    const { outcomes } = await run(1_000, { reportMs: 400 });
+    expect(outcomes.map(({ state, reason }) => `${state}: ${reason}`)).toEqual([
+      `${JobStates.COMPLETED}: all tasks are done`,
+    ]);
+  });
+});
--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -8,8 +8,10 @@
  *
  * Load pattern: a task that is longer than its caller's time on every endpoint. It serves nobody, and
  * the job with all its runs takes room from others to the end. It is hopeless once its progress says
- * that this run is too long, and a fresh one on the fastest endpoint would be too.
+ * that this run is too long, and a fresh one on the fastest endpoint would be too. That is final, so
+ * the progress counts by the endpoint's own clock: an order or a report that was late is no slow work.
  */
+import type { Listing } from '@celerybarrow/endpoints';
 
 /** Time for the proof that the old run has stopped. */
 const MOVE_COST_MS = 60;
@@ -40,6 +42,9 @@
   readonly objectiveMs: number;
   readonly deadlineMs: number;
   readonly moves: number;
+  /** The first and the newest report that have listed the run. */
+  readonly firstListing?: Listing | undefined;
+  readonly newestListing?: Listing | undefined;
   /** Factor on the expected time that other runs of the job have shown; undefined if none has. */
   readonly lengthFactor?: number | undefined;
 }
@@ -60,16 +65,20 @@
 
 /** Whether neither this run nor a fresh one, expected to take so long at least, can end in time. */
 export function isHopeless(run: RunProgress, expectSoonestMs: () => number): boolean {
-  if (!isTelling(run) || run.startedMs + leastTotalMs(run) <= run.deadlineMs) return false;
+  if (!isTelling(run) || earliestEndMs(run) <= run.deadlineMs) return false;
   // Without other runs to compare with, the endpoint may be slow and the job of usual length.
   const soonestMs = expectSoonestMs();
   const freshMs = run.lengthFactor === undefined ? soonestMs : correctedMs(run, soonestMs);
   return run.nowMs + freshMs > run.deadlineMs;
 }
 
-/** Time of the whole run if it was about to reach the next percent when it was seen. */
-function leastTotalMs({ percent, percentAtMs, startedMs }: RunProgress): number {
-  return ((percentAtMs - startedMs) * 100) / (percent + 1);
+/** When the run ends at the rate between two reports, if it was about to reach the next percent. */
+function earliestEndMs({ firstListing: first, newestListing: newest }: RunProgress): number {
+  if (first === undefined || newest === undefined) return -Infinity;
+  const spanMs = newest.clockMs - first.clockMs;
+  if (spanMs < TELLING_MS) return -Infinity;
+  const msPerPercent = spanMs / (newest.percent - first.percent + 1);
+  return newest.writtenMs + msPerPercent * (99 - newest.percent);
 }
 
 /** Expected time of a fresh run, corrected by what the progress says of the job's length. */
--- a/packages/dispatch/src/overdueTasks.ts
+++ b/packages/dispatch/src/overdueTasks.ts
@@ -61,6 +61,8 @@
     objectiveMs: objectiveFor(record, lengthFactor),
     deadlineMs: record.deadlineMs,
     moves: task.moves,
+    firstListing: run.firstListing,
+    newestListing: run.newestListing,
     lengthFactor,
   };
   const told = toldMs(progress);
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -20,7 +20,7 @@
   type StartOrder,
   type TaskRef,
 } from './leasedEndpoint.js';
-export { RunStates, type Run, type RunRequest, type RunState } from './run.js';
+export { RunStates, type Listing, type Run, type RunRequest, type RunState } from './run.js';
 export {
   createSteward,
   type ForeignSighting,
--- a/packages/endpoints/src/run.ts
+++ b/packages/endpoints/src/run.ts
@@ -12,6 +12,15 @@
 } as const;
 export type RunState = (typeof RunStates)[keyof typeof RunStates];
 
+/** What one report has said of a run. */
+export interface Listing {
+  /** The endpoint's clock in the report. */
+  readonly clockMs: number;
+  readonly percent: number;
+  /** When the report was written at the earliest, on the own clock. */
+  readonly writtenMs: number;
+}
+
 export interface Run {
   readonly task: TaskRef;
   readonly key: string;
@@ -23,6 +32,9 @@
   /** When the progress was last seen to change, and when it was last seen at all. */
   percentAtMs: number;
   seenMs: number;
+  /** The first and the newest report that have listed it. */
+  firstListing?: Listing;
+  newestListing?: Listing;
 }
 
 export interface RunRequest {
--- a/packages/endpoints/src/steward.ts
+++ b/packages/endpoints/src/steward.ts
@@ -120,6 +120,12 @@
   close(): void;
 }
 
+/** When a report was asked for, on the steady and on the elapsed clock. */
+interface AskedMoment {
+  readonly sentMs: number;
+  readonly elapsedMs: number;
+}
+
 export function createSteward(options: StewardOptions): Steward {
   const { endpoint, fence, timer, clock, events } = options;
   const closing = new AbortController();
@@ -143,6 +149,8 @@
   /** When this life of the endpoint was first reported, on the steady clock. */
   let bornSeenMs = -Infinity;
   let endsSeen = 0;
+  /** What the own clock was ahead of the endpoint's when a report was written, at the least. */
+  let clockOffsetMs = -Infinity;
   let lastLeaseMs = -Infinity;
   /** The endpoint's clock in the newest report. */
   let newestReportMs = -Infinity;
@@ -215,6 +223,7 @@
 
   async function look(waitMs: number): Promise<void> {
     const sentMs = timer.nowMs();
+    const asked = { sentMs, elapsedMs: clock.nowMs() };
     const reached = endpointClock.reachedMs(sentMs);
     // Only a call that follows an answer renews: otherwise the leases of a silent endpoint, whose
     // orders may all arrive late, would never certainly end.
@@ -230,7 +239,7 @@
     });
     if (closing.signal.aborted) return;
     if (answer.isErr && leaseEndMs !== undefined) lateLeases.noteUnanswered(sentMs);
-    takeRenewal(answer, sentMs, sentFence);
+    takeRenewal(answer, asked, sentFence);
     lapseSilentRuns();
   }
 
@@ -246,7 +255,7 @@
 
   function takeRenewal(
     answer: Result<RenewalAnswer, EndpointError>,
-    sentMs: number,
+    asked: AskedMoment,
     sentFence: number,
   ): void {
     if (answer.isErr) {
@@ -254,7 +263,7 @@
       return;
     }
     if (answer.value.answer === OrderAnswers.FENCED) noteFenced(sentFence);
-    if (answer.value.answer === OrderAnswers.REPLACED) loseAddress(sentMs);
+    if (answer.value.answer === OrderAnswers.REPLACED) loseAddress(asked.sentMs);
     if (answer.value.report === undefined) {
       countUnanswered(answer.value.answer);
       return;
@@ -266,7 +275,7 @@
     }
     unanswered = 0;
     isReplaced = false;
-    takeReport(answer.value.report, sentMs);
+    takeReport(answer.value.report, asked);
     if (wasSilent) {
       events.onNote('Endpoint answers again.', { endpoint: entry.id });
       events.onChange();
@@ -285,7 +294,8 @@
     events.onChange();
   }
 
-  function takeReport(report: EndpointReport, sentMs: number): void {
+  function takeReport(report: EndpointReport, asked: AskedMoment): void {
+    const { sentMs } = asked;
     const nowMs = clock.nowMs();
     if (report.bornMs !== undefined && report.bornMs !== bornMs) {
       // Answers on different connections may overtake each other.
@@ -295,6 +305,8 @@
     }
     bornMs = report.bornMs ?? bornMs;
     endpointClock.read(report.clockMs, timer.nowMs());
+    // A report is written after it was asked for, and the endpoint's clock runs late if at all.
+    clockOffsetMs = Math.max(clockOffsetMs, asked.elapsedMs - report.clockMs);
     const wasInQuestion = isInQuestion();
     reportedMs = Math.max(reportedMs ?? sentMs, sentMs);
     const isFirst = surveyedAtMs === undefined;
@@ -308,7 +320,7 @@
       else takeForeignEnd(one, nowMs);
     }
     // Answers on different connections may overtake each other.
-    if (report.clockMs >= newestReportMs) takeRunning(report, sentMs, nowMs);
+    if (report.clockMs >= newestReportMs) takeRunning(report, asked, nowMs);
     // Leases that the earlier dispatcher gave ended its reach when this fence arrived.
     if (!foreign.isEmpty() || ofEarlierLife.size > 0) {
       lastLeaseMs = Math.max(lastLeaseMs, report.clockMs + LONGEST_LEASE_MS);
@@ -336,8 +348,9 @@
     });
   }
 
-  function takeRunning(report: EndpointReport, sentMs: number, nowMs: number): void {
+  function takeRunning(report: EndpointReport, asked: AskedMoment, nowMs: number): void {
     const listed = new Set<string>();
+    const writtenMs = report.clockMs + clockOffsetMs;
     for (const one of report.running) {
       const key = taskKey(one.task);
       lateStarts.noteStarted(key, one.run);
@@ -355,13 +368,15 @@
       if (run.state === RunStates.STARTING) run.state = RunStates.RUNNING;
       if (!startAnswered.has(run)) startAnswered.set(run, timer.nowMs());
       run.seenMs = nowMs;
+      run.newestListing = { clockMs: report.clockMs, percent: one.percent, writtenMs };
+      run.firstListing ??= run.newestListing;
       if (run.percent !== one.percent) {
         run.percent = one.percent;
         run.percentAtMs = nowMs;
       }
     }
     for (const run of [...runs.values()]) {
-      if (!listed.has(run.key)) settleUnlisted(run, sentMs);
+      if (!listed.has(run.key)) settleUnlisted(run, asked.sentMs);
     }
     if (foreign.retain((key) => listed.has(`foreign ${key}`))) events.onChange();
   }
@@ -442,6 +457,7 @@
 
   function forgetLife(): void {
     endpointClock.reset();
+    clockOffsetMs = -Infinity;
     endsSeen = 0;
     lastLeaseMs = -Infinity;
     newestReportMs = -Infinity;
