--- a/packages/claims/__tests__/claimRegistry.spec.ts
+++ b/packages/claims/__tests__/claimRegistry.spec.ts
@@ -28,7 +28,7 @@
   readonly member: Member;
   readonly rosters: RosterKeeper;
   readonly store: ClaimStore;
-  readonly registry: ClaimRegistry;
+  readonly claimRegistry: ClaimRegistry;
   readonly timer: ManualTimer;
 }
 
@@ -66,10 +66,10 @@
       const witness = nodes.find((node) => node.member.incarnation === to.incarnation);
       await travel();
       return Result.ok(
-        witness?.registry.witness(ask, { ...member, version: 1, dataCentre: DATA_CENTRE }),
+        witness?.claimRegistry.witness(ask, { ...member, version: 1, dataCentre: DATA_CENTRE }),
       );
     };
-    const registry = createClaimRegistry({
+    const claimRegistry = createClaimRegistry({
       self: member,
       store,
       rosters,
@@ -90,7 +90,7 @@
     if (owner === undefined) throw new Error('there are three');
     for (const witness of others) witness.store.add(claimOf('job', 'e4'));
     owner.store.add(claimOf('job', 'e1'));
-    const registered = await owner.registry.register(claimOf('job', 'e1'));
+    const registered = await owner.claimRegistry.register(claimOf('job', 'e1'));
     expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_REFUSED);
     owner.store.remove('job');
     expect(owner.store.find('job')?.claim).toEqual(claimOf('job', 'e4'));
@@ -100,9 +100,9 @@
     const [owner, ...others] = createNodes();
     if (owner === undefined) throw new Error('there are three');
     for (const witness of others)
-      expect(witness.registry.pledge({ epoch: 3, id: 'job' })).toEqual({ pledged: true });
+      expect(witness.claimRegistry.pledge({ epoch: 3, id: 'job' })).toEqual({ pledged: true });
     owner.store.add(claimOf('job', 'e1'));
-    const registered = await owner.registry.register(claimOf('job', 'e1'));
+    const registered = await owner.claimRegistry.register(claimOf('job', 'e1'));
     expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_REFUSED);
     owner.store.remove('job');
     expect(owner.store.find('job')).toEqual(undefined);
@@ -117,7 +117,7 @@
     const [owner] = nodes;
     if (owner === undefined) throw new Error('there are three');
     owner.store.add(claimOf('job', 'e1'));
-    const registering = owner.registry.register(claimOf('job', 'e1'), 0);
+    const registering = owner.claimRegistry.register(claimOf('job', 'e1'), 0);
     await owner.timer.advance(1_000);
     const registered = await registering;
     expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_OUTDATED);
@@ -132,7 +132,7 @@
     });
     const [owner] = nodes;
     if (owner === undefined) throw new Error('there are three');
-    expect(await owner.registry.confirm('job')).toEqual(false);
+    expect(await owner.claimRegistry.confirm('job')).toEqual(false);
   });
 });
 
