--- a/packages/claims/__tests__/claimRegistry.spec.ts
+++ b/packages/claims/__tests__/claimRegistry.spec.ts
@@ -78,7 +78,7 @@
       soleLock: { acquire: () => Promise.resolve(false), heldUntilMs: () => 0 },
       timer,
     });
-    nodes.push({ member, rosters, store, registry, timer });
+    nodes.push({ member, rosters, store, claimRegistry, timer });
   }
   return nodes;
 }
