--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -1,7 +1,7 @@
 /**
  * One instance of the fleet under leased dispatch: a gateway for callers, always; the dispatcher of
- * one or more shards of the fleet, when leadership falls to it. The platform's names and formats reach it only through the
- * interfaces in the options.
+ * one or more shards of the fleet, when leadership falls to it. The platform's names and formats reach
+ * it only through the interfaces in the options.
  */
 import { describeError, parseAddress, type Random } from '@celerybarrow/shared';
 import { createElapsedClock, type TimerService } from '@celerybarrow/timer';
