perf(leadership): fetch documents from one dispatcher at a time

Callers: none directly; 97 idle instances of the large deployment sent each other 0.27 to 0.28 GB in 34 s and used 0.09 of a core each, most of it before traffic. Cause: every dispatcher reads the list of endpoints at its own revision and answers each heartbeat of an instance with an older revision with the whole list. With 11 shards every gateway got up to eleven copies of each change (19 to 22 lists an instance in 11 s, log of front-dub-a). Ruled out: the warm-up (a third of the instances, 0.4 s of a core each). An instance that reads the list from the store fetches none. A gateway of the previous version still gets documents with the reply. Also hashes candidates once for each ranking instead of in every comparison.

--- a/packages/instance/__tests__/simulatedVersions.ts
+++ b/packages/instance/__tests__/simulatedVersions.ts
@@ -86,11 +86,11 @@
     // Some documents are delayed, so that they arrive with a version that was replaced meanwhile.
     const delayMs = chance(0.05) ? randomBetween(100, 1_500) : 0;
     timer.onAfter(randomBetween(0.3, 3), () => {
-      const newer = to.documents.newerThan(instance.documents.versions());
+      const announced = to.documents.announce(instance.documents.versions());
       const wanted = to.documents.missing(instance.documents.versions());
       const replyMs = randomBetween(0.3, 3);
-      timer.onAfter(replyMs + delayMs, () => {
-        offerAll(instance, newer, to);
+      timer.onAfter(replyMs, () => {
+        fetchDocuments(instance, to, announced, delayMs);
       });
       timer.onAfter(replyMs + randomBetween(0.3, 3), () => {
         offerAll(to, instance.documents.select(wanted), instance);
@@ -98,6 +98,25 @@
     });
   }
 
+  /** Fetches announced documents. Their texts are read when the request arrives, and may be delayed. */
+  function fetchDocuments(
+    instance: SimulatedWatcher,
+    from: SimulatedWatcher,
+    announced: ReturnType<ReplicatedDocuments['announce']>,
+    delayMs: number,
+  ): void {
+    const names = instance.documents.toFetch(announced);
+    if (names.length === 0) return;
+    timer.onAfter(randomBetween(0.3, 3), () => {
+      const documents = from.documents.select(names);
+      timer.onAfter(randomBetween(0.3, 3) + delayMs, () => {
+        const isConnected = instance.isConnectedToPeers && from.isConnectedToPeers;
+        if (isConnected) offerAll(instance, documents, from);
+        instance.documents.endFetch(names, isConnected);
+      });
+    });
+  }
+
   function offerAll(
     to: SimulatedWatcher,
     documents: ReturnType<ReplicatedDocuments['select']>,
--- a/packages/instance/src/watchEndpoints.ts
+++ b/packages/instance/src/watchEndpoints.ts
@@ -5,6 +5,7 @@
 import { createEndpointDirectory, type EndpointDirectory } from '@celerybarrow/dispatch';
 import { endpointEntrySchema, type EndpointEntry } from '@celerybarrow/endpoints';
 import { createStoreContact, type ReplicatedDocuments } from '@celerybarrow/leadership';
+import type { SharedDocument } from '@celerybarrow/protocol';
 import type { Random } from '@celerybarrow/shared';
 import { followPrefix, type Store } from '@celerybarrow/store';
 import { createLogger } from '@celerybarrow/telemetry';
@@ -41,6 +42,11 @@
   stop(): void;
 }
 
+/** Orders entries by id, as the store lists them. */
+function compareIds(a: EndpointEntry, b: EndpointEntry): number {
+  return a.id < b.id ? -1 : Number(a.id > b.id);
+}
+
 export function createEndpointWatcher(options: EndpointWatcherOptions): EndpointWatcher {
   const { store, source, documents, timer, clock, random } = options;
   const log = createLogger('endpoints');
@@ -99,7 +105,8 @@
 
   function publish(revision: number): void {
     const entries = directory.entries();
-    const text = JSON.stringify(entries);
+    // In one order for all instances, so that equal lists have equal digests.
+    const text = JSON.stringify([...entries].sort(compareIds));
     if (text !== publishedText) {
       publishedText = text;
       options.onEntries(entries);
@@ -117,7 +124,9 @@
     documents.offer(ENDPOINTS_DOCUMENT, { version: revision, text: publishedText }, FROM_STORE);
   }
 
-  documents.onDocument(ENDPOINTS_DOCUMENT, ({ text, version }, from) => {
+  documents.onDocument(ENDPOINTS_DOCUMENT, takeDocument, () => watchAbort === undefined);
+
+  function takeDocument({ text, version }: SharedDocument, from: string): boolean {
     const rows = parseDocument(text);
     if (!Array.isArray(rows)) {
       log.warn('Endpoint list from another instance is malformed.', {
@@ -138,7 +147,7 @@
       source: from,
     });
     return true;
-  });
+  }
 
   return {
     entries: () => directory.entries(),
--- a/packages/leadership/src/candidates.ts
+++ b/packages/leadership/src/candidates.ts
@@ -30,9 +30,14 @@
   members: readonly FleetMember[],
   { epoch, precedingShards, countDispatchedShards }: RankingOptions,
 ): FleetMember[] {
-  const hash = (member: FleetMember) => rendezvousWeight(String(epoch), member.incarnation);
-  const shareOf = (member: FleetMember) => member.weight / (1 + countDispatchedShards(member));
-  const ranked = [...members].sort((a, b) => shareOf(b) - shareOf(a) || hash(b) - hash(a));
+  const ranked = members
+    .map((member) => ({
+      member,
+      hash: rendezvousWeight(String(epoch), member.incarnation),
+      share: member.weight / (1 + countDispatchedShards(member)),
+    }))
+    .sort((a, b) => b.share - a.share || b.hash - a.hash)
+    .map(({ member }) => member);
   const offset = ranked.length === 0 ? 0 : precedingShards % ranked.length;
   return [...ranked.slice(offset), ...ranked.slice(0, offset)];
 }
@@ -47,10 +52,11 @@
   const best = rankMembers(others, ranking).slice(0, MAX_POLLED_BEST);
   const local = others
     .filter((member) => member.dataCentre === self.dataCentre && !best.includes(member))
-    .sort(
-      (a, b) =>
-        rendezvousWeight(self.incarnation, a.incarnation) -
-        rendezvousWeight(self.incarnation, b.incarnation),
-    );
+    .map((member) => ({
+      member,
+      hash: rendezvousWeight(self.incarnation, member.incarnation),
+    }))
+    .sort((a, b) => a.hash - b.hash)
+    .map(({ member }) => member);
   return [...best, ...local.slice(0, MAX_POLLED_LOCAL)];
 }
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -183,6 +183,9 @@
       }
       return {};
     });
+    server.onRequest('fetchDocuments', ({ names }) => ({
+      documents: options.documents.select(names),
+    }));
     server.onRequest('opinion', (request) => findShard(request.shard).handleOpinion(request));
     server.onRequest('takeOver', (request) => ({
       accepted: findShard(request.shard).handleTakeOver(request),
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -32,6 +32,8 @@
 import { isNewer } from './views.js';
 
 const PULSE_TIMEOUT_MS = 250;
+/** Limit for fetching documents. A long document takes a while on a slow link. */
+const FETCH_TIMEOUT_MS = 1_500;
 /** How long a heartbeat waits for the first connection before peers are polled about the dispatcher. */
 const FIRST_CONNECT_WAIT_MS = 60;
 const OPINION_TIMEOUT_MS = 180;
@@ -191,14 +193,18 @@
       await suspect(current);
       return;
     }
-    const request = { shard, view: current, versions: documents.versions() };
+    const versions = documents.versions();
+    const request = { shard, view: current, versions, fetchesDocuments: true };
     detector.recordHeartbeatSent();
     const reply = await link.request('pulse', request, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: link.failedAttempts() > 0 ? 0 : FIRST_CONNECT_WAIT_MS,
     });
     if (view !== current) return;
-    if (reply.isOk) sendDocuments(link, reply.value.wanted ?? []);
+    if (reply.isOk) {
+      sendDocuments(link, reply.value.wanted ?? []);
+      void fetchDocuments(link, documents.toFetch(reply.value.newer ?? {}), current);
+    }
     if (reply.isOk && (reply.value.isDispatching || reply.value.view !== undefined)) {
       applyHeartbeatReply(reply.value);
       if (reply.value.isDispatching) return;
@@ -206,6 +212,28 @@
     if (reply.isOk || detector.shouldSuspect(link)) await suspect(current);
   }
 
+  /** Fetches documents that the dispatcher of a view announced. */
+  async function fetchDocuments(
+    link: PeerLink,
+    names: readonly string[],
+    { dispatcher }: View,
+  ): Promise<void> {
+    if (names.length === 0) return;
+    const reply = await link.request(
+      'fetchDocuments',
+      { names: [...names] },
+      { timeoutMs: FETCH_TIMEOUT_MS },
+    );
+    if (reply.isOk) {
+      for (const [name, document] of Object.entries(reply.value.documents))
+        documents.offer(name, document, dispatcher.instance);
+    } else {
+      const reason = reply.error.message;
+      logger.warn('Documents could not be fetched.', { names: names.join(' '), reason });
+    }
+    documents.endFetch(names, reply.isOk);
+  }
+
   /** Sends the documents that the dispatcher requested. */
   function sendDocuments(link: PeerLink, names: readonly string[]): void {
     if (names.length === 0) return;
@@ -429,7 +457,9 @@
     return {
       ...(view === undefined ? {} : { view }),
       isDispatching: isDispatching(),
-      documents: documents.newerThan(request.versions),
+      ...(request.fetchesDocuments === true
+        ? { documents: {}, newer: documents.announce(request.versions) }
+        : { documents: documents.newerThan(request.versions) }),
       ...(wanted.length === 0 ? {} : { wanted }),
       waiting: isDispatching() ? options.waiting() : {},
     };
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -114,19 +114,29 @@
 /** A document that instances replicate to each other; the higher version wins. */
 export const documentSchema = z.object({ version: nonNegativeInt, text: z.string() });
 
+/** Tells which version of a document an instance has, without its text. */
+export const announcementSchema = z.object({ version: nonNegativeInt, digest: z.string() });
+
 export const pulseSchema = z.object({
   /** Zero-based index of the shard that the view belongs to. */
   shard: nonNegativeInt,
   view: viewSchema,
   /** Versions of the documents that the sender has, by name. */
   versions: z.record(nonNegativeInt),
+  /** Whether the sender fetches the documents that are announced to it; absent means false. */
+  fetchesDocuments: z.boolean().optional(),
 });
 
 export const pulseReplySchema = z.object({
   view: viewSchema.optional(),
   isDispatching: z.boolean(),
-  /** Documents that are newer than the versions of the requester, by name. */
+  /**
+   * Documents that are newer than the versions of the requester, by name. Empty for a requester that
+   * fetches documents.
+   */
   documents: z.record(documentSchema),
+  /** The same documents without their texts, for a requester that fetches documents. */
+  newer: z.record(announcementSchema).optional(),
   /** Names of documents that the requester has in a newer version and should send. */
   wanted: z.array(z.string()).optional(),
   /** Number of jobs without a started task, by team. */
@@ -185,6 +195,11 @@
     ask: z.object({ documents: z.record(documentSchema) }),
     reply: z.object({}),
   },
+  /** Asks for announced documents, by name. */
+  fetchDocuments: {
+    ask: z.object({ names: z.array(z.string()) }),
+    reply: z.object({ documents: z.record(documentSchema) }),
+  },
   /** Asks a peer whether it has contact with the dispatcher of a view. */
   opinion: {
     ask: z.object({ shard: nonNegativeInt, view: viewSchema.optional() }),
@@ -205,3 +220,4 @@
 export type View = z.infer<typeof viewSchema>;
 export type Opinion = z.infer<typeof opinionSchema>;
 export type SharedDocument = z.infer<typeof documentSchema>;
+export type Announcement = z.infer<typeof announcementSchema>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -54,6 +54,7 @@
   type LeasedJob,
   type Opinion,
   type Resources,
+  type Announcement,
   type SharedDocument,
   type Step,
   type View,
