fix(leadership): let a busy dispatcher answer late without being replaced

Cause: a failure that feeds itself. A heartbeat that took over 250 ms counted as unanswered even when its reply came; connections had 300 ms for the greeting of a busy peer and were then opened again (connect, bind and close were half of the processor time at rest); every instance polled 12 peers for every suspicion; and each new dispatcher had 1 s of work before it could answer. Now late replies count; limits grow with slow replies, with delays of the own event loop and double with suspicions that turn out false and with the fourth change of dispatcher within 12 s (recent trouble may come twice without that); an accepted connection has 1.5 s for its greeting; only leading candidates evaluate a loss at once; an own stall closes no connection whose replies wait to be read.

--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -18,11 +18,12 @@
 import { createReplicatedDocuments } from '../src/replicatedDocuments.js';
 import { createLeadership } from '../src/leadership.js';
 import { createMembers } from '../src/members.js';
+import { createPatience } from '../src/patience.js';
 import { createStoreContact } from '../src/storeContact.js';
 import { dispatcherKey } from '../src/storedView.js';
 import { createFakeStore } from './fakeStore.js';
 
-const HEARTBEAT = { intervalMs: 150, timeoutMs: 330 };
+const HEARTBEAT = { intervalMs: 150, timeoutMs: 330, firstReplyTimeoutMs: 330 };
 const ignore = () => undefined;
 const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
 
@@ -93,6 +94,7 @@
     links: { to: openLink, isConnected: () => false, keepOnly: ignore, close: ignore },
     contact: createStoreContact(clock, logger),
     documents: createReplicatedDocuments(timer),
+    patience: createPatience(timer),
     timer,
     clock,
     logger,
--- a/packages/leadership/__tests__/peerLinks.spec.ts
+++ b/packages/leadership/__tests__/peerLinks.spec.ts
@@ -6,6 +6,7 @@
 import { createTraffic, PROTOCOL_VERSION } from '@celerybarrow/protocol';
 import { createRandom } from '@celerybarrow/shared';
 import { createTimerService } from '@celerybarrow/timer';
+import { createPatience } from '../src/patience.js';
 import { createPeerLinks } from '../src/peerLinks.js';
 
 describe('the connections of a closed instance', () => {
@@ -19,12 +20,14 @@
     await once(server, 'listening');
     const { port } = server.address() as AddressInfo;
     const instance = { instance: 'a', incarnation: 'a-1', dataCentre: 'd' };
+    const timer = createTimerService();
     const links = createPeerLinks({
       greeting: { ...instance, version: PROTOCOL_VERSION },
       localHost: '127.0.0.1',
-      timer: createTimerService(),
+      timer,
       random: createRandom(1),
       traffic: createTraffic(),
+      patience: createPatience(timer),
     });
     links.close();
     const member = { instance: 'b', incarnation: 'b-1', dataCentre: 'd', weight: 1 };
--- a/packages/leadership/src/candidates.ts
+++ b/packages/leadership/src/candidates.ts
@@ -16,6 +16,10 @@
 const MAX_POLLED_LOCAL = 6;
 /** Number of polled members from the best candidates. */
 const MAX_POLLED_BEST = 6;
+/** Number of best candidates that evaluate the loss of a dispatcher at once. */
+const LEADING_CANDIDATES = 3;
+/** The same among the members of a data centre, which may be partitioned from the others. */
+const LEADING_LOCAL_CANDIDATES = 2;
 
 export interface RankingOptions {
   readonly epoch: number;
@@ -42,6 +46,24 @@
   return [...ranked.slice(offset), ...ranked.slice(0, offset)];
 }
 
+/**
+ * Whether this instance is one of the best candidates of the fleet or of its data centre. Only these
+ * evaluate the loss of a dispatcher at once: if all instances of a large fleet did, their polls alone
+ * would keep them busy.
+ */
+export function isLeadingCandidate(
+  self: FleetMember,
+  others: readonly FleetMember[],
+  ranking: RankingOptions,
+): boolean {
+  if (others.length <= MAX_POLLED_LOCAL + MAX_POLLED_BEST) return true;
+  const ranked = rankMembers([self, ...others], ranking);
+  const local = ranked.filter((member) => member.dataCentre === self.dataCentre);
+  return (
+    ranked.indexOf(self) < LEADING_CANDIDATES || local.indexOf(self) < LEADING_LOCAL_CANDIDATES
+  );
+}
+
 /** Returns all other members of a small fleet, or a sample of a large one. */
 export function choosePeersToPoll(
   self: FleetMember,
--- a/packages/leadership/src/failureDetector.ts
+++ b/packages/leadership/src/failureDetector.ts
@@ -5,12 +5,32 @@
  */
 import type { PeerLink } from '@celerybarrow/protocol';
 import type { ElapsedClock, MonotonicClock } from '@celerybarrow/timer';
+import type { Patience } from './patience.js';
+import { createRecentMaximum } from './recentMaximum.js';
 
 /** Heartbeats are answered within milliseconds; a dispatcher with a late reply may be partitioned. */
 const REPLY_OVERDUE_MS = 100;
+/**
+ * Changes of dispatcher that are common after one fault or two. Each further one within the retention
+ * time doubles the timeout, because takeovers in a series cause each other.
+ */
+const USUAL_CHANGES = 3;
+const CHANGE_RETENTION_MS = 12_000;
+const MAX_DOUBLINGS = 3;
+/** Slower replies extend no time limit further. */
+const MAX_REPLY_MS = 1_000;
 /** After this time under suspicion, callers are better served by another instance. */
 const CONTACT_LOST_MS = 1_500;
 
+export interface HeartbeatTiming {
+  /** Interval between heartbeats to a dispatcher. */
+  readonly intervalMs: number;
+  /** Time without contact after which the dispatcher is suspected and peers are polled. */
+  readonly timeoutMs: number;
+  /** The same for a new dispatcher, to which all instances open connections at the same moment. */
+  readonly firstReplyTimeoutMs: number;
+}
+
 export interface FailureDetector {
   /**
    * Starts over for a new view. The heartbeat timeout then counts from this moment, because the new
@@ -22,12 +42,14 @@
    * before the first contact under a view.
    */
   recordHeartbeatSent(): void;
-  /** Records a heartbeat reply of the dispatcher; ends a suspicion. */
-  recordContact(): void;
+  /** Records the reply to a heartbeat that was sent at `sentMs`, on the elapsed clock; ends a suspicion. */
+  recordContact(sentMs: number): void;
   /** Returns the time since the last contact; undefined if there was none under this view. */
   silentMs(): number | undefined;
   /** Whether a heartbeat reply is so late that the dispatcher should get no jobs. */
   isReplyOverdue(): boolean;
+  /** Returns the time without contact after which the dispatcher is suspected. */
+  timeoutMs(): number;
   /** Whether the heartbeat timeout has passed, or the connection was closed or refused before that. */
   shouldSuspect(link: PeerLink): boolean;
   /** Marks the dispatcher as suspected. Returns true if it was not suspected before. */
@@ -45,8 +67,11 @@
 export function createFailureDetector(
   clock: ElapsedClock,
   monotonicClock: MonotonicClock,
-  heartbeatTimeoutMs: number,
+  heartbeat: HeartbeatTiming,
+  patience: Patience,
 ): FailureDetector {
+  /** Outlives a view: the next dispatcher is reached through the same link of this machine. */
+  const replyMs = createRecentMaximum(monotonicClock);
   let resetMs = clock.nowMs();
   let lastContactMs: number | undefined;
   /** When the oldest unanswered heartbeat was sent. */
@@ -59,9 +84,26 @@
     return clock.nowMs() - momentMs;
   }
 
+  /** When the view changed, on the monotonic clock. */
+  let changesMs: number[] = [];
+
+  function countUnusualChanges(): number {
+    const nowMs = monotonicClock.nowMs();
+    changesMs = changesMs.filter((atMs) => nowMs - atMs < CHANGE_RETENTION_MS);
+    return Math.max(0, changesMs.length - USUAL_CHANGES);
+  }
+
+  function timeoutMs(): number {
+    const factor = 2 ** Math.min(countUnusualChanges(), MAX_DOUBLINGS);
+    const limitMs =
+      lastContactMs === undefined ? heartbeat.firstReplyTimeoutMs : heartbeat.timeoutMs;
+    return patience.extend(factor * (limitMs + replyMs.value()));
+  }
+
   return {
     reset() {
       resetMs = clock.nowMs();
+      changesMs.push(monotonicClock.nowMs());
       lastContactMs = undefined;
       unansweredSinceMs = undefined;
       suspectedSinceMs = undefined;
@@ -69,18 +111,23 @@
     recordHeartbeatSent() {
       if (lastContactMs !== undefined) unansweredSinceMs ??= clock.nowMs();
     },
-    recordContact() {
-      lastContactMs = clock.nowMs();
+    recordContact(sentMs) {
+      const nowMs = clock.nowMs();
+      replyMs.record(Math.min(nowMs - sentMs, MAX_REPLY_MS));
+      lastContactMs = nowMs;
       unansweredSinceMs = undefined;
       suspectedSinceMs = undefined;
     },
     silentMs: () => (lastContactMs === undefined ? undefined : sinceMs(lastContactMs)),
     isReplyOverdue: () =>
-      unansweredSinceMs !== undefined && sinceMs(unansweredSinceMs) > REPLY_OVERDUE_MS,
+      unansweredSinceMs !== undefined &&
+      sinceMs(unansweredSinceMs) > REPLY_OVERDUE_MS + replyMs.value(),
+    timeoutMs,
     shouldSuspect(link) {
-      const isTimedOut = sinceMs(lastContactMs ?? resetMs) > heartbeatTimeoutMs;
+      const isTimedOut = sinceMs(lastContactMs ?? resetMs) > timeoutMs();
+      if (isTimedOut || link.isGone()) return true;
       const isDisconnected = lastContactMs !== undefined && !link.isConnected();
-      return isTimedOut || isDisconnected || link.isRefused();
+      return (isDisconnected || link.isRefused()) && countUnusualChanges() === 0;
     },
     suspect() {
       const isNewSuspicion = suspectedSinceMs === undefined;
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -11,8 +11,10 @@
 import { agreeOnShardCount, parseShardCount, SHARD_COUNT_KEY } from './shardCount.js';
 import type { ReplicatedDocuments } from './replicatedDocuments.js';
 import { keepRegistered } from './registration.js';
-import { createLeadership, type Leadership, type HeartbeatTiming } from './leadership.js';
+import type { HeartbeatTiming } from './failureDetector.js';
+import { createLeadership, type Leadership } from './leadership.js';
 import { createMembers } from './members.js';
+import { createPatience } from './patience.js';
 import { createPeerLinks } from './peerLinks.js';
 import { createStoreContact } from './storeContact.js';
 import { dispatcherKey } from './storedView.js';
@@ -27,12 +29,20 @@
 /** The dispatcher of a shard and two further candidates, which cover the loss of two instances. */
 const CANDIDATES_PER_SHARD = 3;
 
-const ONE_SHARD_HEARTBEAT: HeartbeatTiming = { intervalMs: 150, timeoutMs: 330 };
+const ONE_SHARD_HEARTBEAT: HeartbeatTiming = {
+  intervalMs: 150,
+  timeoutMs: 330,
+  firstReplyTimeoutMs: 330,
+};
 /**
  * Longer, because a gateway sends heartbeats to several dispatchers. Each dispatcher still gets two
  * within the lease of the gateway's jobs.
  */
-const MANY_SHARDS_HEARTBEAT: HeartbeatTiming = { intervalMs: 220, timeoutMs: 460 };
+const MANY_SHARDS_HEARTBEAT: HeartbeatTiming = {
+  intervalMs: 220,
+  timeoutMs: 460,
+  firstReplyTimeoutMs: 1_000,
+};
 
 export interface FleetLeadershipOptions {
   readonly self: FleetMember;
@@ -76,7 +86,8 @@
   const { self, store, server, timer, clock, logger } = options;
   const closing = new AbortController();
   const members = createMembers(timer, logger);
-  const links = createPeerLinks(options);
+  const patience = createPatience(timer);
+  const links = createPeerLinks({ ...options, patience });
   const contact = createStoreContact(clock, logger);
   const subscribers: ((shards: readonly Leadership[]) => void)[] = [];
   /** Dispatcher entries received before the shards were created. */
@@ -137,6 +148,7 @@
       members,
       links,
       contact,
+      patience,
       ranking: () => ({
         precedingShards: countPrecedingWithoutDispatcher(shard),
         countDispatchedShards: (member) => countDispatchedBy(member, shard),
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -16,10 +16,16 @@
 } from '@celerybarrow/protocol';
 import type { Entry, Store } from '@celerybarrow/store';
 import { withContext, type Logger } from '@celerybarrow/telemetry';
-import { choosePeersToPoll, rankMembers, type RankingOptions } from './candidates.js';
+import {
+  choosePeersToPoll,
+  isLeadingCandidate,
+  rankMembers,
+  type RankingOptions,
+} from './candidates.js';
 import type { ReplicatedDocuments } from './replicatedDocuments.js';
-import { createFailureDetector } from './failureDetector.js';
+import { createFailureDetector, type HeartbeatTiming } from './failureDetector.js';
 import type { Members } from './members.js';
+import type { Patience } from './patience.js';
 import type { PeerLinks } from './peerLinks.js';
 import type { StoreContact } from './storeContact.js';
 import { createStoredView } from './storedView.js';
@@ -31,7 +37,13 @@
 } from './takeover.js';
 import { isNewer } from './views.js';
 
-const PULSE_TIMEOUT_MS = 250;
+const REQUEST_TIMEOUT_MS = 250;
+/** Late replies to heartbeats count as well, because a slow dispatcher is not lost. */
+const PULSE_TIMEOUT_MS = 3_000;
+/** Number of unanswered heartbeats after which no further one is sent. */
+const MAX_OPEN_PULSES = 4;
+/** How long a check of the dispatcher waits for the reply to its heartbeat. */
+const REPLY_WAIT_MS = 60;
 /** Limit for fetching documents. A long document takes a while on a slow link. */
 const FETCH_TIMEOUT_MS = 1_500;
 /** How long a heartbeat waits for the first connection before peers are polled about the dispatcher. */
@@ -39,18 +51,13 @@
 const OPINION_TIMEOUT_MS = 180;
 /** Time within which the stored dispatcher must be reachable after a partition has healed. */
 const RECONNECT_LIMIT_MS = 1_500;
+/** How long the leading candidates of a large fleet may take before every instance evaluates a loss. */
+const LEADING_CANDIDATES_MS = 700;
 /** Interval at which a disconnected dispatcher polls its peers for newer views. */
 const PEER_POLL_INTERVAL_MS = 400;
 /** Minimum interval between attempts to raise the fencing token. */
 const FENCE_RAISE_INTERVAL_MS = 300;
 
-export interface HeartbeatTiming {
-  /** Interval between heartbeats to a dispatcher. */
-  readonly intervalMs: number;
-  /** Time without contact after which the dispatcher is suspected and peers are polled. */
-  readonly timeoutMs: number;
-}
-
 export interface LeadershipOptions {
   readonly shard: number;
   readonly heartbeat: HeartbeatTiming;
@@ -60,6 +67,7 @@
   readonly links: PeerLinks;
   readonly contact: StoreContact;
   readonly documents: ReplicatedDocuments;
+  readonly patience: Patience;
   readonly timer: TimerService;
   readonly clock: ElapsedClock;
   readonly logger: Logger;
@@ -112,7 +120,8 @@
   const closing = new AbortController();
   const subscribers = new Set<(view: View) => void>();
   let view: View | undefined;
-  const detector = createFailureDetector(clock, timer, heartbeat.timeoutMs);
+  const { patience } = options;
+  const detector = createFailureDetector(clock, timer, heartbeat, patience);
   const stored = createStoredView({
     ...options,
     logger,
@@ -136,6 +145,11 @@
    */
   let wasFenced = false;
   let isStopping = false;
+  /** Number of heartbeats that have neither been answered nor failed. */
+  let openPulses = 0;
+  let isEvaluating = false;
+  /** The view whose dispatcher was suspected last, until that dispatcher replies. */
+  let lastSuspected: View | undefined;
   let reportedWaiting: Record<string, number> = {};
 
   function isDispatching(): boolean {
@@ -169,7 +183,9 @@
       } catch (error) {
         logger.error('Step of leadership failed.', { reason: describeError(error) });
       }
+      const sleptSinceMs = clock.nowMs();
       await timer.sleep(heartbeat.intervalMs, closing.signal);
+      patience.recordOwnDelay(clock.nowMs() - sleptSinceMs - heartbeat.intervalMs);
     }
   }
 
@@ -177,39 +193,56 @@
     if (isDispatching()) {
       if (view !== undefined && view.round > 0) await rejoinPeers(view);
     } else if (view !== undefined) {
-      await sendHeartbeat(view);
+      await checkDispatcher(view);
     } else {
       await suspect(undefined);
     }
   }
 
-  /**
-   * Sends a heartbeat to the dispatcher of a view. Suspects the dispatcher if its reply does not
-   * confirm that it dispatches, or if no reply arrives and `shouldSuspect` holds.
-   */
-  async function sendHeartbeat(current: View): Promise<void> {
-    const link = links.to(current.dispatcher);
+  /** Sends a heartbeat to the dispatcher of a view, and suspects it if it has been silent for long. */
+  async function checkDispatcher(current: View): Promise<void> {
     if (namesEarlierIncarnation(current)) {
       await suspect(current);
       return;
     }
+    const link = links.to(current.dispatcher);
+    const pulse = sendPulse(current, link);
+    // The reply may end a suspicion, but must not delay the next check.
+    await Promise.race([pulse, timer.sleep(REPLY_WAIT_MS, closing.signal)]);
+    if (view === current && detector.shouldSuspect(link)) await suspect(current);
+  }
+
+  async function sendPulse(current: View, link: PeerLink): Promise<void> {
+    if (openPulses >= MAX_OPEN_PULSES) return;
     const versions = documents.versions();
     const request = { shard, view: current, versions, fetchesDocuments: true };
+    const sentMs = clock.nowMs();
     detector.recordHeartbeatSent();
+    openPulses += 1;
     const reply = await link.request('pulse', request, {
       timeoutMs: PULSE_TIMEOUT_MS,
       connectWaitMs: link.failedAttempts() > 0 ? 0 : FIRST_CONNECT_WAIT_MS,
     });
-    if (view !== current) return;
-    if (reply.isOk) {
-      sendDocuments(link, reply.value.wanted ?? []);
-      void fetchDocuments(link, documents.toFetch(reply.value.newer ?? {}), current);
-    }
-    if (reply.isOk && (reply.value.isDispatching || reply.value.view !== undefined)) {
-      applyHeartbeatReply(reply.value);
-      if (reply.value.isDispatching) return;
+    openPulses -= 1;
+    if (reply.isErr || closing.signal.aborted) return;
+    if (lastSuspected === current) {
+      lastSuspected = undefined;
+      patience.recordFalseSuspicion();
     }
-    if (reply.isOk || detector.shouldSuspect(link)) await suspect(current);
+    if (view === current) await handlePulseReply(current, link, reply.value, sentMs);
+  }
+
+  async function handlePulseReply(
+    current: View,
+    link: PeerLink,
+    reply: Reply<'pulse'>,
+    sentMs: number,
+  ): Promise<void> {
+    sendDocuments(link, reply.wanted ?? []);
+    void fetchDocuments(link, documents.toFetch(reply.newer ?? {}), current);
+    applyHeartbeatReply(reply, sentMs);
+    // A process that does not dispatch although it is named will not begin to by itself.
+    if (view === current && !reply.isDispatching) await suspect(current);
   }
 
   /** Fetches documents that the dispatcher of a view announced. */
@@ -238,7 +271,7 @@
   function sendDocuments(link: PeerLink, names: readonly string[]): void {
     if (names.length === 0) return;
     const request = { documents: documents.select(names) };
-    void link.request('documents', request, { timeoutMs: PULSE_TIMEOUT_MS }).then((reply) => {
+    void link.request('documents', request, { timeoutMs: REQUEST_TIMEOUT_MS }).then((reply) => {
       if (reply.isOk) return;
       const reason = reply.error.message;
       logger.warn('Documents could not be sent.', { names: names.join(' '), reason });
@@ -250,25 +283,41 @@
     return named.dispatcher.instance === self.instance && !isDispatching();
   }
 
-  function applyHeartbeatReply(reply: Reply<'pulse'>): void {
+  function applyHeartbeatReply(reply: Reply<'pulse'>, sentMs: number): void {
     const source = view?.dispatcher.instance ?? '';
     for (const [name, document] of Object.entries(reply.documents)) {
       documents.offer(name, document, source);
     }
     if (reply.view !== undefined) adoptView(reply.view, 'dispatcher');
     if (!reply.isDispatching) return;
-    detector.recordContact();
+    detector.recordContact(sentMs);
     wasFenced = false;
     reportedWaiting = reply.waiting;
   }
 
-  /** Suspects the dispatcher of a view, or its absence, and decides whether to take over. */
+  /**
+   * Suspects the dispatcher of a view, or its absence, and decides whether to take over. Does nothing
+   * while an earlier call is in progress.
+   */
   async function suspect(current: View | undefined): Promise<void> {
+    if (isEvaluating) return;
+    isEvaluating = true;
+    try {
+      await handleSuspicion(current);
+    } finally {
+      isEvaluating = false;
+    }
+  }
+
+  async function handleSuspicion(current: View | undefined): Promise<void> {
+    lastSuspected = current;
     const silentMs = detector.silentMs();
     if (detector.suspect()) {
       logger.warn('Dispatcher is suspected.', {
         dispatcher: current?.dispatcher.instance,
         silentMs: silentMs === undefined ? undefined : Math.round(silentMs),
+        limitMs: Math.round(detector.timeoutMs()),
+        isConnected: isDispatcherConnected(),
       });
     }
     if (
@@ -277,6 +326,7 @@
       (await takeOverFromEarlierIncarnation())
     )
       return;
+    if (!mayEvaluate(current)) return;
     const decision = await evaluateTakeover(current, stored.read());
     // Other members of a partitioned data centre find out at the same moment that the store is
     // unreachable. Their first opinions still reported it as reachable, so they are polled again.
@@ -285,6 +335,13 @@
     }
   }
 
+  /** Whether this instance is a leading candidate, or the leading ones have not acted in time. */
+  function mayEvaluate(current: View | undefined): boolean {
+    if (detector.suspectedForMs() >= patience.extend(LEADING_CANDIDATES_MS)) return true;
+    const others = members.others(self.incarnation, current?.dispatcher.incarnation ?? '');
+    return isLeadingCandidate(self, others, rankingFor(current?.epoch ?? 0));
+  }
+
   /**
    * Takes over without polling the peers if the store still names an earlier incarnation of this
    * instance, since no other instance has replaced it.
@@ -313,7 +370,7 @@
       self,
       others,
       answered,
-      heartbeatTimeoutMs: heartbeat.timeoutMs,
+      heartbeatTimeoutMs: detector.timeoutMs(),
       isStoreReachable: isRead,
       isFirstElection: current === undefined,
       isDispatcherListed:
@@ -354,12 +411,13 @@
     others: readonly FleetMember[],
     current: View | undefined,
   ): Promise<readonly OpinionReply[]> {
+    const timeoutMs = patience.extend(OPINION_TIMEOUT_MS);
     const requests = others.map(async (member): Promise<OpinionReply | undefined> => {
       const request: RequestBody<'opinion'> =
         current === undefined ? { shard } : { shard, view: current };
       const reply = await links.to(member).request('opinion', request, {
-        timeoutMs: OPINION_TIMEOUT_MS,
-        connectWaitMs: OPINION_TIMEOUT_MS,
+        timeoutMs,
+        connectWaitMs: timeoutMs,
       });
       return reply.isOk ? { member, opinion: reply.value } : undefined;
     });
@@ -399,8 +457,8 @@
     if (last === undefined) return;
     const request = { shard, view: current, versions: documents.versions() };
     const reply = await links.to(last.dispatcher).request('pulse', request, {
-      timeoutMs: PULSE_TIMEOUT_MS,
-      connectWaitMs: PULSE_TIMEOUT_MS,
+      timeoutMs: REQUEST_TIMEOUT_MS,
+      connectWaitMs: REQUEST_TIMEOUT_MS,
     });
     if (view !== current) return;
     const mayBeRunning = members.isListed(last.dispatcher);
@@ -501,7 +559,9 @@
       );
     }
     if (view === undefined) return;
-    await links.to(successor).request('takeOver', { shard, view }, { timeoutMs: PULSE_TIMEOUT_MS });
+    await links
+      .to(successor)
+      .request('takeOver', { shard, view }, { timeoutMs: REQUEST_TIMEOUT_MS });
   }
 
   function handleTakeOver(request: RequestBody<'takeOver'>): boolean {
--- a/packages/leadership/src/peerLinks.ts
+++ b/packages/leadership/src/peerLinks.ts
@@ -8,6 +8,7 @@
 } from '@celerybarrow/protocol';
 import type { Random } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
+import type { Patience } from './patience.js';
 
 /**
  * A connection that receives nothing for this time is closed. Open connections can stall forever
@@ -33,10 +34,11 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly traffic: Traffic;
+  readonly patience: Patience;
 }
 
 export function createPeerLinks(options: PeerLinksOptions): PeerLinks {
-  const { greeting, localHost, timer, random, traffic } = options;
+  const { greeting, localHost, timer, random, traffic, patience } = options;
   const links = new Map<string, PeerLink>();
   let isClosed = false;
 
@@ -52,8 +54,8 @@
         timer,
         random,
         traffic,
-        keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS,
-        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+        keepAliveTimeoutMs: () => patience.extend(KEEP_ALIVE_TIMEOUT_MS),
+        connectTimeoutMs: () => patience.extend(CONNECT_TIMEOUT_MS),
         maxReconnectDelayMs: MAX_RECONNECT_DELAY_MS,
       });
       links.set(member.incarnation, created);
--- a/packages/leadership/src/storedView.ts
+++ b/packages/leadership/src/storedView.ts
@@ -6,6 +6,7 @@
 import type { FleetMember, View } from '@celerybarrow/protocol';
 import type { Entry, Store } from '@celerybarrow/store';
 import type { Logger } from '@celerybarrow/telemetry';
+import type { Patience } from './patience.js';
 import type { StoreContact } from './storeContact.js';
 import { parseView } from './views.js';
 
@@ -35,6 +36,7 @@
   readonly shard: number;
   readonly store: Store;
   readonly contact: StoreContact;
+  readonly patience: Patience;
   readonly timer: TimerService;
   readonly logger: Logger;
   readonly signal: AbortSignal;
@@ -43,7 +45,7 @@
 }
 
 export function createStoredView(options: StoredViewOptions): StoredView {
-  const { store, contact, timer, logger, signal } = options;
+  const { store, contact, patience, timer, logger, signal } = options;
   const key = dispatcherKey(options.shard);
   let stored: { readonly view: View | undefined; readonly revision: number } | undefined;
 
@@ -56,7 +58,10 @@
   }
 
   async function read(): Promise<boolean> {
-    const answer = await Promise.race([store.get(key), timer.sleep(READ_TIMEOUT_MS, signal)]);
+    const answer = await Promise.race([
+      store.get(key),
+      timer.sleep(patience.extend(READ_TIMEOUT_MS), signal),
+    ]);
     if (answer === undefined || answer.isErr) {
       contact.record(false);
       return false;
--- a/packages/protocol/__tests__/peers.spec.ts
+++ b/packages/protocol/__tests__/peers.spec.ts
@@ -67,7 +67,7 @@
       timer,
       random: createRandom(1),
       traffic: createTraffic(),
-      connectTimeoutMs: 50,
+      connectTimeoutMs: () => 50,
       openSocket: ({ host, port }) => {
         // A network partition drops the SYN packet, so the attempt is neither accepted nor refused.
         const socket = attempts.length === 0 ? new Socket() : connect(port, host);
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -32,6 +32,11 @@
 import { requestPayloadBytes, type Traffic } from './traffic.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
+/**
+ * Limit for the greeting of a peer that has accepted the connection. It is long, because the peer is
+ * only busy: a further attempt would add to its load.
+ */
+const GREETING_TIMEOUT_MS = 1_500;
 const INITIAL_RECONNECT_DELAY_MS = 50;
 const MAX_RECONNECT_DELAY_MS = 2_000;
 /** Closes a connection with pending requests after this time without a reply. */
@@ -56,12 +61,15 @@
   readonly timer: TimerService;
   readonly random: Random;
   readonly traffic: Traffic;
-  /** Closes a connection with pending requests after this time without a reply; 3 s by default. */
-  readonly keepAliveTimeoutMs?: number;
+  /**
+   * Returns the time without a reply after which a connection with pending requests is closed; 3 s by
+   * default.
+   */
+  readonly keepAliveTimeoutMs?: () => number;
   /** Upper bound of the delay between connection attempts; 2 s by default. */
   readonly maxReconnectDelayMs?: number;
-  /** Time limit of one connection attempt, including the greeting; 1 s by default. */
-  readonly connectTimeoutMs?: number;
+  /** Returns the time until the peer's machine has to accept a connection; 1 s by default. */
+  readonly connectTimeoutMs?: () => number;
   /** Opens a socket to the peer; a TCP socket by default. */
   readonly openSocket?: (address: Address, localHost: string | undefined) => Socket;
 }
@@ -109,8 +117,8 @@
 /** Creates a link and starts to connect. */
 export function createPeerLink(options: PeerLinkOptions): PeerLink {
   const { timer, random, traffic } = options;
-  const keepAliveTimeoutMs = options.keepAliveTimeoutMs ?? KEEP_ALIVE_TIMEOUT_MS;
-  const keepAliveIntervalMs = keepAliveTimeoutMs / KEEP_ALIVES_PER_TIMEOUT;
+  const keepAliveTimeoutMs = options.keepAliveTimeoutMs ?? (() => KEEP_ALIVE_TIMEOUT_MS);
+  const keepAliveIntervalMs = keepAliveTimeoutMs() / KEEP_ALIVES_PER_TIMEOUT;
   const maxReconnectDelayMs = options.maxReconnectDelayMs ?? MAX_RECONNECT_DELAY_MS;
   const closing = new AbortController();
   const pendingRequests = new Map<number, PendingRequest>();
@@ -140,13 +148,15 @@
     }
     // `once` rejects only on an error; a socket destroyed without one just emits `close`.
     const abortConnect = () => candidate.destroy(new ProtocolError(ErrorCodes.PEER_UNREACHABLE));
-    const cancelTimeout = timer.onAfter(
-      options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+    let cancelTimeout = timer.onTimeout(
+      options.connectTimeoutMs?.() ?? CONNECT_TIMEOUT_MS,
       abortConnect,
     );
     closing.signal.addEventListener('abort', abortConnect, { once: true });
     try {
       await once(candidate, 'connect');
+      cancelTimeout();
+      cancelTimeout = timer.onTimeout(GREETING_TIMEOUT_MS, abortConnect);
       candidate.write(encodeFrame(options.self));
       const frames = decodeFrames(candidate);
       const first = await frames.next();
@@ -192,9 +202,16 @@
   function checkKeepAlive(opened: Socket): void {
     const sinceLastReplyMs = timer.nowMs() - lastReceivedMs;
     if (pendingRequests.size === 0) lastReceivedMs = timer.nowMs();
-    else if (sinceLastReplyMs > keepAliveTimeoutMs) opened.destroy();
+    else if (sinceLastReplyMs > keepAliveTimeoutMs()) closeUnlessRead(opened, lastReceivedMs);
     else if (sinceLastReplyMs > keepAliveIntervalMs)
-      void request('alive', {}, { timeoutMs: keepAliveTimeoutMs });
+      void request('alive', {}, { timeoutMs: keepAliveTimeoutMs() });
+  }
+
+  /** Closes the connection unless replies were waiting to be read while this process was stalled. */
+  function closeUnlessRead(opened: Socket, receivedMs: number): void {
+    timer.onTimeout(0, () => {
+      if (lastReceivedMs === receivedMs) opened.destroy();
+    });
   }
 
   function handleReply(frame: unknown): void {
