perf(protocol): check a frame against the one envelope that it may have

A client only gets replies and a server only requests, but every frame was tried against a union of three, and each miss builds an error with a stack. Heartbeat replies also repeat the view only when it is newer than that of the request. Behaviour: a reply whose fault is not a text now closes the connection as malformed; it was read as a success before.

--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -513,7 +513,8 @@
     } else if (isNewer(request.view, current)) adoptView(request.view, 'another instance');
     const wanted = documents.missing(request.versions);
     return {
-      ...(view === undefined ? {} : { view }),
+      // Most heartbeats name the current view already. Parsing it again would be most of their cost.
+      ...(view !== undefined && isNewer(view, request.view) ? { view } : {}),
       isDispatching: isDispatching(),
       ...(request.fetchesDocuments === true
         ? { documents: {}, newer: documents.announce(request.versions) }
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -292,10 +292,16 @@
 export type BatchTask = z.infer<typeof batchTaskSchema>;
 export type TaskResult = z.infer<typeof taskResultSchema>;
 
-/** The envelope of every frame after the greeting: a request, a failed reply or a reply. */
-export const envelopeSchema = z.union([
-  z.object({ request: nonNegativeInt, type: z.string(), body: z.unknown() }),
-  z.object({ reply: nonNegativeInt, fault: z.string() }),
-  z.object({ reply: nonNegativeInt, body: z.unknown() }),
-]);
-export type Envelope = z.infer<typeof envelopeSchema>;
+/** The envelope of a frame from the client of a connection. */
+export const requestEnvelopeSchema = z.object({
+  request: nonNegativeInt,
+  type: z.string(),
+  body: z.unknown(),
+});
+
+/** The envelope of a frame from the server of a connection; `fault` is present if the request failed. */
+export const replyEnvelopeSchema = z.object({
+  reply: nonNegativeInt,
+  fault: z.string().optional(),
+  body: z.unknown(),
+});
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -19,8 +19,8 @@
 import type { TimerService } from '@celerybarrow/timer';
 import { decodeFrames, encodeFrame } from './frames.js';
 import {
-  envelopeSchema,
   greetingSchema,
+  replyEnvelopeSchema,
   requestSchemas,
   type RequestBody,
   type Greeting,
@@ -216,17 +216,14 @@
 
   function handleReply(frame: unknown): void {
     lastReceivedMs = timer.nowMs();
-    const envelope = envelopeSchema.safeParse(frame);
-    if (!envelope.success || !('reply' in envelope.data)) {
-      throw new ProtocolError(ErrorCodes.MESSAGE_INVALID);
-    }
-    const pending = pendingRequests.get(envelope.data.reply);
+    const envelope = replyEnvelopeSchema.safeParse(frame);
+    if (!envelope.success) throw new ProtocolError(ErrorCodes.MESSAGE_INVALID);
+    const { reply, fault } = envelope.data;
+    const pending = pendingRequests.get(reply);
     if (pending === undefined) return;
-    pendingRequests.delete(envelope.data.reply);
-    if ('fault' in envelope.data) {
-      pending.settled.resolve(
-        Result.err(new ProtocolError(ErrorCodes.PEER_SILENT, envelope.data.fault)),
-      );
+    pendingRequests.delete(reply);
+    if (fault !== undefined) {
+      pending.settled.resolve(Result.err(new ProtocolError(ErrorCodes.PEER_SILENT, fault)));
       return;
     }
     const body = requestSchemas[pending.type].reply.safeParse(envelope.data.body);
--- a/packages/protocol/src/peerServer.ts
+++ b/packages/protocol/src/peerServer.ts
@@ -10,8 +10,8 @@
 import { checkGreeting } from './greeting.js';
 import { decodeFrames, encodeFrame } from './frames.js';
 import {
-  envelopeSchema,
   greetingSchema,
+  requestEnvelopeSchema,
   requestSchemas,
   type RequestBody,
   type Greeting,
@@ -79,8 +79,8 @@
   }
 
   async function handleFrame(socket: Socket, frame: unknown, peer: Greeting): Promise<void> {
-    const envelope = envelopeSchema.safeParse(frame);
-    if (!envelope.success || !('request' in envelope.data)) {
+    const envelope = requestEnvelopeSchema.safeParse(frame);
+    if (!envelope.success) {
       options.onProtocolError?.(new ProtocolError(ErrorCodes.MESSAGE_INVALID), peer.instance);
       socket.destroy();
       return;
