fix(dispatch): send no more start orders than the link and the processor carry

Callers: on a nearly full link (2 Mbit/s, jobs of eight tasks with 2.4 KB each) jobs were started and then expired; the more was offered, the less was served. Cause: every task gets the payload, so one job occupies such a link for 90 ms. Orders waited in the socket until they counted as unanswered after 150 ms, were stopped and sent again elsewhere, which filled the link more. Now the bytes of unanswered orders are limited by a window that shrinks while answers take over 70 ms; a job begins only if all its orders fit, later orders of a job that has begun are never held back, and a job is refused by the measured rate of the link. Orders without an answer do not shrink the window: lost endpoints look like that.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -39,6 +39,7 @@
 } from './jobRecord.js';
 import { recordLength } from './jobLength.js';
 import { createJobSizeClassifier } from './jobSizes.js';
+import { createOrderWindow, orderBytes } from './orderWindow.js';
 import { createOutcomeCache } from './outcomeCache.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
@@ -121,6 +122,8 @@
     metrics,
     find: (key) => byTask.get(key),
   });
+  const orderWindow = createOrderWindow(timer);
+  const openOrders = new Map<Run, (isAnswered: boolean) => void>();
   const pool = createEndpointPool({
     network: options.network,
     timer,
@@ -128,6 +131,10 @@
     fence: options.fence,
     eventsOf: (endpoint) => ({
       onEnd: handleEnd,
+      onStartSettled(run, isAnswered) {
+        openOrders.get(run)?.(isAnswered);
+        openOrders.delete(run);
+      },
       onFenced: options.onFenced,
       onChange: schedulePass,
       onReport: () => {
@@ -299,26 +306,41 @@
 
   /** Starts the planned tasks, and refuses jobs that can no longer end before their deadline. */
   function executePlan(waiting: readonly JobRecord[], nowMs: number): void {
-    for (const planned of placer.plan(waiting, nowMs)) {
-      const started = planned.starts.filter((start) => startTask(planned.record, start));
-      if (started.length > 0) logPlacement({ ...planned, starts: started }, nowMs);
-      const { waitMs, runMs, makespanMs, workAhead } = planned;
-      const estimate = { atMs: nowMs, waitMs, runMs, makespanMs, workAhead };
-      if (planned.record.waiting > 0) planned.record.lastEstimate = estimate;
-      if (planned.record.hasStarted || planned.record.outcome !== undefined) continue;
-      const isRejected = isRefused({
-        nowMs,
-        deadlineMs: planned.record.deadlineMs,
-        arrivedMs: planned.record.arrivedMs,
-        waitMs,
-        runMs,
-        makespanMs,
-        hasFreeCapacity: planned.hasFreeCapacity || nowMs - createdMs < RECONCILIATION_TIMEOUT_MS,
-      });
-      if (isRejected) refuse(planned);
+    let plannedBytes = 0;
+    const linkWaitsMs = new Map<JobRecord, number>();
+    // A job is as late as its last task. It begins only if all its orders can be sent at once, and
+    // later orders of a job that has begun are never held back.
+    const mayStart = (record: JobRecord): boolean => {
+      if (record.hasStarted) return true;
+      const isFirst = plannedBytes === 0;
+      plannedBytes += record.waiting * orderBytes(record.job.payload);
+      if (orderWindow.hasRoom(plannedBytes) || (isFirst && orderWindow.isEmpty())) return true;
+      linkWaitsMs.set(record, orderWindow.drainMs(plannedBytes));
+      return false;
+    };
+    for (const planned of placer.plan(waiting, nowMs, mayStart)) {
+      const linkWaitMs = linkWaitsMs.get(planned.record);
+      const starts = planned.starts.filter((start) => startTask(planned.record, start));
+      if (starts.length > 0) logPlacement({ ...planned, starts }, nowMs);
+      const waitMs = Math.max(planned.waitMs, linkWaitMs ?? 0);
+      refuseIfLate({ ...planned, waitMs }, linkWaitMs !== undefined);
     }
   }
 
+  /** Refuses a job without a started task if it is expected to end too late. */
+  function refuseIfLate(planned: PlannedJob, isHeldByLink: boolean): void {
+    const { record, waitMs, runMs, makespanMs, workAhead } = planned;
+    const nowMs = clock.nowMs();
+    if (record.waiting > 0)
+      record.lastEstimate = { atMs: nowMs, waitMs, runMs, makespanMs, workAhead };
+    if (record.hasStarted || record.outcome !== undefined) return;
+    const hasFreeCapacity =
+      (planned.hasFreeCapacity && !isHeldByLink) || nowMs - createdMs < RECONCILIATION_TIMEOUT_MS;
+    const { deadlineMs, arrivedMs } = record;
+    const job = { nowMs, deadlineMs, arrivedMs, waitMs, runMs, makespanMs, hasFreeCapacity };
+    if (isRefused(job)) refuse(planned);
+  }
+
   function logPlacement({ record, starts, waitMs }: PlannedJob, nowMs: number): void {
     logger.info('Tasks are placed.', {
       job: record.job.id,
@@ -382,7 +404,10 @@
     record.lastStartMs = clock.nowMs();
     record.firstStartMs ??= record.lastStartMs;
     task.endpoint = controller.id;
-    task.run = controller.start({ task: task.ref, number, demand, payload: record.job.payload });
+    const { payload } = record.job;
+    const settleOrder = orderWindow.open(payload);
+    task.run = controller.start({ task: task.ref, number, demand, payload });
+    openOrders.set(task.run, settleOrder);
     metrics.increment('starts');
     return true;
   }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -52,8 +52,15 @@
 export interface Placer {
   /** Whether any endpoint has free capacity for the smallest demand of the waiting jobs. */
   hasFreeCapacity(waiting: readonly JobRecord[], nowMs: number): boolean;
-  /** Plans starts for the waiting jobs; returns all of them in the order of the queue. */
-  plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[];
+  /**
+   * Plans starts for the waiting jobs; returns all of them in the order of the queue. A job for which
+   * `mayStart` returns false gets no starts and occupies no endpoint.
+   */
+  plan(
+    waiting: readonly JobRecord[],
+    nowMs: number,
+    mayStart?: (record: JobRecord) => boolean,
+  ): readonly PlannedJob[];
   /**
    * Whether some endpoint could run each step, busy or not; true if none of the service is known.
    */
@@ -149,7 +156,11 @@
     return false;
   }
 
-  function plan(waiting: readonly JobRecord[], nowMs: number): readonly PlannedJob[] {
+  function plan(
+    waiting: readonly JobRecord[],
+    nowMs: number,
+    mayStart: (record: JobRecord) => boolean = () => true,
+  ): readonly PlannedJob[] {
     const minDemand = minDemandOf(waiting);
     const usableCandidates = openCandidates(undefined, nowMs);
     const candidates = usableCandidates.filter((candidate) =>
@@ -189,11 +200,13 @@
       const { arrivedMs, deadlineMs } = record;
       const job = { nowMs, arrivedMs, deadlineMs, waitMs, runMs: fastestRunMs, makespanMs };
       const isUrgent = !canMeetObjective || isRefused({ ...job, hasFreeCapacity: false });
-      const starts = placeTasks(record, state, {
-        nowMs,
-        isUrgent,
-        baseMs: (step) => baseMs(record.job, step),
-      });
+      const starts = mayStart(record)
+        ? placeTasks(record, state, {
+            nowMs,
+            isUrgent,
+            baseMs: (step) => baseMs(record.job, step),
+          })
+        : [];
       if (starts.length >= record.waiting)
         return { ...planned, starts, waitMs: 0, hasFreeCapacity: true };
       workAhead += workLeft * (1 - starts.length / Math.max(1, record.waiting));
--- a/packages/endpoints/__tests__/endpointController.spec.ts
+++ b/packages/endpoints/__tests__/endpointController.spec.ts
@@ -51,6 +51,7 @@
     clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + wallStep.ms }),
     events: {
       onEnd: (run, end) => ends.push({ run, end, atMs: timer.nowMs() }),
+      onStartSettled: () => undefined,
       onFenced: () => undefined,
       onChange: () => undefined,
       onReport: () => undefined,
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -84,6 +84,8 @@
 
 export interface EndpointControllerEvents {
   onEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void;
+  /** A start order was answered, or no answer arrived in time; also after the controller was closed. */
+  onStartSettled(run: Run, isAnswered: boolean): void;
   /** The endpoint obeys a dispatcher with a higher fencing token. */
   onFenced(): void;
   /** Free capacity, availability or the progress of the reconciliation has changed. */
@@ -612,6 +614,7 @@
     const sentMs = timer.nowMs();
     const order = { task: run.task, run: run.number, fence: fence(), payload, leaseEndMs };
     const answer = await endpoint.start(order);
+    events.onStartSettled(run, answer.isOk);
     if (closing.signal.aborted) return;
     if (answer.isOk) unacknowledgedStarts.recordResolved(run.key, run.number);
     else unacknowledgedLeases.recordUnacknowledged(sentMs);
