--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -322,3 +322,15 @@
     expect(classifier.classify('late', 100)).toEqual(JobSizes.UNKNOWN);
   });
 });
+
+describe('the number of waiting jobs', () => {
+  // The counts of such a team were texts, and heartbeat replies with them were invalid.
+  for (const team of ['constructor', '__proto__', 'toString']) {
+    it(`is a number for a team with the name ${team}`, () => {
+      const { dispatcher } = createRunningDispatcher([]);
+      dispatcher.renewGatewayLease('a');
+      void dispatcher.submit({ job: job('j1', { team }), gateway: 'a', resubmissions: 0 });
+      expect(Object.entries(dispatcher.waiting())).toEqual([[team, 1]]);
+    });
+  }
+});
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -595,11 +595,13 @@
   }
 
   function waiting(): Record<string, number> {
-    const counts: Record<string, number> = {};
+    // A map, because a team may have the name of an inherited property.
+    const counts = new Map<string, number>();
     for (const { job, hasStarted, outcome } of jobs.values()) {
-      if (!hasStarted && outcome === undefined) counts[job.team] = (counts[job.team] ?? 0) + 1;
+      if (!hasStarted && outcome === undefined)
+        counts.set(job.team, (counts.get(job.team) ?? 0) + 1);
     }
-    return counts;
+    return Object.fromEntries(counts);
   }
 
   function close(): void {
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -243,13 +243,12 @@
     },
     isStoreReachable: contact.isReachable,
     waiting() {
-      const sums: Record<string, number> = {};
+      const sums = new Map<string, number>();
       for (const leadership of shards) {
-        for (const [team, count] of Object.entries(leadership.waiting())) {
-          sums[team] = (sums[team] ?? 0) + count;
-        }
+        for (const [team, count] of Object.entries(leadership.waiting()))
+          sums.set(team, (sums.get(team) ?? 0) + count);
       }
-      return sums;
+      return Object.fromEntries(sums);
     },
     async cede() {
       await Promise.all(shards.map((leadership) => leadership.cede()));
