--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -527,6 +527,8 @@
     });
     metrics.increment(`outcome/${outcome.state}`);
     metrics.increment(`outcome-by-size/${team}/${record.size}/${outcome.state}`);
+    if (outcome.state === JobStates.COMPLETED && nowMs > record.objectiveMs)
+      metrics.increment(`late/${team}`);
     metrics.time('job', team, nowMs - record.arrivedMs);
     outcomeCache.keep(id, outcome);
     for (const task of record.tasks) stopTask(task);
