perf(protocol,telemetry): no timers for idle connections and empty log buffers

A large fleet is mostly idle: each instance woke four times a second for each open connection, ten times for its log buffer, and once more after every heartbeat that had been answered long before. A kept connection now has a timer only while requests are pending, the buffer only while it has lines, and a check waits only for a connection that is not open. Not measured by itself. Test: peers.spec.ts "need no timer while they are idle" (one interval before).

--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -42,12 +42,10 @@
 const PULSE_TIMEOUT_MS = 3_000;
 /** Number of unanswered heartbeats after which no further one is sent. */
 const MAX_OPEN_PULSES = 4;
-/** How long a check of the dispatcher waits for the reply to its heartbeat. */
-const REPLY_WAIT_MS = 60;
 /** Limit for fetching documents. A long document takes a while on a slow link. */
 const FETCH_TIMEOUT_MS = 1_500;
-/** How long a heartbeat waits for the first connection before peers are polled about the dispatcher. */
-const FIRST_CONNECT_WAIT_MS = 60;
+/** How long a heartbeat waits for a connection before peers are polled about the dispatcher. */
+const CONNECT_WAIT_MS = 60;
 const OPINION_TIMEOUT_MS = 180;
 /** Time within which the stored dispatcher must be reachable after a partition has healed. */
 const RECONNECT_LIMIT_MS = 1_500;
@@ -207,8 +205,11 @@
     }
     const link = links.to(current.dispatcher);
     const pulse = sendPulse(current, link);
-    // The reply may end a suspicion, but must not delay the next check.
-    await Promise.race([pulse, timer.sleep(REPLY_WAIT_MS, closing.signal)]);
+    // A connection that is being opened decides soon. Otherwise the next heartbeat is soon enough, and
+    // spares a timer for each of many heartbeats.
+    if (!link.isConnected()) {
+      await Promise.race([pulse, timer.sleep(CONNECT_WAIT_MS, closing.signal)]);
+    }
     if (view === current && detector.shouldSuspect(link)) await suspect(current);
   }
 
@@ -221,7 +222,7 @@
     openPulses += 1;
     const reply = await link.request('pulse', request, {
       timeoutMs: PULSE_TIMEOUT_MS,
-      connectWaitMs: link.failedAttempts() > 0 ? 0 : FIRST_CONNECT_WAIT_MS,
+      connectWaitMs: link.failedAttempts() > 0 ? 0 : CONNECT_WAIT_MS,
     });
     openPulses -= 1;
     if (reply.isErr || closing.signal.aborted) return;
--- a/packages/protocol/__tests__/peers.spec.ts
+++ b/packages/protocol/__tests__/peers.spec.ts
@@ -58,6 +58,33 @@
 const REQUEST_OPTIONS = { timeoutMs: 1_000, connectWaitMs: 1_000 };
 
 describe('peer links', () => {
+  // Each instance of a large fleet has a connection to most of the others.
+  it('need no timer while they are idle', async () => {
+    const [, address] = await startServer();
+    let intervals = 0;
+    const onEvery = (everyMs: number, subscriber: () => void) => {
+      intervals += 1;
+      const stop = timer.onEvery(everyMs, subscriber);
+      return () => {
+        intervals -= 1;
+        stop();
+      };
+    };
+    const link = createPeerLink({
+      address: formatAddress(address),
+      self: createGreeting('a'),
+      timer: { ...timer, onEvery },
+      random: createRandom(1),
+      traffic: createTraffic(),
+      keepAliveTimeoutMs: () => 60,
+    });
+    closeables.push(link);
+    await link.request('alive', {}, { ...REQUEST_OPTIONS, connectWaitMs: 500 });
+    await timer.sleep(80);
+    expect(link.isConnected()).toEqual(true);
+    expect(intervals).toEqual(0);
+  });
+
   it('connect again after an attempt that nobody answered', async () => {
     const [, address] = await startServer();
     const attempts: Socket[] = [];
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -16,7 +16,7 @@
   type ErrorCode,
   type Random,
 } from '@celerybarrow/shared';
-import type { TimerService } from '@celerybarrow/timer';
+import type { TimerService, Unsubscribe } from '@celerybarrow/timer';
 import { decodeFrames, encodeFrame } from './frames.js';
 import {
   greetingSchema,
@@ -128,6 +128,8 @@
   let failedAttemptCount = 0;
   let consecutiveRefusals = 0;
   let lastReceivedMs = 0;
+  /** Set while requests are pending, so that an idle connection needs no timer. */
+  let stopKeepAlive: Unsubscribe | undefined;
   let lastErrorCode: ErrorCode = ErrorCodes.PEER_UNREACHABLE;
 
   async function keepConnected(): Promise<void> {
@@ -180,29 +182,37 @@
     consecutiveRefusals = 0;
     lastReceivedMs = timer.nowMs();
     connected.resolve(undefined);
-    const stopKeepAlive = timer.onEvery(keepAliveIntervalMs, () => {
-      checkKeepAlive(opened);
-    });
     try {
       for await (const frame of frames) handleReply(frame);
     } catch {
       opened.destroy();
     } finally {
-      stopKeepAlive();
+      stopKeepAlive?.();
+      stopKeepAlive = undefined;
       socket = undefined;
       connected = createDeferred();
       failPendingRequests(ErrorCodes.PEER_SILENT);
     }
   }
 
+  function startKeepAlive(opened: Socket): void {
+    if (stopKeepAlive !== undefined) return;
+    lastReceivedMs = timer.nowMs();
+    stopKeepAlive = timer.onEvery(keepAliveIntervalMs, () => {
+      checkKeepAlive(opened);
+    });
+  }
+
   /**
    * Sends a keepalive or closes the connection when a pending request gets no reply. A network
    * partition does not close a TCP connection, so missing replies are the only evidence of it.
    */
   function checkKeepAlive(opened: Socket): void {
     const sinceLastReplyMs = timer.nowMs() - lastReceivedMs;
-    if (pendingRequests.size === 0) lastReceivedMs = timer.nowMs();
-    else if (sinceLastReplyMs > keepAliveTimeoutMs()) closeUnlessRead(opened, lastReceivedMs);
+    if (pendingRequests.size === 0) {
+      stopKeepAlive?.();
+      stopKeepAlive = undefined;
+    } else if (sinceLastReplyMs > keepAliveTimeoutMs()) closeUnlessRead(opened, lastReceivedMs);
     else if (sinceLastReplyMs > keepAliveIntervalMs)
       void request('alive', {}, { timeoutMs: keepAliveTimeoutMs() });
   }
@@ -270,6 +280,7 @@
     traffic.countSent(type, frame.length, requestPayloadBytes(type, body));
     const settled = createDeferred<Result<unknown, ProtocolError>>();
     pendingRequests.set(id, { type, settled });
+    startKeepAlive(connectedSocket);
     writeCorked(connectedSocket, frame);
     return awaitReply<T>(id, settled, requestOptions);
   }
--- a/packages/telemetry/src/logger.ts
+++ b/packages/telemetry/src/logger.ts
@@ -64,8 +64,8 @@
   return `${line.slice(0, -1)},"instance":${JSON.stringify(instance)}}`;
 }
 
-/** Interval between writes. Each write is one system call for all lines of the interval. */
-const FLUSH_INTERVAL_MS = 100;
+/** Delay of a write after the first line. Each write is one system call for all lines of the delay. */
+const FLUSH_DELAY_MS = 100;
 /** Maximum number of buffered lines; further lines are dropped and counted. */
 const MAX_BUFFERED_LINES = 2_000;
 
@@ -80,7 +80,7 @@
  */
 export function createLogBuffer(
   write: (text: string) => void,
-  onEvery: (everyMs: number, subscriber: () => void) => unknown,
+  onAfter: (delayMs: number, subscriber: () => void) => unknown,
 ): LogBuffer {
   let lines: string[] = [];
   let dropped = 0;
@@ -93,9 +93,9 @@
     dropped = 0;
   }
 
-  onEvery(FLUSH_INTERVAL_MS, flush);
   return {
     write(line) {
+      if (lines.length === 0) onAfter(FLUSH_DELAY_MS, flush);
       if (lines.length < MAX_BUFFERED_LINES) lines.push(line);
       else dropped += 1;
     },
