--- a/packages/instance/src/warmUp.ts
+++ b/packages/instance/src/warmUp.ts
@@ -29,9 +29,9 @@
   readonly isBusy: () => boolean;
 }
 
-const JOBS = 160;
+const JOBS = 80;
 const TASKS_PER_JOB = 6;
-/** Pause between jobs. The warm-up takes about four seconds and uses a tenth of a core. */
+/** Pause between jobs. The warm-up takes about two and a half seconds. */
 const PAUSE_MS = 25;
 const GATEWAY = 'warm-up';
 /** Time for the dispatcher to reach the loopback endpoints before the first job. */
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -26,8 +26,10 @@
  * slightly different times.
  */
 const ELECTION_DELAY_MS = 100;
-/** The dispatcher of a shard and two further candidates, which cover the loss of two instances. */
-const CANDIDATES_PER_SHARD = 3;
+/** Candidates beside the dispatchers, which cover the loss of two instances at a time. */
+const SPARE_CANDIDATES = 2;
+/** Share of the dispatchers of a large fleet that may be lost together, with a data centre. */
+const SPARE_SHARE = 0.5;
 
 const ONE_SHARD_HEARTBEAT: HeartbeatTiming = {
   intervalMs: 150,
@@ -239,7 +241,8 @@
       const larger = members
         .others(self.incarnation)
         .filter((member) => member.weight > self.weight);
-      return larger.length < CANDIDATES_PER_SHARD * shards.length;
+      const spares = Math.max(SPARE_CANDIDATES, SPARE_SHARE * shards.length);
+      return larger.length < shards.length + spares;
     },
     isStoreReachable: contact.isReachable,
     waiting() {
