fix(leadership): an unexpected error of a heartbeat does not end the process

Since heartbeats are no longer awaited, an error thrown while one was sent or its reply handled had nobody to catch it, which ends a process of this runtime. It is logged, and the heartbeat counts as no longer open. Test: leadership.spec.ts "does not end the process": fails without the catch.

--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -35,6 +35,8 @@
 interface TestOptions {
   readonly dispatcher: FleetMember;
   readonly isRefused?: boolean;
+  /** Whether requests fail with an unexpected error. */
+  readonly isFailing?: boolean;
   /** Successive opinions of instance `c`; it does not answer further polls. */
   readonly opinions?: readonly Opinion[];
   readonly isStoreUnavailable?: boolean;
@@ -66,6 +68,7 @@
         { connectWaitMs, timeoutMs }: RequestOptions,
       ): Promise<Result<Reply<T>, ProtocolError>> => {
         requestTypes.push(type);
+        if (options.isFailing === true) throw new RangeError('unexpected');
         const opinion =
           opinions[requestTypes.filter((requestType) => requestType === 'opinion').length - 1];
         if (type === 'opinion' && to.instance === 'c' && opinion !== undefined) {
@@ -136,6 +139,18 @@
   });
 });
 
+describe('a heartbeat that fails unexpectedly', () => {
+  // Nobody waits for the reply to a heartbeat, so its error would have ended the process.
+  it('does not end the process, and the next one is sent', async () => {
+    const options = { dispatcher: member('b'), isFailing: true, answeredHeartbeats: 9 };
+    const { timer, requestTypes, leadership } = await startLeadership(options);
+    await timer.advance(200);
+    leadership.close();
+    const heartbeats = requestTypes.filter((requestType) => requestType === 'pulse').length;
+    expect(heartbeats >= 2).toEqual(true);
+  });
+});
+
 describe('a partitioned dispatcher', () => {
   // Jobs handed over after the partition began were lost, because the gateway could not tell whether
   // they had arrived.
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -179,7 +179,7 @@
       try {
         await step();
       } catch (error) {
-        logger.error('Step of leadership failed.', { reason: describeError(error) });
+        logFailure(error);
       }
       const sleptSinceMs = clock.nowMs();
       await timer.sleep(heartbeat.intervalMs, closing.signal);
@@ -187,6 +187,10 @@
     }
   }
 
+  function logFailure(error: unknown): void {
+    logger.error('Step of leadership failed.', { reason: describeError(error) });
+  }
+
   async function step(): Promise<void> {
     if (isDispatching()) {
       if (view !== undefined && view.round > 0) await rejoinPeers(view);
@@ -204,7 +208,7 @@
       return;
     }
     const link = links.to(current.dispatcher);
-    const pulse = sendPulse(current, link);
+    const pulse = sendPulse(current, link).catch(logFailure);
     // A connection that is being opened decides soon. Otherwise the next heartbeat is soon enough, and
     // spares a timer for each of many heartbeats.
     if (!link.isConnected()) {
@@ -219,12 +223,13 @@
     const request = { shard, view: current, versions, fetchesDocuments: true };
     const sentMs = clock.nowMs();
     detector.recordHeartbeatSent();
+    const connectWaitMs = link.failedAttempts() > 0 ? 0 : CONNECT_WAIT_MS;
     openPulses += 1;
-    const reply = await link.request('pulse', request, {
-      timeoutMs: PULSE_TIMEOUT_MS,
-      connectWaitMs: link.failedAttempts() > 0 ? 0 : CONNECT_WAIT_MS,
-    });
-    openPulses -= 1;
+    const reply = await link
+      .request('pulse', request, { timeoutMs: PULSE_TIMEOUT_MS, connectWaitMs })
+      .finally(() => {
+        openPulses -= 1;
+      });
     if (reply.isErr || closing.signal.aborted) return;
     if (lastSuspected === current) {
       lastSuspected = undefined;
@@ -240,7 +245,7 @@
     sentMs: number,
   ): Promise<void> {
     sendDocuments(link, reply.wanted ?? []);
-    void fetchDocuments(link, documents.toFetch(reply.newer ?? {}), current);
+    fetchDocuments(link, documents.toFetch(reply.newer ?? {}), current).catch(logFailure);
     applyHeartbeatReply(reply, sentMs);
     // A process that does not dispatch although it is named will not begin to by itself.
     if (view === current && !reply.isDispatching) await suspect(current);
