fix(protocol): a request without a connection was never sent

Callers heard that their job may have run after a handshake with another version or with malformed bytes, although nothing had been sent. Cause: a request without a connection fails with the error of the last handshake, and only three error codes counted as unsent. Such an error is now VERSION_MISMATCH, which counts as unsent, or PEER_UNREACHABLE. Test: peers.spec.ts, three handshakes, three failed before.

--- a/packages/protocol/__tests__/peers.spec.ts
+++ b/packages/protocol/__tests__/peers.spec.ts
@@ -1,8 +1,14 @@
-import { connect, Socket } from 'node:net';
+import { connect, createServer, Socket } from 'node:net';
 import { once } from 'node:events';
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
-import { createRandom, formatAddress, ErrorCodes, type Address } from '@celerybarrow/shared';
+import {
+  bindListener,
+  createRandom,
+  formatAddress,
+  ErrorCodes,
+  type Address,
+} from '@celerybarrow/shared';
 import { createTimerService } from '@celerybarrow/timer';
 import {
   createPeerLink,
@@ -151,6 +157,26 @@
     expect(unsent.isErr && unsent.error.isUnsent).toEqual(true);
   });
 
+  // Callers were told that their job may have run, although nothing was sent.
+  const failedHandshakes: [string, Buffer][] = [
+    ['another protocol version', encodeFrame({ ...createGreeting('b'), version: 999 })],
+    ['a malformed greeting', encodeFrame({ version: 'x' })],
+    ['bytes that are no frame', Buffer.from([255, 255, 255, 255, 0])],
+  ];
+  for (const [name, greeting] of failedHandshakes) {
+    it(`report a request as unsent after a handshake with ${name}`, async () => {
+      const server = createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.write(greeting);
+      });
+      const address = await bindListener(server, ANY_PORT);
+      closeables.push({ close: () => server.close() });
+      const link = openLink(address);
+      const reply = await link.request('alive', {}, { timeoutMs: 200, connectWaitMs: 200 });
+      expect(reply.isErr && reply.error.isUnsent).toEqual(true);
+    });
+  }
+
   it('reject another incarnation and report that the expected one has ended', async () => {
     const [, address] = await startServer();
     const link = openLink(address, 'b.0');
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -91,8 +91,8 @@
   /**
    * Sends a request and waits for its reply. Errors: PEER_UNREACHABLE, PEER_BUSY and PEER_REPLACED
    * if the request was not sent; PEER_SILENT if the peer may have received it; MESSAGE_INVALID if
-   * the reply does not match its schema. After a failed handshake, a request fails unsent with the
-   * error of the handshake, such as VERSION_MISMATCH.
+   * the reply does not match its schema. After a handshake with another version, a request fails
+   * unsent with VERSION_MISMATCH, and after any other failed handshake with PEER_UNREACHABLE.
    */
   request<T extends RequestType>(
     type: T,
@@ -267,7 +267,7 @@
       ]);
     }
     const connectedSocket = socket;
-    if (connectedSocket === undefined) return Result.err(new ProtocolError(lastErrorCode));
+    if (connectedSocket === undefined) return Result.err(unsentError(lastErrorCode));
     if (
       pendingRequests.size >= MAX_PENDING_REQUESTS ||
       connectedSocket.writableLength > MAX_BUFFERED_BYTES
@@ -322,6 +322,13 @@
   };
 }
 
+/** Returns the error of a request that was not sent because the last handshake ended like this. */
+function unsentError(code: ErrorCode): ProtocolError {
+  const error = new ProtocolError(code);
+  if (error.isUnsent) return error;
+  return new ProtocolError(ErrorCodes.PEER_UNREACHABLE, error.message);
+}
+
 function isRefusal(error: unknown): boolean {
   return error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED';
 }
--- a/packages/protocol/src/protocolError.ts
+++ b/packages/protocol/src/protocolError.ts
@@ -7,6 +7,7 @@
     return (
       this.code === ErrorCodes.PEER_UNREACHABLE ||
       this.code === ErrorCodes.PEER_BUSY ||
+      this.code === ErrorCodes.VERSION_MISMATCH ||
       this.code === ErrorCodes.PEER_REPLACED
     );
   }
