--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -124,6 +124,8 @@
   });
   const orderWindow = createOrderWindow(timer);
   const openOrders = new Map<Run, (isAnswered: boolean) => void>();
+  /** Whether the last pass held jobs back until more orders are answered. */
+  let areJobsHeldByLink = false;
   const pool = createEndpointPool({
     network: options.network,
     timer,
@@ -134,6 +136,7 @@
       onStartSettled(run, isAnswered) {
         openOrders.get(run)?.(isAnswered);
         openOrders.delete(run);
+        if (areJobsHeldByLink) schedulePass();
       },
       onFenced: options.onFenced,
       onChange: schedulePass,
@@ -325,6 +328,7 @@
       const waitMs = Math.max(planned.waitMs, linkWaitMs ?? 0);
       refuseIfLate({ ...planned, waitMs }, linkWaitMs !== undefined);
     }
+    areJobsHeldByLink = linkWaitsMs.size > 0;
   }
 
   /** Refuses a job without a started task if it is expected to end too late. */
--- a/packages/dispatch/src/orderWindow.ts
+++ b/packages/dispatch/src/orderWindow.ts
@@ -14,7 +14,7 @@
 const MAX_WINDOW_BYTES = 1_024 * 1_024;
 /** Before the rate of the link is known. */
 const INITIAL_WINDOW_BYTES = 96 * 1_024;
-const MIN_WINDOW_BYTES = 12 * 1_024;
+const MIN_WINDOW_BYTES = 24 * 1_024;
 /** Answers that take longer are a sign of a queue in front of the link or the event loop. */
 const LONG_ANSWER_MS = 70;
 /** Size of an order without its payload, with the headers. */
