perf(platform,dispatch): parse an endpoint's entry only when it changes

Cause: every endpoint writes its entry every 1.5 s with a higher counter, and each dispatcher parsed and checked all of them, then serialized and sorted the whole list two to five times a second to find that it was the same. Now an entry whose text is the same but for the counter is not parsed again, and the list is only built when the directory has changed.

--- a/packages/dispatch/src/endpointDirectory.ts
+++ b/packages/dispatch/src/endpointDirectory.ts
@@ -25,6 +25,8 @@
   /** Replaces all entries with the list that another instance published. */
   replace(entries: readonly EndpointEntry[]): void;
   entries(): readonly EndpointEntry[];
+  /** Returns a number that rises whenever the result of `entries` may have changed. */
+  changes(): number;
 }
 
 interface ListedEndpoint {
@@ -34,10 +36,24 @@
 
 export function createEndpointDirectory(clock: MonotonicClock): EndpointDirectory {
   const listed = new Map<string, ListedEndpoint>();
+  let changes = 0;
+
+  function removeExpired(): void {
+    const nowMs = clock.nowMs();
+    for (const [id, { missingSinceMs }] of listed) {
+      if (missingSinceMs === undefined || nowMs - missingSinceMs <= MISSING_GRACE_MS) continue;
+      listed.delete(id);
+      changes += 1;
+    }
+  }
 
   return {
     take(id, entry) {
       const known = listed.get(id);
+      // Sources return the same object for a heartbeat that changes nothing else.
+      if (entry !== undefined && known?.entry === entry && known.missingSinceMs === undefined)
+        return;
+      changes += 1;
       if (entry !== undefined) listed.set(id, { entry });
       else if (known !== undefined) {
         const missingSinceMs = known.missingSinceMs ?? clock.nowMs();
@@ -48,21 +64,22 @@
     markRemoved(id) {
       const known = listed.get(id);
       if (known === undefined || known.missingSinceMs !== undefined) return;
+      changes += 1;
       if (known.entry.isLeaving && known.entry.isSpoiled !== true) listed.delete(id);
       else known.missingSinceMs = clock.nowMs();
     },
     replace(entries) {
+      changes += 1;
       listed.clear();
       for (const entry of entries) listed.set(entry.id, { entry });
     },
     entries() {
-      const nowMs = clock.nowMs();
-      for (const [id, { missingSinceMs }] of listed) {
-        if (missingSinceMs !== undefined && nowMs - missingSinceMs > MISSING_GRACE_MS) {
-          listed.delete(id);
-        }
-      }
+      removeExpired();
       return [...listed.values()].map(({ entry }) => entry);
     },
+    changes() {
+      removeExpired();
+      return changes;
+    },
   };
 }
--- a/packages/instance/src/watchEndpoints.ts
+++ b/packages/instance/src/watchEndpoints.ts
@@ -56,6 +56,8 @@
   let watchAbort: AbortController | undefined;
   let isCurrent = false;
   let publishedText = '';
+  /** The state of the directory that `publishedText` shows. */
+  let publishedChanges: number | undefined;
   let sharedText = '';
   let sharedAtMs = -Infinity;
 
@@ -104,6 +106,12 @@
   }
 
   function publish(revision: number): void {
+    const changes = directory.changes();
+    if (changes === publishedChanges) {
+      shareDocument(revision);
+      return;
+    }
+    publishedChanges = changes;
     const entries = directory.entries();
     // In one order for all instances, so that equal lists have equal digests.
     const text = JSON.stringify([...entries].sort(compareIds));
@@ -157,6 +165,7 @@
       watchAbort = new AbortController();
       isCurrent = false;
       publishedText = '';
+      publishedChanges = undefined;
       void watchStore(watchAbort.signal);
     },
     stop() {
