--- a/packages/leadership/src/failureDetector.ts
+++ b/packages/leadership/src/failureDetector.ts
@@ -79,14 +79,13 @@
   let suspectedSinceMs: number | undefined;
   /** The moment of `suspectedSinceMs` on the monotonic clock. */
   let suspectedSinceMonotonicMs = 0;
+  /** When the view changed, on the monotonic clock. */
+  let changesMs: number[] = [];
 
   function sinceMs(momentMs: number): number {
     return clock.nowMs() - momentMs;
   }
 
-  /** When the view changed, on the monotonic clock. */
-  let changesMs: number[] = [];
-
   function countUnusualChanges(): number {
     const nowMs = monotonicClock.nowMs();
     changesMs = changesMs.filter((atMs) => nowMs - atMs < CHANGE_RETENTION_MS);
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -113,12 +113,12 @@
 }
 
 export function createLeadership(options: LeadershipOptions): Leadership {
-  const { shard, heartbeat, self, members, links, contact, documents, timer, clock } = options;
+  const { shard, heartbeat, self, members, links, contact, documents, patience, timer, clock } =
+    options;
   const logger = withContext(options.logger, { shard });
   const closing = new AbortController();
   const subscribers = new Set<(view: View) => void>();
   let view: View | undefined;
-  const { patience } = options;
   const detector = createFailureDetector(clock, timer, heartbeat, patience);
   const stored = createStoredView({
     ...options,
