fix(dispatch): forget old answers also while the order window is wide

Found when reading the diff: each answered start order is recorded to measure the rate of the link, and only drainMs removed old records, which is called only while jobs are held back. On a healthy link the list grew without end, by one record a start. Now it is pruned once in each second of answers. No decision changes: the rate always counted the last second only.

--- a/packages/dispatch/src/orderWindow.ts
+++ b/packages/dispatch/src/orderWindow.ts
@@ -46,9 +46,17 @@
   let openBytes = 0;
   let reducedMs = -Infinity;
   let answered: { readonly atMs: number; readonly bytes: number }[] = [];
+  let forgottenMs = -Infinity;
+
+  function forgetOldAnswers(nowMs: number): void {
+    answered = answered.filter(({ atMs }) => nowMs - atMs < RATE_WINDOW_MS);
+    forgottenMs = nowMs;
+  }
 
   function recordAnswer(bytes: number, tookMs: number): void {
     const nowMs = clock.nowMs();
+    // Nobody asks for the rate while the window is wide, so the list is also bounded here.
+    if (nowMs - forgottenMs >= RATE_WINDOW_MS) forgetOldAnswers(nowMs);
     answered.push({ atMs: nowMs, bytes });
     if (tookMs <= LONG_ANSWER_MS) {
       windowBytes = Math.min(MAX_WINDOW_BYTES, windowBytes + bytes);
@@ -62,8 +70,7 @@
   /** Returns the rate at which orders were answered lately; infinite while the window is wide. */
   function bytesPerMs(): number {
     if (windowBytes === MAX_WINDOW_BYTES) return Infinity;
-    const nowMs = clock.nowMs();
-    answered = answered.filter(({ atMs }) => nowMs - atMs < RATE_WINDOW_MS);
+    forgetOldAnswers(clock.nowMs());
     return answered.reduce((sum, { bytes }) => sum + bytes, 0) / RATE_WINDOW_MS;
   }
 
