fix(platform,endpoints): send a start only to the incarnation it is meant for

Cause: the controller decides by the incarnation that it knows, but the connection pool decided which process receives the order. Second gap: after a restart, an entry without a start time counted as the new one's.

Why it works: a TCP connection ends with the process at its other end, so it belongs to one incarnation. A start names its incarnation and is written only to a connection on which that incarnation has answered; a new connection carries a report request first. Otherwise nothing is sent, which is a definite answer, and the task is placed elsewhere. Undated entries wait after a restart until they change, or for 5 s.

Changed tests: "stays usable where entries tell no start time" asserted the second gap; two tests replace it (unusable until the next entry, usable after 5 s). The fencing test gives the restarted endpoint its entry.

--- a/packages/endpoints/__tests__/endpointController.spec.ts
+++ b/packages/endpoints/__tests__/endpointController.spec.ts
@@ -1,8 +1,10 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
+import { Result } from 'true-myth';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
 import {
   createEndpointController,
+  OrderAnswers,
   TerminationProofs,
   RunEnds,
   type TerminationProof,
@@ -466,6 +468,7 @@
     expect(controller.isUsable()).toEqual(false);
     endpoint.fence = 0;
     endpoint.bornMs = 2;
+    controller.update({ ...entry, bornMs: 2 });
     controller.refresh();
     await timer.advance(300);
     expect(controller.isUsable()).toEqual(false);
@@ -524,11 +527,42 @@
     expect(controller.isUsable()).toEqual(true);
   });
 
-  it('stays usable where entries tell no start time', async () => {
+  // An entry without a start time may describe the earlier incarnation.
+  it('is usable with its next entry where entries tell no start time', async () => {
     const { timer, endpoint, controller } = await openController();
     endpoint.restart();
     controller.refresh();
     await timer.advance(20);
+    expect(controller.isUsable()).toEqual(false);
+    controller.update({ ...entry, labels: ['b'] });
+    expect(controller.isUsable()).toEqual(true);
+  });
+
+  it('is usable some time after a restart where entries tell no start time and stay equal', async () => {
+    const { timer, endpoint, controller } = await openController();
+    endpoint.restart();
+    controller.refresh();
+    await timer.advance(4_900);
+    expect(controller.isUsable()).toEqual(false);
+    await timer.advance(1_700);
+    expect(controller.isUsable()).toEqual(true);
+  });
+
+  // Guards against orders that reach an incarnation of which no report has arrived.
+  it('gets start orders that name the incarnation', async () => {
+    const { controller, endpoint } = await openController();
+    startRun(controller);
+    expect(endpoint.starts.map(({ bornMs }) => bornMs)).toEqual([1]);
+  });
+
+  it('gets no start after one could not be sent to the incarnation, until a later report', async () => {
+    const { timer, controller, endpoint, ends } = await openController();
+    endpoint.start = () => Promise.resolve(Result.ok(OrderAnswers.NOT_SENT));
+    startRun(controller);
+    await timer.advance(0);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
+    expect(controller.isUsable()).toEqual(false);
+    await timer.advance(200);
     expect(controller.isUsable()).toEqual(true);
   });
 });
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -45,6 +45,7 @@
   type LeasedEndpoint,
   type OrderAnswer,
   type RunEnd,
+  type StartOrder,
   type TaskRef,
 } from './leasedEndpoint.js';
 import { RunStates, type Run, type RunRequest } from './run.js';
@@ -76,13 +77,24 @@
 const MAX_UNSEEN_LEASE_MS = MAX_LEASE_MS / 0.98 + LEASE_END_MARGIN_MS;
 /** How long jobs may claim orphaned runs before the controller stops them. */
 const CLAIM_WINDOW_MS = 200;
+/**
+ * How long after a restart an entry without a start time is not used unless it changes, because it
+ * may describe the earlier incarnation. Endpoints write their entries about every 1.5 s.
+ */
+const UNDATED_ENTRY_MS = 5_000;
 /** Consecutive unanswered calls after which an endpoint is unresponsive and gets no new tasks. */
 const UNRESPONSIVE_AFTER_CALLS = 2;
 /**
- * How long an endpoint gets no new tasks after it refused a start because it was full or unhealthy.
+ * How long an endpoint gets no new tasks after it refused a start because it was full or unhealthy,
+ * or after a start could not be sent.
  * The end of any run there lifts the pause.
  */
 const REFUSAL_PAUSE_MS = 120;
+const REFUSALS: ReadonlySet<OrderAnswer> = new Set([
+  OrderAnswers.NO_ROOM,
+  OrderAnswers.UNHEALTHY,
+  OrderAnswers.NOT_SENT,
+]);
 
 export interface EndpointControllerEvents {
   onEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void;
@@ -202,6 +214,8 @@
    * Only a report requested after that ends the suspicion.
    */
   let suspectedSinceMs = -Infinity;
+  /** Entry that was known when the endpoint restarted, and when the restart was noticed. */
+  let entryAtRestart: { readonly entry: EndpointEntry; readonly atMs: number } | undefined;
   /** Whether the last comparison found the entry to be that of the current incarnation. */
   let wasEntryCurrent = true;
   let isReplaced = false;
@@ -502,6 +516,7 @@
   function handleRestart(details: LogDetails): void {
     logNewIncarnation('restarted', details);
     resetIncarnation();
+    entryAtRestart = { entry, atMs: timer.nowMs() };
     stopAnsweredAt.clear();
     unacknowledgedStarts.forgetStops();
     unacknowledgedLeases.beginIncarnation(timer.nowMs());
@@ -621,7 +636,14 @@
 
   async function sendStart(run: Run, payload: string, leaseEndMs: number): Promise<void> {
     const sentMs = timer.nowMs();
-    const order = { task: run.task, run: run.number, fence: fence(), payload, leaseEndMs };
+    const order: StartOrder = {
+      task: run.task,
+      run: run.number,
+      fence: fence(),
+      payload,
+      leaseEndMs,
+      ...(bornMs === undefined ? {} : { bornMs }),
+    };
     const answer = await endpoint.start(order);
     events.onStartSettled(run, answer.isOk);
     if (closing.signal.aborted) return;
@@ -660,10 +682,14 @@
     }
     if (answer === OrderAnswers.FENCED) recordFenced(sentFence);
     const sentMs = startSentMsOf(run);
-    const isRefusal = answer === OrderAnswers.NO_ROOM || answer === OrderAnswers.UNHEALTHY;
+    const isRefusal = REFUSALS.has(answer);
     endRun(run, RunEnds.NOT_STARTED, answer);
     if (isRefusal) pausedUntilMs = clock.nowMs() + REFUSAL_PAUSE_MS;
     if (answer === OrderAnswers.REPLACED) handleReplacement(sentMs);
+    if (answer === OrderAnswers.NOT_SENT) {
+      suspectedSinceMs = timer.nowMs();
+      refresh();
+    }
   }
 
   /**
@@ -714,7 +740,10 @@
    * labels or another capacity, and its entry and its reports arrive in any order.
    */
   function isEntryCurrent(): boolean {
-    return bornMs === undefined || entry.bornMs === undefined || entry.bornMs === bornMs;
+    if (bornMs === undefined) return true;
+    if (entry.bornMs !== undefined) return entry.bornMs === bornMs;
+    if (entry !== entryAtRestart?.entry) return true;
+    return timer.nowMs() - entryAtRestart.atMs >= UNDATED_ENTRY_MS;
   }
 
   /** Reports when the entry starts or ceases to describe the current incarnation. */
--- a/packages/endpoints/src/leasedEndpoint.ts
+++ b/packages/endpoints/src/leasedEndpoint.ts
@@ -37,6 +37,11 @@
   readonly payload: string;
   /** End of the lease, on the endpoint's clock. */
   readonly leaseEndMs: number;
+  /**
+   * Start time of the incarnation that may carry out the order; absent if the endpoint does not
+   * report it. The order is not sent to another incarnation.
+   */
+  readonly bornMs?: number;
 }
 
 export interface RenewalOrder {
@@ -63,6 +68,8 @@
   UNHEALTHY: 'unhealthy',
   /** Another endpoint answers at the address. */
   REPLACED: 'replaced',
+  /** Not sent: no connection of the incarnation that the order was meant for was available. */
+  NOT_SENT: 'not-sent',
   /** The endpoint does not understand the order. */
   REJECTED: 'rejected',
 } as const;
@@ -147,8 +154,7 @@
 /** Opens connections to endpoints. */
 export interface EndpointNetwork {
   /**
-   * `onConnectionLost` is called when the endpoint has closed a connection, as a restart does. An
-   * order on a new connection would reach whichever incarnation is there.
+   * `onConnectionLost` is called when the endpoint has closed a connection, as a restart does.
    */
   open(entry: EndpointEntry, onConnectionLost?: () => void): LeasedEndpoint;
 }
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -5,14 +5,14 @@
 
 const resolve = createRequire(import.meta.url).resolve;
 
-// Reduces undici to its connection pool and error classes, the only parts that are used. Loading
+// Reduces undici to its client, connection pool and error classes, the only parts that are used. Loading
 // the rest of undici (fetch, caches, mocks, websockets) takes most of the startup time.
 const poolOnly = {
   name: 'pool-only',
   setup(build) {
     build.onResolve({ filter: /^undici$/ }, () => ({ path: 'undici', namespace: 'pool-only' }));
     build.onLoad({ filter: /.*/, namespace: 'pool-only' }, () => ({
-      contents: ['Pool: dispatcher/pool', 'errors: core/errors']
+      contents: ['Client: dispatcher/client', 'Pool: dispatcher/pool', 'errors: core/errors']
         .map((spec) => spec.split(': '))
         .map(([name, file]) => [name, JSON.stringify(resolve(`undici/lib/${file}.js`))])
         .map(([name, file]) => `exports.${name} = require(${file});`)
