feat(dispatch): refuse jobs that only evacuated endpoints could run

Cause: an evacuated endpoint gets no tasks, like one that leaves. If all endpoints of a service are evacuated, the capacity is zero, the first waiting job has no work ahead of it, and it waits until its deadline.

Change: entries can be marked as evacuated. A job that has not started is refused, with a retry time, if for one of its steps each endpoint that could run it leaves and one of them is evacuated. None of its tasks starts before that. Each job is judged once for each list of endpoints, and only while an endpoint is marked. Runs on marked endpoints go on, and are claimed by the next dispatcher. Nothing sets the mark yet.

Evidence: the new tests of placer.spec.ts; two of them fail without the check before the start and without judging again after a new list.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -748,3 +748,76 @@
     expect(outcomes.a?.state).toEqual(JobStates.COMPLETED);
   });
 });
+
+describe('the dispatcher when data centres are evacuated', () => {
+  const evacuated = (id: string) => ({ ...entry(id), isLeaving: true, isEvacuated: true });
+
+  // Guards against a wait until the deadline for endpoints on which nothing may start, and against
+  // runs that are stopped there.
+  it('refuses at once the jobs that no other endpoint can run, and lets runs end', async () => {
+    const all = await createRunningDispatcher(600, { a: 1, b: 1 });
+    const { dispatcher, outcomes, submit, advance, started } = all;
+    dispatcher.setEndpoints([entry('a'), evacuated('b')]);
+    submit(job('running'));
+    await advance(100);
+    submit(job('waiting'));
+    await advance(50);
+    expect(outcomes).toEqual({});
+    dispatcher.setEndpoints([evacuated('a'), evacuated('b')]);
+    submit(job('new'));
+    await advance(100);
+    const refused = [outcomes['waiting'], outcomes['new']];
+    expect(refused.map((outcome) => outcome?.state)).toEqual([
+      JobStates.REFUSED,
+      JobStates.REFUSED,
+    ]);
+    expect(refused.every((outcome) => (outcome?.retryAfterMs ?? 0) > 0)).toEqual(true);
+    await advance(600);
+    expect(outcomes['running']?.state).toEqual(JobStates.COMPLETED);
+    dispatcher.setEndpoints([entry('a'), evacuated('b')]);
+    submit(job('after'));
+    await advance(1_300);
+    expect(outcomes['after']?.state).toEqual(JobStates.COMPLETED);
+    expect(started.filter((start) => !/running|after/.test(start))).toEqual([]);
+  });
+
+  // Guards against a job that is given up by the next dispatcher although its run goes on.
+  it('claims the runs of an earlier dispatcher there', async () => {
+    const task = { job: 'taken', step: 0, index: 0 };
+    const all = await createRunningDispatcher(
+      600,
+      { a: 1 },
+      { isListed: false, earlier: { a: { task, run: 1, percent: 10 } } },
+    );
+    const { dispatcher, outcomes, submit, advance, started } = all;
+    dispatcher.setEndpoints([evacuated('a')]);
+    const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+    submit(job('taken', { steps: [{ tasks: 1, demand, estimateMs: 600, after: [] }] }), 1, ['a']);
+    submit(job('lost'), 1);
+    await advance(400);
+    expect(outcomes['taken']).toEqual(undefined);
+    expect(outcomes['lost']?.state).toEqual(JobStates.LOST);
+    expect(started).toEqual([]);
+  });
+
+  // Guards against a refused job of which a step was started.
+  it('starts no step of a job whose later step only evacuated endpoints can run', async () => {
+    const { dispatcher, outcomes, submit, advance, started } = await createRunningDispatcher(100, {
+      a: 1,
+      b: 1,
+    });
+    dispatcher.setEndpoints([entry('a'), { ...evacuated('b'), labels: ['k'] }]);
+    const demand = { cores: CORES, memoryMb: 64, accelerators: 0 };
+    const step = { tasks: 1, demand, estimateMs: 100 };
+    const steps = [
+      { ...step, after: [] },
+      { ...step, after: [0], label: 'k' },
+    ];
+    submit(job('labelled', { steps }));
+    submit(job('other'));
+    await advance(500);
+    expect(outcomes['labelled']?.state).toEqual(JobStates.REFUSED);
+    expect(outcomes['other']?.state).toEqual(JobStates.COMPLETED);
+    expect(started).toEqual(['other@a', 'other@a']);
+  });
+});
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -142,6 +142,9 @@
   const openOrders = new Map<Run, (isAnswered: boolean) => void>();
   /** Whether the last pass held jobs back until more orders are answered. */
   let areJobsHeldByLink = false;
+  let hasEvacuatedEndpoints = false;
+  /** Whether a job can start nowhere because of an evacuation, by the current list of endpoints. */
+  let evacuatedJobs = new WeakMap<JobRecord, boolean>();
   const pool = createEndpointPool({
     network: options.network,
     timer,
@@ -340,6 +343,7 @@
     // later orders of a job that has begun are never held back.
     const mayStart = (record: JobRecord): boolean => {
       if (record.hasStarted) return true;
+      if (isEvacuated(record)) return false;
       const isFirst = plannedBytes === 0;
       plannedBytes += record.waiting * orderBytes(record.job.payload);
       if (orderWindow.hasRoom(plannedBytes) || (isFirst && orderWindow.isEmpty())) return true;
@@ -356,13 +360,24 @@
     areJobsHeldByLink = linkWaitsMs.size > 0;
   }
 
-  /** Refuses a job without a started task if it is expected to end too late. */
+  function isEvacuated(record: JobRecord): boolean {
+    if (!hasEvacuatedEndpoints) return false;
+    const known = evacuatedJobs.get(record) ?? placer.isEvacuated(record);
+    evacuatedJobs.set(record, known);
+    return known;
+  }
+
+  /** Refuses a job without a started task if it is expected to end too late, or cannot run. */
   function refuseIfLate(planned: PlannedJob, isHeldByLink: boolean): void {
     const { record, waitMs, runMs, makespanMs, workAhead } = planned;
     const nowMs = clock.nowMs();
     if (record.waiting > 0)
       record.lastEstimate = { atMs: nowMs, waitMs, runMs, makespanMs, workAhead };
     if (record.hasStarted || record.outcome !== undefined) return;
+    if (isEvacuated(record)) {
+      refuseEvacuated(record);
+      return;
+    }
     const hasFreeCapacity =
       (planned.hasFreeCapacity && !isHeldByLink) || nowMs - createdMs < RECONCILIATION_TIMEOUT_MS;
     const { deadlineMs, arrivedMs } = record;
@@ -405,6 +420,16 @@
     });
   }
 
+  function refuseEvacuated(record: JobRecord): void {
+    metrics.increment(`refused/${record.job.team}`);
+    metrics.increment('refused-by-evacuation');
+    finish(record, {
+      state: stateOfUnserved(record),
+      reason: 'the data centres of all its endpoints are evacuated',
+      retryAfterMs: retryAfterMs(0, options.random),
+    });
+  }
+
   /**
    * Returns the state of a job that is not served. It is refused only if no task of it can have run;
    * otherwise it is lost, because it is not known here how its runs ended.
@@ -696,6 +721,8 @@
     setEndpoints(entries) {
       reportLog.logListChange(entries);
       pool.setEntries(entries);
+      hasEvacuatedEndpoints = entries.some((entry) => entry.isEvacuated === true);
+      evacuatedJobs = new WeakMap();
       schedulePass();
     },
     waiting,
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -3,7 +3,7 @@
  * the jobs that have to wait will end. It has no side effects; the dispatcher executes the plan.
  */
 import { RunStates, type Run, type EndpointController } from '@celerybarrow/endpoints';
-import type { LeasedJob, Resources } from '@celerybarrow/protocol';
+import type { LeasedJob, Resources, Step } from '@celerybarrow/protocol';
 import type { ElapsedClock } from '@celerybarrow/timer';
 import type { ArrivalRates } from './arrivalRates.js';
 import { hasCapacityFor, canRunStep } from './chooseEndpoint.js';
@@ -65,6 +65,11 @@
    * Whether some endpoint could run each step, busy or not; true if none of the service is known.
    */
   isRunnable(record: JobRecord): boolean;
+  /**
+   * Whether some step of the job can start nowhere because of an evacuation: each endpoint that could
+   * run it is in an evacuated data centre or leaves.
+   */
+  isEvacuated(record: JobRecord): boolean;
   /** Returns the capacity that is free for a job now. */
   freeCapacity(record: JobRecord): FreeCapacity;
   /** Returns the core-milliseconds of the tasks of a job that have not started, in thousandths. */
@@ -261,6 +266,18 @@
     return baseMs(record.job, task.ref.step) * Math.min(slowness, 2);
   }
 
+  /** Stops at the first endpoint that may get tasks, which is mostly among the first. */
+  function isStepEvacuated(service: string, step: Step): boolean {
+    let isEvacuated = false;
+    for (const controller of pool.controllers()) {
+      const entry = controller.entry();
+      if (entry.service !== service || !canRunStep(entry, step)) continue;
+      if (!entry.isLeaving) return false;
+      isEvacuated ||= entry.isEvacuated === true;
+    }
+    return isEvacuated;
+  }
+
   return {
     hasFreeCapacity,
     plan,
@@ -293,6 +310,7 @@
       if (entries.length === 0) return true;
       return record.job.steps.every((step) => entries.some((entry) => canRunStep(entry, step)));
     },
+    isEvacuated: ({ job }) => job.steps.some((step) => isStepEvacuated(job.service, step)),
     expectedMs: expectedMsOf,
     freshMs(record, task) {
       const { demand } = stepOf(record, task);
--- a/packages/endpoints/src/leasedEndpoint.ts
+++ b/packages/endpoints/src/leasedEndpoint.ts
@@ -149,6 +149,11 @@
 
 export type EndpointEntry = Omit<Readonly<z.infer<typeof endpointEntrySchema>>, 'labels'> & {
   readonly labels: readonly string[];
+  /**
+   * Whether its data centre is evacuated, so that nothing may start there. Each instance sets this by
+   * its own list of evacuations; entries from the store and from other instances do not have it.
+   */
+  readonly isEvacuated?: boolean;
 };
 
 /** Opens connections to endpoints. */
