feat(instance,platform): start nothing in evacuated data centres

Cause: nothing reads the store key op/evacuate/ZONE, so tasks start in a data centre that the operator evacuates.

Change: if the settings have bounds.evacuateMs, the watch of the configuration covers the prefix op/ and brings the evacuations in the same answers. The instances share the list as a document. A list that was read from the store is in force while the store answers; otherwise the newest document is. A store that restarts at a lower revision wins against the document once a further answer has confirmed its list. A pure function marks the endpoints before the dispatchers and the shard chooser get them, also for a new dispatcher and at once after a change. Until a list is known, an instance is not ready and starts nothing. Without the setting nothing changes.

Evidence: evacuation.spec.ts plays a fleet with two data centres.

--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -22,8 +22,10 @@
 } from '@celerybarrow/leadership';
 import { createEntry, type Entry, type Routing } from '@celerybarrow/entry';
 import { createLogger, type Metrics } from '@celerybarrow/telemetry';
+import { applyEvacuations } from './applyEvacuations.js';
 import { createShardChooser } from './chooseShard.js';
 import { createEndpointWatcher } from './watchEndpoints.js';
+import { createEvacuationWatcher } from './watchEvacuations.js';
 import { createRoutingWatcher, type RoutingStatus } from './watchRouting.js';
 import { createShardDispatchers } from './shardDispatchers.js';
 import { warmUp, type LoopbackEndpoints } from './warmUp.js';
@@ -52,6 +54,11 @@
   readonly network: EndpointNetwork;
   readonly routing: StoredSource<Routing>;
   readonly endpoints: StoredSource<EndpointEntry>;
+  /**
+   * The evacuated data centres. The prefix contains that of `routing`. If undefined, data centres are
+   * not evacuated.
+   */
+  readonly evacuations?: StoredSource<string> | undefined;
   readonly timer: TimerService;
   readonly random: Random;
   readonly metrics: Metrics;
@@ -103,6 +110,9 @@
   });
   let isStopping = false;
 
+  const evacuations =
+    options.evacuations &&
+    createEvacuationWatcher({ source: options.evacuations, documents, clock, metrics });
   const routing = createRoutingWatcher({
     store,
     source: options.routing,
@@ -112,6 +122,7 @@
     random,
     metrics,
     signal: closing.signal,
+    evacuations,
   });
   const chooser = createShardChooser(timer);
   const endpoints = createEndpointWatcher({
@@ -121,10 +132,7 @@
     timer,
     clock,
     random,
-    onEntries: (entries) => {
-      chooser.updateEndpoints(entries, leadership.shards().length);
-      dispatchers.updateEndpoints(entries);
-    },
+    onEntries: updateEndpoints,
   });
   const dispatchers = createShardDispatchers({
     self,
@@ -134,7 +142,7 @@
     random,
     metrics,
     shards: () => leadership.shards().length,
-    entries: endpoints.entries,
+    entries: usableEntries,
     areEntriesCurrent: endpoints.isCurrent,
   });
   const leadership = createFleetLeadership({
@@ -166,6 +174,25 @@
     logger: createLogger('entry'),
   });
 
+  /** Returns the endpoints with those marked on which nothing may start. */
+  function usableEntries(): readonly EndpointEntry[] {
+    const entries = endpoints.entries();
+    return evacuations === undefined ? entries : applyEvacuations(entries, evacuations.evacuated());
+  }
+
+  function updateEndpoints(): void {
+    const entries = usableEntries();
+    chooser.updateEndpoints(entries, leadership.shards().length);
+    dispatchers.updateEndpoints(entries);
+  }
+
+  evacuations?.onChange(() => {
+    updateEndpoints();
+    const entries = usableEntries();
+    const evacuated = entries.filter((entry) => entry.isEvacuated === true).length;
+    log.info('Evacuations are applied.', { endpoints: entries.length, evacuated });
+  });
+
   function applyView(shardLeadership: Leadership): void {
     const isNewDispatcher =
       shardLeadership.isDispatching() && dispatchers.get(shardLeadership.shard) === undefined;
@@ -180,7 +207,7 @@
   }
 
   leadership.onShards((shards) => {
-    chooser.updateEndpoints(endpoints.entries(), shards.length);
+    chooser.updateEndpoints(usableEntries(), shards.length);
     startWarmUp();
     for (const shardLeadership of shards) {
       shardLeadership.onView(() => {
@@ -240,7 +267,11 @@
     routing: routing.routing,
     routingStatus: routing.status,
     onRouting: routing.onRouting,
-    isReady: () => !isStopping && routing.routing() !== undefined && leadership.isComplete(),
+    isReady: () =>
+      !isStopping &&
+      routing.routing() !== undefined &&
+      (evacuations === undefined || evacuations.evacuated() !== undefined) &&
+      leadership.isComplete(),
     start,
     stop,
     async close() {
--- a/packages/instance/src/watchRouting.ts
+++ b/packages/instance/src/watchRouting.ts
@@ -6,12 +6,13 @@
 import { routingSchema, type Routing } from '@celerybarrow/entry';
 import { createStoreContact, type ReplicatedDocuments } from '@celerybarrow/leadership';
 import type { Random } from '@celerybarrow/shared';
-import { followPrefix, type Store } from '@celerybarrow/store';
+import { followPrefix, type Entry, type Store } from '@celerybarrow/store';
 import { createLogger, type Metrics } from '@celerybarrow/telemetry';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import { createFaultLog } from './faultLog.js';
 import type { StoredSource } from './instance.js';
 import { parseDocument } from './parseDocument.js';
+import type { EvacuationWatcher } from './watchEvacuations.js';
 
 const ROUTING_DOCUMENT = 'routing';
 const FROM_STORE = 'store';
@@ -25,6 +26,11 @@
   readonly random: Random;
   readonly metrics: Metrics;
   readonly signal: AbortSignal;
+  /**
+   * Receives the entries of its wider prefix through the same watch, because each call to the store is
+   * expensive.
+   */
+  readonly evacuations?: EvacuationWatcher | undefined;
 }
 
 /** The configuration that a routing decision was based on, and how fresh it is. */
@@ -46,7 +52,7 @@
 }
 
 export function createRoutingWatcher(options: RoutingWatcherOptions): RoutingWatcher {
-  const { store, source, documents, timer, clock, random, metrics, signal } = options;
+  const { store, source, documents, timer, clock, random, metrics, signal, evacuations } = options;
   const log = createLogger('configuration');
   const contact = createStoreContact(clock, log);
   const faultLog = createFaultLog(log, 'Configuration entry is malformed.');
@@ -84,6 +90,14 @@
     return read.success;
   });
 
+  function applyEntry(stored: Entry): void {
+    const { value, faults } = source.read(stored);
+    faultLog.record(stored.key, faults);
+    if (value === undefined) return;
+    const document = { version: value.version, text: JSON.stringify(value) };
+    documents.offer(ROUTING_DOCUMENT, document, FROM_STORE);
+  }
+
   return {
     routing: () => routing,
     status: () =>
@@ -102,15 +116,21 @@
         store,
         timer,
         random,
-        prefix: source.prefix,
+        prefix: evacuations?.prefix ?? source.prefix,
         onEntry: (stored) => {
-          const { value, faults } = source.read(stored);
-          faultLog.record(stored.key, faults);
-          if (value === undefined) return;
-          const document = { version: value.version, text: JSON.stringify(value) };
-          documents.offer(ROUTING_DOCUMENT, document, FROM_STORE);
+          if (stored.key.startsWith(source.prefix)) applyEntry(stored);
+          evacuations?.applyEntry(stored);
+        },
+        onRemoved: (key) => {
+          evacuations?.applyRemoval(key);
+        },
+        onBatch: (revision) => {
+          evacuations?.completeBatch(revision);
+        },
+        onContact: (isReachable) => {
+          contact.record(isReachable);
+          evacuations?.recordContact(isReachable);
         },
-        onContact: contact.record,
         signal,
       });
     },
