fix(endpoints,dispatch): stop late starts in the next incarnation of an endpoint that had left

Cause: an answered stop holds only in the incarnation that answered it. The pool closed the controller of an endpoint that had left although it knew of starts that could still be carried out (isEmpty doesn't consider them). The controller of the next incarnation knew nothing, sent no stop and polled the endpoint every 1.5 s. A controller also dropped this knowledge when another endpoint answered at the address.

Why it works: the pool retains the unacknowledged starts of a controller that it closes, bounded by the 12 s and by number, and passes them to the next controller under the id, at whatever address. It sends their stops before anything else, and gives out no start and renews no lease before they are answered.

--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -2,10 +2,12 @@
  * The endpoints of one dispatcher, each with its controller, kept in sync with the directory.
  *
  * An endpoint that is no longer listed gets no new tasks. Its controller remains until nothing runs
- * there, because the entry of a live endpoint can be missing.
+ * there, because the entry of a live endpoint can be missing. What it knows of starts that may still
+ * be carried out is kept for the controller of the next incarnation under the same id.
  */
 import {
   createEndpointController,
+  createRetainedStarts,
   type EndpointEntry,
   type EndpointNetwork,
   type EndpointController,
@@ -38,6 +40,7 @@
 
 export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
   const controllers = new Map<string, EndpointController>();
+  const retainedStarts = createRetainedStarts();
   const addresses = new Map<string, string>();
   let currentEntries: readonly EndpointEntry[] = [];
   /** Whether an unlisted or moved endpoint is kept because tasks still run there. */
@@ -50,15 +53,20 @@
         controllers.get(entry.id)?.handleConnectionLost();
     });
     const events = options.eventsOf(entry.id);
+    const earlierStarts = retainedStarts.take(entry.id, timer.nowMs());
     controllers.set(
       entry.id,
-      createEndpointController({ entry, endpoint, fence, timer, clock, events }),
+      createEndpointController({ entry, endpoint, fence, timer, clock, events, earlierStarts }),
     );
     addresses.set(entry.id, entry.address);
   }
 
   function remove(id: string): void {
-    controllers.get(id)?.close();
+    const controller = controllers.get(id);
+    if (controller !== undefined) {
+      retainedStarts.retain(id, controller.unacknowledgedStarts(), options.timer.nowMs());
+      controller.close();
+    }
     controllers.delete(id);
     addresses.delete(id);
     options.onRemoved(id);
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -7,6 +7,8 @@
  * - An order gets no answer and is carried out late. The start stays unacknowledged until a report
  *   proves that the run has terminated (see unlistedRun.ts). The endpoint gets no further start
  *   before it reports again.
+ * - An earlier incarnation received such a start, left the directory, and its controller was
+ *   closed. The controller of the next incarnation stops these starts before it starts anything.
  * - An endpoint becomes unresponsive. Its runs lapse once its clock has certainly passed the end of
  *   the last lease.
  * - An endpoint restarts at the same address, possibly with other labels or another capacity. It
@@ -90,6 +92,8 @@
  * The end of any run there lifts the pause.
  */
 const REFUSAL_PAUSE_MS = 120;
+/** Runs that are named in a log line of many. */
+const MAX_LOGGED_STARTS = 8;
 const REFUSALS: ReadonlySet<OrderAnswer> = new Set([
   OrderAnswers.NO_ROOM,
   OrderAnswers.UNHEALTHY,
@@ -131,6 +135,8 @@
   readonly timer: TimerService;
   readonly clock: ElapsedClock;
   readonly events: EndpointControllerEvents;
+  /** Starts that an earlier controller sent under this id and that may still be carried out. */
+  readonly earlierStarts?: readonly UnacknowledgedStart[];
 }
 
 /** Starts and stops the tasks on one endpoint. No other instance does so at the same time. */
@@ -154,6 +160,8 @@
   orphanedRuns(): Iterable<Readonly<OrphanedRun>>;
   /** Whether nothing runs on the endpoint, neither of this dispatcher nor of an earlier one. */
   isEmpty(): boolean;
+  /** Returns the starts that the endpoint may still carry out, also after a restart. */
+  unacknowledgedStarts(): readonly UnacknowledgedStart[];
   start(request: RunRequest): Run;
   stop(run: Run): void;
   /**
@@ -503,9 +511,12 @@
     isReplaced = true;
     lastReportMs = Math.max(lastReportMs ?? requestedMs, requestedMs);
     resetIncarnation();
-    unacknowledgedStarts.clear();
-    for (const run of [...runs.values()])
+    unacknowledgedStarts.forgetStops();
+    for (const run of [...runs.values()]) {
+      // The endpoint may return under its id, here or at another address.
+      recordUnacknowledgedStart(run);
       endRun(run, RunEnds.LAPSED, undefined, TerminationProofs.REPLACED);
+    }
   }
 
   /**
@@ -811,6 +822,23 @@
     return { cores, memoryMb, accelerators };
   }
 
+  function takeOverEarlierStarts(starts: readonly UnacknowledgedStart[]): void {
+    if (starts.length === 0) return;
+    for (const { task, run, sentMs } of starts) unacknowledgedStarts.record(task, run, sentMs);
+    const nowMs = timer.nowMs();
+    events.onLog('Starts of an earlier incarnation are stopped first.', {
+      endpoint: entry.id,
+      starts: starts.length,
+      runs: starts
+        .slice(0, MAX_LOGGED_STARTS)
+        .map(({ key, run }) => `${key}#${run}`)
+        .join(' '),
+      newestAgoMs: Math.round(nowMs - Math.max(...starts.map(({ sentMs }) => sentMs))),
+    });
+    stopAbandonedStarts(clock.nowMs());
+  }
+
+  takeOverEarlierStarts(options.earlierStarts ?? []);
   void pollEndpoint();
 
   return {
@@ -850,6 +878,7 @@
     runs: () => runs.values(),
     orphanedRuns: () => orphanedRuns.all(),
     isEmpty,
+    unacknowledgedStarts: () => unacknowledgedStarts.all(timer.nowMs()),
     start,
     stop,
     claim,
--- a/packages/endpoints/src/unacknowledgedStarts.ts
+++ b/packages/endpoints/src/unacknowledgedStarts.ts
@@ -30,11 +30,12 @@
   recordResolved(key: string, run: number): void;
   /** Marks all starts as not stopped, because a restarted endpoint has forgotten the stops. */
   forgetStops(): void;
+  /** Returns the starts that may still be carried out, now or after a restart of the endpoint. */
+  all(nowMs: number): readonly UnacknowledgedStart[];
   /** Returns the starts without an answered stop. */
   open(nowMs: number): readonly UnacknowledgedStart[];
   /** Whether no start can be carried out any more, not even after a restart of the endpoint. */
   isEmpty(nowMs: number): boolean;
-  clear(): void;
 }
 
 const NONE: readonly UnacknowledgedStart[] = [];
@@ -64,6 +65,10 @@
     forgetStops() {
       for (const start of starts.values()) start.isStopped = false;
     },
+    all(nowMs) {
+      removeExpired(nowMs);
+      return [...starts.values()].map(({ key, task, run, sentMs }) => ({ key, task, run, sentMs }));
+    },
     open(nowMs) {
       if (starts.size === 0) return NONE;
       removeExpired(nowMs);
@@ -73,8 +78,5 @@
       removeExpired(nowMs);
       return starts.size === 0;
     },
-    clear() {
-      starts.clear();
-    },
   };
 }
