fix(endpoints): stop late starts as soon as a restarted endpoint can be reached

Cause: the next incarnation doesn't know the stop. The controller repeated it after the first report, and asked an endpoint that didn't answer for a report every 60 ms, so the start could be carried out unnoticed before that. After the restart the stop could wait up to 120 ms more for the interval of stops, and an answer of the earlier incarnation could count as one of the next.

Why it works: from its first unanswered call, or from a closed connection, an endpoint with unacknowledged starts is sent their stops every 20 ms until it reports, also stops that were answered. A new start time in its entry sends them as well.

--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -7,6 +7,7 @@
  */
 import {
   createEndpointController,
+  createProbeBudget,
   createRetainedStarts,
   type EndpointEntry,
   type EndpointNetwork,
@@ -41,6 +42,7 @@
 export function createEndpointPool(options: EndpointPoolOptions): EndpointPool {
   const controllers = new Map<string, EndpointController>();
   const retainedStarts = createRetainedStarts();
+  const probes = createProbeBudget(options.timer);
   const addresses = new Map<string, string>();
   let currentEntries: readonly EndpointEntry[] = [];
   /** Whether an unlisted or moved endpoint is kept because tasks still run there. */
@@ -54,10 +56,8 @@
     });
     const events = options.eventsOf(entry.id);
     const earlierStarts = retainedStarts.take(entry.id, timer.nowMs());
-    controllers.set(
-      entry.id,
-      createEndpointController({ entry, endpoint, fence, timer, clock, events, earlierStarts }),
-    );
+    const links = { endpoint, fence, timer, clock, events };
+    controllers.set(entry.id, createEndpointController({ entry, ...links, earlierStarts, probes }));
     addresses.set(entry.id, entry.address);
   }
 
--- a/packages/endpoints/__tests__/endpointController.spec.ts
+++ b/packages/endpoints/__tests__/endpointController.spec.ts
@@ -4,6 +4,7 @@
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
 import {
   createEndpointController,
+  createProbeBudget,
   OrderAnswers,
   TerminationProofs,
   RunEnds,
@@ -54,6 +55,7 @@
     fence: () => dispatcher.fence,
     timer: { ...timer, nowMs: () => timer.nowMs() + MONOTONIC_START_MS },
     clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + wallStep.ms }),
+    probes: createProbeBudget(timer),
     events: {
       onEnd: (run, end) => ends.push({ run, end, atMs: timer.nowMs() }),
       onStartSettled: () => undefined,
@@ -420,6 +422,34 @@
     expect(endpoint.running()).toEqual([]);
   });
 
+  // Guards against seed 3809 of concurrentRuns.spec.ts: the start was carried out 32 ms after the
+  // restart, 20 ms before the first call that reached the new incarnation.
+  for (const downMs of [300, 315, 330, 345, 360]) {
+    it(`stops an unacknowledged start soon after a restart that took ${downMs} ms`, async () => {
+      const { timer, endpoint, controller } = await openController((fake) => {
+        fake.areStartsLost = true;
+      });
+      startRun(controller);
+      await timer.advance(1_000);
+      endpoint.isDown = true;
+      await timer.advance(downMs);
+      endpoint.restart();
+      endpoint.isDown = false;
+      await timer.advance(25);
+      endpoint.carryOut(order);
+      expect(endpoint.running()).toEqual([]);
+    });
+  }
+
+  // A probe of each endpoint that is down would cost the processor time of the dispatcher.
+  it('sends no stops to an endpoint that is down without unacknowledged starts', async () => {
+    const { timer, endpoint } = await openController();
+    endpoint.isDown = true;
+    await timer.advance(1_000);
+    expect(endpoint.stops).toEqual([]);
+    expect(endpoint.renewals.length < 30).toEqual(true);
+  });
+
   it('polls an idle endpoint rarely again once no start can arrive late', async () => {
     const { timer, endpoint, controller } = await openController((fake) => {
       fake.areStartsLost = true;
--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -26,6 +26,8 @@
   readonly renewals: RenewalOrder[];
   /** Whether calls get no answer. */
   isUnresponsive: boolean;
+  /** Whether connections are refused, as while the process restarts. */
+  isDown: boolean;
   /** Whether starts get no answer and are only carried out by `carryOut`. */
   areStartsLost: boolean;
   /** Whether stops get no answer and are not carried out. */
@@ -57,6 +59,7 @@
     stops: [],
     renewals: [],
     isUnresponsive: false,
+    isDown: false,
     areStartsLost: false,
     areStopsLost: false,
     isReplaced: false,
@@ -95,6 +98,7 @@
     async stop(order): Promise<Result<OrderAnswer, EndpointError>> {
       fake.stops.push(order);
       await timer.sleep(1);
+      if (fake.isDown) return unanswered();
       if (fake.isUnresponsive || fake.areStopsLost) {
         await timer.sleep(100);
         return unanswered();
@@ -109,10 +113,16 @@
       if (order.fence < fake.fence) return Result.ok({ answer: OrderAnswers.FENCED });
       const seen = order.endsSeen ?? 0;
       await timer.sleep(1);
-      for (let waited = 0; waited < order.waitMs && !fake.isUnresponsive; waited += 5) {
+      if (fake.isDown) return unanswered();
+      for (
+        let waited = 0;
+        waited < order.waitMs && !fake.isUnresponsive && !fake.isDown;
+        waited += 5
+      ) {
         if (ended.some((end) => end.number > seen)) break;
         await timer.sleep(5);
       }
+      if (fake.isDown) return unanswered();
       if (fake.isUnresponsive) {
         await timer.sleep(100);
         return unanswered();
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -7,6 +7,8 @@
  * - An order gets no answer and is carried out late. The start stays unacknowledged until a report
  *   proves that the run has terminated (see unlistedRun.ts). The endpoint gets no further start
  *   before it reports again.
+ * - The endpoint restarts while a start is unacknowledged, and has forgotten the stop. From its first
+ *   unanswered call on, it is sent the stop frequently until it reports.
  * - An earlier incarnation received such a start, left the directory, and its controller was
  *   closed. The controller of the next incarnation stops these starts before it starts anything.
  * - An endpoint becomes unresponsive. Its runs lapse once its clock has certainly passed the end of
@@ -30,6 +32,7 @@
   type TerminationProof,
 } from './terminationProof.js';
 import { createOrphanedRuns, type OrphanedRun } from './orphanedRuns.js';
+import type { ProbeBudget } from './probeBudget.js';
 import { createUnacknowledgedLeases } from './unacknowledgedLeases.js';
 import {
   createUnacknowledgedStarts,
@@ -70,6 +73,11 @@
 /** Pause after an unanswered renewal. */
 const RETRY_MS = 60;
 const STOP_RETRY_MS = 120;
+/**
+ * Interval between the stops of unacknowledged starts while the endpoint does not answer. A start can
+ * be carried out unnoticed in the time between a restart and the first stop after it.
+ */
+const PROBE_INTERVAL_MS = 20;
 /** Longest time a stop takes, plus a margin for the endpoint to notice the end of a lease. */
 const LEASE_END_MARGIN_MS = 80;
 /**
@@ -137,6 +145,8 @@
   readonly events: EndpointControllerEvents;
   /** Starts that an earlier controller sent under this id and that may still be carried out. */
   readonly earlierStarts?: readonly UnacknowledgedStart[];
+  /** Shared by the controllers of a dispatcher. */
+  readonly probes: ProbeBudget;
 }
 
 /** Starts and stops the tasks on one endpoint. No other instance does so at the same time. */
@@ -179,7 +189,7 @@
 }
 
 export function createEndpointController(options: EndpointControllerOptions): EndpointController {
-  const { endpoint, fence, timer, clock, events } = options;
+  const { endpoint, fence, timer, clock, events, probes } = options;
   const closing = new AbortController();
   const openedMs = timer.nowMs();
   const endpointClock = createEndpointClock();
@@ -215,6 +225,9 @@
   let unanswered = 0;
   let pausedUntilMs = 0;
   let abandonedStopsSentMs = -Infinity;
+  let isProbing = false;
+  /** When the newest restart was noticed, on the monotonic clock. */
+  let restartSeenMs = -Infinity;
   /** Ends the pause between stops when the endpoint answers again. */
   let stopPause = new AbortController();
   /**
@@ -353,6 +366,7 @@
 
   function countUnansweredCall(reason: string): void {
     unanswered += 1;
+    void probeUntilReport();
     if (unanswered !== UNRESPONSIVE_AFTER_CALLS) return;
     events.onLog('Endpoint is unresponsive.', { endpoint: entry.id, reason, runs: runs.size });
     events.onChange();
@@ -492,11 +506,58 @@
   function stopAbandonedStarts(nowMs: number): void {
     if (nowMs - abandonedStopsSentMs < STOP_RETRY_MS) return;
     abandonedStopsSentMs = nowMs;
-    for (const { key, task, run } of abandonedStarts()) {
-      void endpoint.stop({ task, run, fence: fence() }).then((answer) => {
-        if (!closing.signal.aborted && preventsStart(answer)) recordStopped(key, run);
-      });
+    for (const start of abandonedStarts()) void stopAbandonedStart(start);
+  }
+
+  /** Returns whether the stop was answered. */
+  async function stopAbandonedStart({ key, task, run }: UnacknowledgedStart): Promise<boolean> {
+    const sentMs = timer.nowMs();
+    const answer = await endpoint.stop({ task, run, fence: fence() });
+    if (closing.signal.aborted || !preventsStart(answer, sentMs)) return false;
+    recordStopped(key, run);
+    return true;
+  }
+
+  /**
+   * Whether the answer to a stop guarantees that the run cannot start later. The answer to a stop that
+   * was sent before a restart may be that of the earlier incarnation.
+   */
+  function preventsStart(answer: Result<OrderAnswer, EndpointError>, sentMs: number): boolean {
+    if (answer.isErr || sentMs < restartSeenMs) return false;
+    return answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED;
+  }
+
+  /**
+   * Sends the stops of unacknowledged starts while the endpoint may be restarting, also those that
+   * were answered, because the next incarnation does not know them.
+   */
+  async function probeUntilReport(): Promise<void> {
+    if (isProbing) return;
+    isProbing = true;
+    const unansweredStops = new Set<string>();
+    while (!closing.signal.aborted && (unanswered > 0 || isSuspected())) {
+      const starts = startsToProbe();
+      if (starts.length === 0) break;
+      for (const start of starts) {
+        const runId = `${start.key}#${start.run}`;
+        if (unansweredStops.has(runId) || !probes.take()) continue;
+        unansweredStops.add(runId);
+        void stopAbandonedStart(start).then((isAnswered) => {
+          unansweredStops.delete(runId);
+          if (isAnswered && (unanswered > 0 || isSuspected())) refresh();
+        });
+      }
+      await timer.sleep(PROBE_INTERVAL_MS);
     }
+    isProbing = false;
+  }
+
+  /** Returns the starts that a next incarnation may carry out although their runs count as ended. */
+  function startsToProbe(): readonly UnacknowledgedStart[] {
+    if (isReplaced) return [];
+    return unacknowledgedStarts
+      .all(timer.nowMs())
+      .filter(({ key, run }) => runs.get(key)?.number !== run);
   }
 
   function recordStopped(key: string, run: number): void {
@@ -528,8 +589,10 @@
     logNewIncarnation('restarted', details);
     resetIncarnation();
     entryAtRestart = { entry, atMs: timer.nowMs() };
+    restartSeenMs = timer.nowMs();
     stopAnsweredAt.clear();
     unacknowledgedStarts.forgetStops();
+    abandonedStopsSentMs = -Infinity;
     unacknowledgedLeases.beginIncarnation(timer.nowMs());
     for (const run of runs.values()) runsOfEarlierIncarnation.add(run);
     // Only a report requested from now on can prove that the earlier runs ended. The answer to a
@@ -711,11 +774,12 @@
     for (let attempt = 1; !closing.signal.aborted && runs.get(run.key) === run; attempt += 1) {
       const sentFence = fence();
       const order = { task: run.task, run: run.number, fence: sentFence };
+      const sentMs = timer.nowMs();
       const answer = await endpoint.stop(order);
       if (closing.signal.aborted || runs.get(run.key) !== run) return;
       if (answer.isErr && attempt === 1) logUnansweredStop(run, answer.error.message);
       if (answer.isOk && answer.value === OrderAnswers.FENCED) recordFenced(sentFence);
-      if (preventsStart(answer)) {
+      if (preventsStart(answer, sentMs)) {
         stopAnsweredAt.set(run, timer.nowMs());
         // The start may be unanswered at this point, and its answer may never arrive.
         recordUnacknowledgedStart(run);
@@ -849,7 +913,10 @@
       entry = next;
       compareEntry();
       // The next poll of an idle endpoint may be too far away to learn which incarnation answers.
-      if (wasCurrent && !isEntryCurrent()) refresh();
+      if (wasCurrent && !isEntryCurrent()) {
+        for (const start of startsToProbe()) void stopAbandonedStart(start);
+        refresh();
+      }
     },
     isUsable: () =>
       canRenewLeases() &&
@@ -873,6 +940,7 @@
       }
       suspectedSinceMs = timer.nowMs();
       idleWake.resolve(undefined);
+      void probeUntilReport();
     },
     room,
     runs: () => runs.values(),
@@ -889,9 +957,3 @@
     },
   };
 }
-
-/** Whether the answer to a stop guarantees that the run cannot start later. */
-function preventsStart(answer: Result<OrderAnswer, EndpointError>): boolean {
-  if (answer.isErr) return false;
-  return answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED;
-}
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -21,6 +21,7 @@
   type StartOrder,
   type TaskRef,
 } from './leasedEndpoint.js';
+export { createProbeBudget, type ProbeBudget } from './probeBudget.js';
 export { createRetainedStarts, type RetainedStarts } from './retainedStarts.js';
 export { type UnacknowledgedStart } from './unacknowledgedStarts.js';
 export { RunStates, type Listing, type Run, type RunRequest, type RunState } from './run.js';
