fix(endpoints,dispatch): stop or claim a late run with the report that lists it

Callers saw: a task ran twice for 0.2 s longer than necessary. A job whose task had no other run waited for that stop and a new start.

Cause: the controller treated a run that it had started itself, and whose end it had inferred, as one of an earlier dispatcher, and left it 200 ms for a resubmitted job to claim it (CLAIM_WINDOW_MS). Nobody resubmits that job.

Why it works: a run counts as late if its start was unacknowledged or its end inferred here. Its task claims it if the job waits and the task has no other run. Otherwise its stop is sent with the report that lists it. Runs of an earlier dispatcher keep their 200 ms.

Changed test: the listing in observability.spec.ts has the new field.

--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -152,7 +152,7 @@
       find: () => ({ record, task }),
     });
     const listing: OrphanedRunListing = {
-      run: { task: task.ref, run: 1, firstSeenMs: 0, percent: 10 },
+      run: { task: task.ref, run: 1, firstSeenMs: 0, isLate: false, percent: 10 },
       inferredEnd: undefined,
       firstReportMs: 0,
     };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -14,9 +14,11 @@
 import {
   OrderAnswers,
   RunEnds,
+  taskKey,
   type EndpointEntry,
   type EndpointNetwork,
   type OrderAnswer,
+  type OrphanedRun,
   type Run,
   type RunEnd,
 } from '@celerybarrow/endpoints';
@@ -169,6 +171,7 @@
       },
       onOrphanedRun: (listing) => {
         duplicateRuns.check(endpoint, listing);
+        if (listing.run.isLate) claimLateRun(listing.run);
       },
     }),
     onRemoved: (endpoint) => {
@@ -441,6 +444,19 @@
     return true;
   }
 
+  /**
+   * Claims a run that started although it counted as ended, if its task has no other run. Otherwise
+   * the controller of the endpoint stops it.
+   */
+  function claimLateRun({ task: ref, run: number }: Readonly<OrphanedRun>): void {
+    const found = byTask.get(taskKey(ref));
+    if (found === undefined || !isWaiting(found.record, clock.nowMs())) return;
+    const { record, task } = found;
+    if (!reconciliation.claimTask(record, task)) return;
+    const { key, endpoint } = task;
+    logger.info('Late start is claimed.', { job: record.job.id, task: key, endpoint, run: number });
+  }
+
   function handleEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void {
     const found = byTask.get(run.key);
     if (found?.task.run !== run) return;
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -85,7 +85,7 @@
  * clock that runs 2% slow, plus the margin.
  */
 const MAX_UNSEEN_LEASE_MS = MAX_LEASE_MS / 0.98 + LEASE_END_MARGIN_MS;
-/** How long jobs may claim orphaned runs before the controller stops them. */
+/** How long jobs may claim the orphaned runs of an earlier dispatcher before they are stopped. */
 const CLAIM_WINDOW_MS = 200;
 /**
  * How long after a restart an entry without a start time is not used unless it changes, because it
@@ -121,7 +121,10 @@
   onLog(message: string, details: LogDetails): void;
   /** The controller inferred that a run terminated; the endpoint did not report how it ended. */
   onInferredEnd(run: Run, proof: TerminationProof, details: LogDetails): void;
-  /** A report lists a run that this controller did not start, or whose end it had inferred. */
+  /**
+   * A report lists a run that this controller did not start, or whose end it had inferred. A late run
+   * that is not claimed by the end of this call is stopped.
+   */
   onOrphanedRun(listing: OrphanedRunListing): void;
 }
 
@@ -437,12 +440,14 @@
     const writtenMs = report.clockMs + clockOffsetMs;
     for (const listed of report.running) {
       const key = taskKey(listed.task);
-      unacknowledgedStarts.recordResolved(key, listed.run);
+      const wasUnacknowledged = unacknowledgedStarts.recordResolved(key, listed.run);
       const run = runs.get(key);
       if (run?.number !== listed.run) {
+        const inferredEnd = inferredEnds.find(key, listed.run);
+        const isLate = wasUnacknowledged || inferredEnd !== undefined;
         events.onOrphanedRun({
-          run: orphanedRuns.recordRunning(listed, nowMs),
-          inferredEnd: inferredEnds.find(key, listed.run),
+          run: orphanedRuns.recordRunning(listed, nowMs, isLate),
+          inferredEnd,
           firstReportMs: firstReportMs ?? nowMs,
         });
         listedKeys.add(`orphaned ${key}`);
@@ -477,8 +482,10 @@
   }
 
   function stopUnclaimedRuns(nowMs: number): void {
-    if (firstReportMs === undefined || nowMs - firstReportMs < CLAIM_WINDOW_MS) return;
-    for (const orphan of orphanedRuns.dueForStop(nowMs, STOP_RETRY_MS, CLAIM_WINDOW_MS)) {
+    // Before that, jobs of an earlier dispatcher may not have been resubmitted yet.
+    const isWindowOver = nowMs - (firstReportMs ?? nowMs) >= CLAIM_WINDOW_MS;
+    const claimWindowMs = isWindowOver ? CLAIM_WINDOW_MS : Infinity;
+    for (const orphan of orphanedRuns.dueForStop(nowMs, STOP_RETRY_MS, claimWindowMs)) {
       void stopOrphanedRun(orphan, nowMs);
     }
   }
--- a/packages/endpoints/src/orphanedRuns.ts
+++ b/packages/endpoints/src/orphanedRuns.ts
@@ -14,18 +14,23 @@
   readonly task: TaskRef;
   readonly run: number;
   readonly firstSeenMs: number;
+  /**
+   * Whether this dispatcher sent its start, and the run counted as ended. No job is resubmitted to
+   * claim it, so it is stopped at once.
+   */
+  readonly isLate: boolean;
   percent: number;
   stopSentMs?: number;
 }
 
 export interface OrphanedRuns {
-  recordRunning(listed: RunningTask, nowMs: number): Readonly<OrphanedRun>;
+  recordRunning(listed: RunningTask, nowMs: number, isLate: boolean): Readonly<OrphanedRun>;
   recordEnd(key: string, run: number, end: RunEnd, nowMs: number): void;
   /** Drops the runs that are no longer listed. Returns whether there were any. */
   retain(isListed: (key: string) => boolean): boolean;
   /**
-   * Returns the runs that no job claimed within `claimWindowMs` and that were sent no stop within
-   * `retryMs`, and records that a stop is sent to them now.
+   * Returns the late runs, and the runs that no job claimed within `claimWindowMs`, that were sent no
+   * stop within `retryMs`, and records that a stop is sent to them now.
    */
   dueForStop(nowMs: number, retryMs: number, claimWindowMs: number): readonly OrphanedRun[];
   /**
@@ -52,7 +57,7 @@
   }
 
   return {
-    recordRunning(listed, nowMs) {
+    recordRunning(listed, nowMs, isLate) {
       const key = taskKey(listed.task);
       const known = running.get(key);
       if (known?.run === listed.run) {
@@ -60,7 +65,7 @@
         return known;
       }
       const { task, run, percent } = listed;
-      const orphan = { task, run, percent, firstSeenMs: nowMs };
+      const orphan = { task, run, percent, firstSeenMs: nowMs, isLate };
       running.set(key, orphan);
       return orphan;
     },
@@ -77,7 +82,7 @@
       removeExpiredEnds(nowMs);
       const due = [...running.values()].filter(
         (orphan) =>
-          nowMs - orphan.firstSeenMs >= claimWindowMs &&
+          (orphan.isLate || nowMs - orphan.firstSeenMs >= claimWindowMs) &&
           (orphan.stopSentMs === undefined || nowMs - orphan.stopSentMs >= retryMs),
       );
       for (const orphan of due) orphan.stopSentMs = nowMs;
--- a/packages/endpoints/src/unacknowledgedStarts.ts
+++ b/packages/endpoints/src/unacknowledgedStarts.ts
@@ -26,8 +26,11 @@
   record(task: TaskRef, run: number, sentMs: number): void;
   /** Records that a stop of the run was answered. */
   recordStopped(key: string, run: number): void;
-  /** Removes a start that was carried out or refused; no order is carried out twice. */
-  recordResolved(key: string, run: number): void;
+  /**
+   * Removes a start that was carried out or refused; no order is carried out twice. Returns whether
+   * it was unacknowledged.
+   */
+  recordResolved(key: string, run: number): boolean;
   /** Marks all starts as not stopped, because a restarted endpoint has forgotten the stops. */
   forgetStops(): void;
   /** Returns the starts that may still be carried out, now or after a restart of the endpoint. */
@@ -59,9 +62,7 @@
       const start = starts.get(runIdOf(key, run));
       if (start !== undefined) start.isStopped = true;
     },
-    recordResolved(key, run) {
-      starts.delete(runIdOf(key, run));
-    },
+    recordResolved: (key, run) => starts.delete(runIdOf(key, run)),
     forgetStops() {
       for (const start of starts.values()) start.isStopped = false;
     },
