fix(endpoints): don't infer from a lease that a start cannot come after a restart

Cause: a run on a silent endpoint counts as ended once the endpoint's clock has certainly passed its last lease. This proves nothing about a start that was never answered: the next incarnation may carry it out under its own clock.

Why it works: such a run ends with an answered stop, or 12 s after its start, and its task waits until then. Runs that had started on the endpoint end as before.

Changed test: "renews no lease under which an abandoned start could begin a run" needs the run to count as ended; the endpoint is now leaving meanwhile. Its assertions are the same.

--- a/packages/endpoints/__tests__/endpointController.spec.ts
+++ b/packages/endpoints/__tests__/endpointController.spec.ts
@@ -391,8 +391,10 @@
     endpoint.areStopsLost = true;
     endpoint.isUnresponsive = true;
     startRun(controller);
+    controller.update({ ...entry, isLeaving: true });
     await timer.advance(2_000);
     expect(ends.map(({ end }) => end)).toEqual([RunEnds.LAPSED]);
+    controller.update(entry);
     endpoint.isUnresponsive = false;
     const before = endpoint.renewals.length;
     await timer.advance(1_000);
@@ -422,6 +424,39 @@
     expect(endpoint.running()).toEqual([]);
   });
 
+  // Guards against seeds 8433 and 3051 of concurrentRuns.spec.ts: the run counted as ended with its
+  // lease, its task was started elsewhere, and the next incarnation carried out the start.
+  it('does not end a run with an unacknowledged start while the endpoint is silent, for 12 s', async () => {
+    const { timer, endpoint, controller, ends } = await openController();
+    const confirmed = controller.start({
+      task: { ...task, index: 1 },
+      number: 1,
+      demand,
+      payload: '',
+    });
+    await timer.advance(300);
+    endpoint.isUnresponsive = true;
+    startRun(controller);
+    await timer.advance(11_900);
+    expect(ends.map(({ run, end }) => [run, end])).toEqual([[confirmed, RunEnds.LAPSED]]);
+    await timer.advance(1_000);
+    expect(ends.length).toEqual(2);
+  });
+
+  it('ends a run with an unacknowledged start once the endpoint has restarted and was sent the stop', async () => {
+    const { timer, endpoint, controller, ends } = await openController();
+    endpoint.isDown = true;
+    startRun(controller);
+    await timer.advance(2_000);
+    expect(ends).toEqual([]);
+    endpoint.restart();
+    endpoint.isDown = false;
+    await timer.advance(200);
+    expect(ends.map(({ end }) => end)).toEqual([RunEnds.NOT_STARTED]);
+    endpoint.carryOut(order);
+    expect(endpoint.running()).toEqual([]);
+  });
+
   // Guards against seed 3809 of concurrentRuns.spec.ts: the start was carried out 32 ms after the
   // restart, 20 ms before the first call that reached the new incarnation.
   for (const downMs of [300, 315, 330, 345, 360]) {
--- a/packages/endpoints/__tests__/fakeEndpoint.ts
+++ b/packages/endpoints/__tests__/fakeEndpoint.ts
@@ -88,6 +88,7 @@
     async start(order): Promise<Result<OrderAnswer, EndpointError>> {
       fake.starts.push(order);
       await timer.sleep(1);
+      if (fake.isDown) return unanswered();
       if (fake.isUnresponsive || fake.areStartsLost) {
         await timer.sleep(100);
         return unanswered();
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -637,10 +637,21 @@
     if (!unacknowledgedLeases.haveExpired(timer.nowMs() - MAX_UNSEEN_LEASE_MS)) return;
     orphanedRuns.clear();
     for (const run of [...runs.values()]) {
-      endRun(run, RunEnds.LAPSED, undefined, TerminationProofs.SILENCE);
+      if (!mayStartAfterRestart(run))
+        endRun(run, RunEnds.LAPSED, undefined, TerminationProofs.SILENCE);
     }
   }
 
+  /**
+   * Whether a next incarnation of the silent endpoint may carry out the start, so that its task must
+   * not start elsewhere yet. If the endpoint is leaving, the run may end: the next controller under
+   * the id stops the start, and jobs would otherwise wait for reports of an endpoint that has left.
+   */
+  function mayStartAfterRestart(run: Run): boolean {
+    if (startedAt.has(run) || entry.isLeaving) return false;
+    return timer.nowMs() - startSentMsOf(run) < MAX_ORDER_DELAY_MS;
+  }
+
   /**
    * Whether the endpoint may still carry out a start that was sent to an earlier incarnation. The
    * lease of such a start ends on the clock of that incarnation, which does not apply to this one.
