refactor(endpoints): move the probes of a restarting endpoint into a module of their own

endpointController.ts holds the state of everything else that concerns an endpoint; the loop that sends stops needs only the starts, a budget and when to end.

--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -33,6 +33,7 @@
 } from './terminationProof.js';
 import { createOrphanedRuns, type OrphanedRun } from './orphanedRuns.js';
 import type { ProbeBudget } from './probeBudget.js';
+import { createRestartProbe } from './restartProbe.js';
 import { createUnacknowledgedLeases } from './unacknowledgedLeases.js';
 import {
   createUnacknowledgedStarts,
@@ -73,11 +74,6 @@
 /** Pause after an unanswered renewal. */
 const RETRY_MS = 60;
 const STOP_RETRY_MS = 120;
-/**
- * Interval between the stops of unacknowledged starts while the endpoint does not answer. A start can
- * be carried out unnoticed in the time between a restart and the first stop after it.
- */
-const PROBE_INTERVAL_MS = 20;
 /** Longest time a stop takes, plus a margin for the endpoint to notice the end of a lease. */
 const LEASE_END_MARGIN_MS = 80;
 /**
@@ -228,7 +224,6 @@
   let unanswered = 0;
   let pausedUntilMs = 0;
   let abandonedStopsSentMs = -Infinity;
-  let isProbing = false;
   /** When the newest restart was noticed, on the monotonic clock. */
   let restartSeenMs = -Infinity;
   /** Ends the pause between stops when the endpoint answers again. */
@@ -249,6 +244,14 @@
    */
   let refusedFence = -Infinity;
   let idleWake = createDeferred<undefined>();
+  const restartProbe = createRestartProbe({
+    timer,
+    budget: probes,
+    isNeeded: () => !closing.signal.aborted && (unanswered > 0 || isSuspected()),
+    starts: startsToProbe,
+    stop: stopAbandonedStart,
+    onAnswered: refresh,
+  });
 
   async function pollEndpoint(): Promise<void> {
     while (!closing.signal.aborted) {
@@ -369,7 +372,7 @@
 
   function countUnansweredCall(reason: string): void {
     unanswered += 1;
-    void probeUntilReport();
+    restartProbe.begin();
     if (unanswered !== UNRESPONSIVE_AFTER_CALLS) return;
     events.onLog('Endpoint is unresponsive.', { endpoint: entry.id, reason, runs: runs.size });
     events.onChange();
@@ -534,31 +537,6 @@
     return answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED;
   }
 
-  /**
-   * Sends the stops of unacknowledged starts while the endpoint may be restarting, also those that
-   * were answered, because the next incarnation does not know them.
-   */
-  async function probeUntilReport(): Promise<void> {
-    if (isProbing) return;
-    isProbing = true;
-    const unansweredStops = new Set<string>();
-    while (!closing.signal.aborted && (unanswered > 0 || isSuspected())) {
-      const starts = startsToProbe();
-      if (starts.length === 0) break;
-      for (const start of starts) {
-        const runId = `${start.key}#${start.run}`;
-        if (unansweredStops.has(runId) || !probes.take()) continue;
-        unansweredStops.add(runId);
-        void stopAbandonedStart(start).then((isAnswered) => {
-          unansweredStops.delete(runId);
-          if (isAnswered && (unanswered > 0 || isSuspected())) refresh();
-        });
-      }
-      await timer.sleep(PROBE_INTERVAL_MS);
-    }
-    isProbing = false;
-  }
-
   /** Returns the starts that a next incarnation may carry out although their runs count as ended. */
   function startsToProbe(): readonly UnacknowledgedStart[] {
     if (isReplaced) return [];
@@ -958,7 +936,7 @@
       }
       suspectedSinceMs = timer.nowMs();
       idleWake.resolve(undefined);
-      void probeUntilReport();
+      restartProbe.begin();
     },
     room,
     runs: () => runs.values(),
