--- a/packages/dispatch/__tests__/lateStart.spec.ts
+++ b/packages/dispatch/__tests__/lateStart.spec.ts
@@ -108,6 +108,7 @@
   const a = createFake(timer);
   const b = createFake(timer);
   const ignore = () => undefined;
+  const metrics = createMetrics();
   const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
   const network: EndpointNetwork = { open: ({ id }) => (id === 'a' ? a.endpoint : b.endpoint) };
   const dispatcher = createDispatcher({
@@ -116,7 +117,7 @@
     clock: createElapsedClock(timer),
     random: createRandom(1),
     logger,
-    metrics: createMetrics(),
+    metrics,
     fence: () => 1,
     onFenced: ignore,
   });
@@ -141,14 +142,15 @@
     }
   }
 
-  return { a: a.fake, b: b.fake, dispatcher, leaving, outcomes, advance, timer };
+  return { a: a.fake, b: b.fake, dispatcher, leaving, outcomes, advance, timer, metrics };
 }
 
 // A late start that the stops could not prevent: the endpoint restarted, and carried it out first.
 describe('a late start', () => {
   // Guards against a second run of a task: the late run was stopped after 200 ms only.
   it('is stopped at once if its task runs elsewhere', async () => {
-    const { a, b, dispatcher, leaving, advance, timer } = await submitWithUnacknowledgedStart();
+    const { a, b, dispatcher, leaving, advance, timer, metrics } =
+      await submitWithUnacknowledgedStart();
     dispatcher.setEndpoints([leaving, entryOf('b')]);
     await advance(100);
     expect(b.starts.map(({ run }) => run)).toEqual([2]);
@@ -158,16 +160,18 @@
     expect([...a.running.values()]).toEqual([]);
     expect(a.stopsAtMs.some((atMs) => atMs > restartedMs)).toEqual(true);
     expect(b.running.size).toEqual(1);
+    expect(metrics.counters()['late-start/stopped']).toEqual(1);
   });
 
   // Guards against a caller who waits while the only run of a task is stopped.
   it('is claimed as the run of its task if the task has no other run', async () => {
-    const { a, outcomes, advance } = await submitWithUnacknowledgedStart();
+    const { a, outcomes, advance, metrics } = await submitWithUnacknowledgedStart();
     a.restartWithLateStart();
     await advance(300);
     expect(a.running.size).toEqual(1);
     for (const run of a.running.values()) a.end(run, RunEnds.DONE);
     await advance(50);
     expect(outcomes.map(({ state }) => state)).toEqual([JobStates.COMPLETED]);
+    expect(metrics.counters()['late-start/claimed']).toEqual(1);
   });
 });
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -448,13 +448,16 @@
    * Claims a run that started although it counted as ended, if its task has no other run. Otherwise
    * the controller of the endpoint stops it.
    */
-  function claimLateRun({ task: ref, run: number }: Readonly<OrphanedRun>): void {
+  function claimLateRun({ task: ref, run: number, stopSentMs }: Readonly<OrphanedRun>): void {
     const found = byTask.get(taskKey(ref));
-    if (found === undefined || !isWaiting(found.record, clock.nowMs())) return;
-    const { record, task } = found;
-    if (!reconciliation.claimTask(record, task)) return;
-    const { key, endpoint } = task;
-    logger.info('Late start is claimed.', { job: record.job.id, task: key, endpoint, run: number });
+    const mayClaim = found !== undefined && isWaiting(found.record, clock.nowMs());
+    if (!mayClaim || !reconciliation.claimTask(found.record, found.task)) {
+      if (stopSentMs === undefined) metrics.increment('late-start/stopped');
+      return;
+    }
+    metrics.increment('late-start/claimed');
+    const { key, endpoint } = found.task;
+    logger.info('Late start is claimed.', { job: ref.job, task: key, endpoint, run: number });
   }
 
   function handleEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void {
