--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -14,9 +14,11 @@
 import {
   OrderAnswers,
   RunEnds,
+  taskKey,
   type EndpointEntry,
   type EndpointNetwork,
   type OrderAnswer,
+  type OrphanedRun,
   type Run,
   type RunEnd,
 } from '@celerybarrow/endpoints';
@@ -172,6 +174,7 @@
       },
       onOrphanedRun: (listing) => {
         duplicateRuns.check(endpoint, listing);
+        if (listing.run.isLate) claimLateRun(listing.run);
       },
     }),
     onRemoved: (endpoint) => {
@@ -466,6 +469,22 @@
     return true;
   }
 
+  /**
+   * Claims a run that started although it counted as ended, if its task has no other run. Otherwise
+   * the controller of the endpoint stops it.
+   */
+  function claimLateRun({ task: ref, run: number, stopSentMs }: Readonly<OrphanedRun>): void {
+    const found = byTask.get(taskKey(ref));
+    const mayClaim = found !== undefined && isWaiting(found.record, clock.nowMs());
+    if (!mayClaim || !reconciliation.claimTask(found.record, found.task)) {
+      if (stopSentMs === undefined) metrics.increment('late-start/stopped');
+      return;
+    }
+    metrics.increment('late-start/claimed');
+    const { key, endpoint } = found.task;
+    logger.info('Late start is claimed.', { job: ref.job, task: key, endpoint, run: number });
+  }
+
   function handleEnd(run: Run, end: RunEnd, answer: OrderAnswer | undefined): void {
     const found = byTask.get(run.key);
     if (found?.task.run !== run) return;
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -7,6 +7,10 @@
  * - An order gets no answer and is carried out late. The start stays unacknowledged until a report
  *   proves that the run has terminated (see unlistedRun.ts). The endpoint gets no further start
  *   before it reports again.
+ * - The endpoint restarts while a start is unacknowledged, and has forgotten the stop. From its first
+ *   unanswered call on, it is sent the stop frequently until it reports.
+ * - An earlier incarnation received such a start, left the directory, and its controller was
+ *   closed. The controller of the next incarnation stops these starts before it starts anything.
  * - An endpoint becomes unresponsive. Its runs lapse once its clock has certainly passed the end of
  *   the last lease.
  * - An endpoint restarts at the same address, possibly with other labels or another capacity. It
@@ -28,6 +32,8 @@
   type TerminationProof,
 } from './terminationProof.js';
 import { createOrphanedRuns, type OrphanedRun } from './orphanedRuns.js';
+import type { ProbeBudget } from './probeBudget.js';
+import { createRestartProbe } from './restartProbe.js';
 import { createUnacknowledgedLeases } from './unacknowledgedLeases.js';
 import {
   createUnacknowledgedStarts,
@@ -75,7 +81,7 @@
  * clock that runs 2% slow, plus the margin.
  */
 const MAX_UNSEEN_LEASE_MS = MAX_LEASE_MS / 0.98 + LEASE_END_MARGIN_MS;
-/** How long jobs may claim orphaned runs before the controller stops them. */
+/** How long jobs may claim the orphaned runs of an earlier dispatcher before they are stopped. */
 const CLAIM_WINDOW_MS = 200;
 /**
  * How long after a restart an entry without a start time is not used unless it changes, because it
@@ -90,6 +96,8 @@
  * The end of any run there lifts the pause.
  */
 const REFUSAL_PAUSE_MS = 120;
+/** Runs that are named in a log line of many. */
+const MAX_LOGGED_STARTS = 8;
 const REFUSALS: ReadonlySet<OrderAnswer> = new Set([
   OrderAnswers.NO_ROOM,
   OrderAnswers.UNHEALTHY,
@@ -109,7 +117,10 @@
   onLog(message: string, details: LogDetails): void;
   /** The controller inferred that a run terminated; the endpoint did not report how it ended. */
   onInferredEnd(run: Run, proof: TerminationProof, details: LogDetails): void;
-  /** A report lists a run that this controller did not start, or whose end it had inferred. */
+  /**
+   * A report lists a run that this controller did not start, or whose end it had inferred. A late run
+   * that is not claimed by the end of this call is stopped.
+   */
   onOrphanedRun(listing: OrphanedRunListing): void;
 }
 
@@ -131,6 +142,10 @@
   readonly timer: TimerService;
   readonly clock: ElapsedClock;
   readonly events: EndpointControllerEvents;
+  /** Starts that an earlier controller sent under this id and that may still be carried out. */
+  readonly earlierStarts?: readonly UnacknowledgedStart[];
+  /** Shared by the controllers of a dispatcher. */
+  readonly probes: ProbeBudget;
 }
 
 /** Starts and stops the tasks on one endpoint. No other instance does so at the same time. */
@@ -154,6 +169,8 @@
   orphanedRuns(): Iterable<Readonly<OrphanedRun>>;
   /** Whether nothing runs on the endpoint, neither of this dispatcher nor of an earlier one. */
   isEmpty(): boolean;
+  /** Returns the starts that the endpoint may still carry out, also after a restart. */
+  unacknowledgedStarts(): readonly UnacknowledgedStart[];
   start(request: RunRequest): Run;
   stop(run: Run): void;
   /**
@@ -171,7 +188,7 @@
 }
 
 export function createEndpointController(options: EndpointControllerOptions): EndpointController {
-  const { endpoint, fence, timer, clock, events } = options;
+  const { endpoint, fence, timer, clock, events, probes } = options;
   const closing = new AbortController();
   const openedMs = timer.nowMs();
   const endpointClock = createEndpointClock();
@@ -207,6 +224,8 @@
   let unanswered = 0;
   let pausedUntilMs = 0;
   let abandonedStopsSentMs = -Infinity;
+  /** When the newest restart was noticed, on the monotonic clock. */
+  let restartSeenMs = -Infinity;
   /** Ends the pause between stops when the endpoint answers again. */
   let stopPause = new AbortController();
   /**
@@ -225,6 +244,14 @@
    */
   let refusedFence = -Infinity;
   let idleWake = createDeferred<undefined>();
+  const restartProbe = createRestartProbe({
+    timer,
+    budget: probes,
+    isNeeded: () => !closing.signal.aborted && (unanswered > 0 || isSuspected()),
+    starts: startsToProbe,
+    stop: stopAbandonedStart,
+    onAnswered: refresh,
+  });
 
   async function pollEndpoint(): Promise<void> {
     while (!closing.signal.aborted) {
@@ -345,6 +372,7 @@
 
   function countUnansweredCall(reason: string): void {
     unanswered += 1;
+    restartProbe.begin();
     if (unanswered !== UNRESPONSIVE_AFTER_CALLS) return;
     events.onLog('Endpoint is unresponsive.', { endpoint: entry.id, reason, runs: runs.size });
     events.onChange();
@@ -415,12 +443,14 @@
     const writtenMs = report.clockMs + clockOffsetMs;
     for (const listed of report.running) {
       const key = taskKey(listed.task);
-      unacknowledgedStarts.recordResolved(key, listed.run);
+      const wasUnacknowledged = unacknowledgedStarts.recordResolved(key, listed.run);
       const run = runs.get(key);
       if (run?.number !== listed.run) {
+        const inferredEnd = inferredEnds.find(key, listed.run);
+        const isLate = wasUnacknowledged || inferredEnd !== undefined;
         events.onOrphanedRun({
-          run: orphanedRuns.recordRunning(listed, nowMs),
-          inferredEnd: inferredEnds.find(key, listed.run),
+          run: orphanedRuns.recordRunning(listed, nowMs, isLate),
+          inferredEnd,
           firstReportMs: firstReportMs ?? nowMs,
         });
         listedKeys.add(`orphaned ${key}`);
@@ -455,8 +485,10 @@
   }
 
   function stopUnclaimedRuns(nowMs: number): void {
-    if (firstReportMs === undefined || nowMs - firstReportMs < CLAIM_WINDOW_MS) return;
-    for (const orphan of orphanedRuns.dueForStop(nowMs, STOP_RETRY_MS, CLAIM_WINDOW_MS)) {
+    // Before that, jobs of an earlier dispatcher may not have been resubmitted yet.
+    const isWindowOver = nowMs - (firstReportMs ?? nowMs) >= CLAIM_WINDOW_MS;
+    const claimWindowMs = isWindowOver ? CLAIM_WINDOW_MS : Infinity;
+    for (const orphan of orphanedRuns.dueForStop(nowMs, STOP_RETRY_MS, claimWindowMs)) {
       void stopOrphanedRun(orphan, nowMs);
     }
   }
@@ -484,11 +516,33 @@
   function stopAbandonedStarts(nowMs: number): void {
     if (nowMs - abandonedStopsSentMs < STOP_RETRY_MS) return;
     abandonedStopsSentMs = nowMs;
-    for (const { key, task, run } of abandonedStarts()) {
-      void endpoint.stop({ task, run, fence: fence() }).then((answer) => {
-        if (!closing.signal.aborted && preventsStart(answer)) recordStopped(key, run);
-      });
-    }
+    for (const start of abandonedStarts()) void stopAbandonedStart(start);
+  }
+
+  /** Returns whether the stop was answered. */
+  async function stopAbandonedStart({ key, task, run }: UnacknowledgedStart): Promise<boolean> {
+    const sentMs = timer.nowMs();
+    const answer = await endpoint.stop({ task, run, fence: fence() });
+    if (closing.signal.aborted || !preventsStart(answer, sentMs)) return false;
+    recordStopped(key, run);
+    return true;
+  }
+
+  /**
+   * Whether the answer to a stop guarantees that the run cannot start later. The answer to a stop that
+   * was sent before a restart may be that of the earlier incarnation.
+   */
+  function preventsStart(answer: Result<OrderAnswer, EndpointError>, sentMs: number): boolean {
+    if (answer.isErr || sentMs < restartSeenMs) return false;
+    return answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED;
+  }
+
+  /** Returns the starts that a next incarnation may carry out although their runs count as ended. */
+  function startsToProbe(): readonly UnacknowledgedStart[] {
+    if (isReplaced) return [];
+    return unacknowledgedStarts
+      .all(timer.nowMs())
+      .filter(({ key, run }) => runs.get(key)?.number !== run);
   }
 
   function recordStopped(key: string, run: number): void {
@@ -503,9 +557,12 @@
     isReplaced = true;
     lastReportMs = Math.max(lastReportMs ?? requestedMs, requestedMs);
     resetIncarnation();
-    unacknowledgedStarts.clear();
-    for (const run of [...runs.values()])
+    unacknowledgedStarts.forgetStops();
+    for (const run of [...runs.values()]) {
+      // The endpoint may return under its id, here or at another address.
+      recordUnacknowledgedStart(run);
       endRun(run, RunEnds.LAPSED, undefined, TerminationProofs.REPLACED);
+    }
   }
 
   /**
@@ -517,8 +574,10 @@
     logNewIncarnation('restarted', details);
     resetIncarnation();
     entryAtRestart = { entry, atMs: timer.nowMs() };
+    restartSeenMs = timer.nowMs();
     stopAnsweredAt.clear();
     unacknowledgedStarts.forgetStops();
+    abandonedStopsSentMs = -Infinity;
     unacknowledgedLeases.beginIncarnation(timer.nowMs());
     for (const run of runs.values()) runsOfEarlierIncarnation.add(run);
     // Only a report requested from now on can prove that the earlier runs ended. The answer to a
@@ -556,10 +615,21 @@
     if (!unacknowledgedLeases.haveExpired(timer.nowMs() - MAX_UNSEEN_LEASE_MS)) return;
     orphanedRuns.clear();
     for (const run of [...runs.values()]) {
-      endRun(run, RunEnds.LAPSED, undefined, TerminationProofs.SILENCE);
+      if (!mayStartAfterRestart(run))
+        endRun(run, RunEnds.LAPSED, undefined, TerminationProofs.SILENCE);
     }
   }
 
+  /**
+   * Whether a next incarnation of the silent endpoint may carry out the start, so that its task must
+   * not start elsewhere yet. If the endpoint is leaving, the run may end: the next controller under
+   * the id stops the start, and jobs would otherwise wait for reports of an endpoint that has left.
+   */
+  function mayStartAfterRestart(run: Run): boolean {
+    if (startedAt.has(run) || entry.isLeaving) return false;
+    return timer.nowMs() - startSentMsOf(run) < MAX_ORDER_DELAY_MS;
+  }
+
   /**
    * Whether the endpoint may still carry out a start that was sent to an earlier incarnation. The
    * lease of such a start ends on the clock of that incarnation, which does not apply to this one.
@@ -700,11 +770,12 @@
     for (let attempt = 1; !closing.signal.aborted && runs.get(run.key) === run; attempt += 1) {
       const sentFence = fence();
       const order = { task: run.task, run: run.number, fence: sentFence };
+      const sentMs = timer.nowMs();
       const answer = await endpoint.stop(order);
       if (closing.signal.aborted || runs.get(run.key) !== run) return;
       if (answer.isErr && attempt === 1) logUnansweredStop(run, answer.error.message);
       if (answer.isOk && answer.value === OrderAnswers.FENCED) recordFenced(sentFence);
-      if (preventsStart(answer)) {
+      if (preventsStart(answer, sentMs)) {
         stopAnsweredAt.set(run, timer.nowMs());
         // The start may be unanswered at this point, and its answer may never arrive.
         recordUnacknowledgedStart(run);
@@ -811,6 +882,23 @@
     return { cores, memoryMb, accelerators };
   }
 
+  function takeOverEarlierStarts(starts: readonly UnacknowledgedStart[]): void {
+    if (starts.length === 0) return;
+    for (const { task, run, sentMs } of starts) unacknowledgedStarts.record(task, run, sentMs);
+    const nowMs = timer.nowMs();
+    events.onLog('Starts of an earlier incarnation are stopped first.', {
+      endpoint: entry.id,
+      starts: starts.length,
+      runs: starts
+        .slice(0, MAX_LOGGED_STARTS)
+        .map(({ key, run }) => `${key}#${run}`)
+        .join(' '),
+      newestAgoMs: Math.round(nowMs - Math.max(...starts.map(({ sentMs }) => sentMs))),
+    });
+    stopAbandonedStarts(clock.nowMs());
+  }
+
+  takeOverEarlierStarts(options.earlierStarts ?? []);
   void pollEndpoint();
 
   return {
@@ -821,7 +909,10 @@
       entry = next;
       compareEntry();
       // The next poll of an idle endpoint may be too far away to learn which incarnation answers.
-      if (wasCurrent && !isEntryCurrent()) refresh();
+      if (wasCurrent && !isEntryCurrent()) {
+        for (const start of startsToProbe()) void stopAbandonedStart(start);
+        refresh();
+      }
     },
     isUsable: () =>
       canRenewLeases() &&
@@ -845,11 +936,13 @@
       }
       suspectedSinceMs = timer.nowMs();
       idleWake.resolve(undefined);
+      restartProbe.begin();
     },
     room,
     runs: () => runs.values(),
     orphanedRuns: () => orphanedRuns.all(),
     isEmpty,
+    unacknowledgedStarts: () => unacknowledgedStarts.all(timer.nowMs()),
     start,
     stop,
     claim,
@@ -860,9 +953,3 @@
     },
   };
 }
-
-/** Whether the answer to a stop guarantees that the run cannot start later. */
-function preventsStart(answer: Result<OrderAnswer, EndpointError>): boolean {
-  if (answer.isErr) return false;
-  return answer.value === OrderAnswers.ACCEPTED || answer.value === OrderAnswers.OUTDATED;
-}
--- a/packages/endpoints/src/unacknowledgedStarts.ts
+++ b/packages/endpoints/src/unacknowledgedStarts.ts
@@ -26,15 +26,19 @@
   record(task: TaskRef, run: number, sentMs: number): void;
   /** Records that a stop of the run was answered. */
   recordStopped(key: string, run: number): void;
-  /** Removes a start that was carried out or refused; no order is carried out twice. */
-  recordResolved(key: string, run: number): void;
+  /**
+   * Removes a start that was carried out or refused; no order is carried out twice. Returns whether
+   * it was unacknowledged.
+   */
+  recordResolved(key: string, run: number): boolean;
   /** Marks all starts as not stopped, because a restarted endpoint has forgotten the stops. */
   forgetStops(): void;
+  /** Returns the starts that may still be carried out, now or after a restart of the endpoint. */
+  all(nowMs: number): readonly UnacknowledgedStart[];
   /** Returns the starts without an answered stop. */
   open(nowMs: number): readonly UnacknowledgedStart[];
   /** Whether no start can be carried out any more, not even after a restart of the endpoint. */
   isEmpty(nowMs: number): boolean;
-  clear(): void;
 }
 
 const NONE: readonly UnacknowledgedStart[] = [];
@@ -58,12 +62,14 @@
       const start = starts.get(runIdOf(key, run));
       if (start !== undefined) start.isStopped = true;
     },
-    recordResolved(key, run) {
-      starts.delete(runIdOf(key, run));
-    },
+    recordResolved: (key, run) => starts.delete(runIdOf(key, run)),
     forgetStops() {
       for (const start of starts.values()) start.isStopped = false;
     },
+    all(nowMs) {
+      removeExpired(nowMs);
+      return [...starts.values()].map(({ key, task, run, sentMs }) => ({ key, task, run, sentMs }));
+    },
     open(nowMs) {
       if (starts.size === 0) return NONE;
       removeExpired(nowMs);
@@ -73,8 +79,5 @@
       removeExpired(nowMs);
       return starts.size === 0;
     },
-    clear() {
-      starts.clear();
-    },
   };
 }
