feat(ingress): keep callers within limits of memory, connections and time

Cause: callers that never finish, never read or send in excess use up the memory and the descriptors of a process: 1,800 bodies just short of their end take 541 MB, and 3,800 idle connections all descriptors.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,19 +2,28 @@
  * The HTTP interface for callers. A submission gets its response when the job has ended. A caller
  * that disconnects does not cancel its job, because it may submit the same id again.
  */
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import type { ServerResponse } from 'node:http';
 import { once } from 'node:events';
+import {
+  computeIngressLimits,
+  createGuardedListener,
+  createIngress,
+  readIngressLimits,
+  type Exchange,
+  type Ingress,
+  type Refusal,
+} from '@celerybarrow/ingress';
 import { bindListener, describeError, Outcomes, type Address } from '@celerybarrow/shared';
 import type { Problem, Reply } from '@celerybarrow/protocol';
 import type { Router } from '@celerybarrow/jobs';
 import type { Logger, Metrics } from '@celerybarrow/telemetry';
-import { BodyErrors, readBody } from './readBody.js';
 import { sendAnswer, sendJson, sendProblem } from './httpReplies.js';
 import { readSubmission } from './readSubmission.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 const HEADERS_TIMEOUT_MS = 10_000;
 const REQUEST_TIMEOUT_MS = 30_000;
+const IDLE_TIMEOUT_MS = 15_000;
 const MAX_OPEN_REQUESTS = 4_096;
 const BUSY_RETRY_MS = 1_000;
 const JOB_PATH = /^\/v1\/jobs\/([^/?]+)$/;
@@ -32,25 +41,38 @@
   readonly router: Router;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Limits for callers; by default those of the environment variables. */
+  readonly ingress?: Ingress;
 }
 
-export function createGateway({ router, logger, metrics }: GatewayOptions): Gateway {
+export function createGateway(options: GatewayOptions): Gateway {
+  const { router, logger, metrics } = options;
+  const ingress = options.ingress ?? createDefaultIngress(options);
   let openRequestCount = 0;
   let isDraining = false;
-  const server = createServer((request, response) => {
-    void serve(request, response);
+  const listener = createGuardedListener({
+    ingress,
+    name: 'gateway',
+    connectionLimit: () => ingress.limits.connections,
+    handle: serve,
+    sendRefusal: (response, refusal) => {
+      sendProblem(response, refused(refusal));
+    },
+    sendFailure: (response) => {
+      sendProblem(response, internalError());
+    },
   });
+  const { server } = listener;
   server.headersTimeout = HEADERS_TIMEOUT_MS;
   server.requestTimeout = REQUEST_TIMEOUT_MS;
-  server.on('clientError', (_error, socket) => {
-    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n');
-  });
+  listener.setTimes({ headMs: HEADERS_TIMEOUT_MS, idleMs: IDLE_TIMEOUT_MS });
 
-  async function serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function serve(exchange: Exchange): Promise<void> {
+    const { response } = exchange;
     openRequestCount += 1;
     if (isDraining) response.setHeader('connection', 'close');
     try {
-      await route(request, response);
+      await route(exchange);
     } catch (error) {
       logger.error('Request failed with an internal error.', { reason: describeError(error) });
       sendProblem(response, internalError());
@@ -59,12 +81,14 @@
     }
   }
 
-  async function route(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function route(exchange: Exchange): Promise<void> {
+    const { request, response } = exchange;
     const path = new URL(request.url ?? '/', 'http://gateway').pathname;
     if (path === '/v1/jobs' && request.method === 'POST') {
-      await submit(request, response);
+      await submit(exchange);
       return;
     }
+    exchange.discardBody();
     const id = parseJobId(path);
     if (id !== undefined && request.method === 'GET') {
       sendStatus(response, id, await router.lookup(id));
@@ -75,19 +99,20 @@
     }
   }
 
-  async function submit(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function submit({ response, discardBody, readDocument }: Exchange): Promise<void> {
     if (openRequestCount > MAX_OPEN_REQUESTS) {
+      discardBody();
       sendProblem(response, tooBusy());
       return;
     }
-    const body = await readBody(request, MAX_BODY_BYTES);
-    if (body.isErr) {
-      response.setHeader('connection', 'close');
-      if (body.error === BodyErrors.TOO_LARGE) sendProblem(response, tooLarge());
-      else response.destroy();
-      return;
-    }
-    const submission = readSubmission(body.value, (id) => router.findHome(id));
+    const submission = await readDocument({
+      maxBytes: MAX_BODY_BYTES,
+      withinMs: REQUEST_TIMEOUT_MS,
+      countedField: 'tasks',
+      maxItems: ingress.limits.steps,
+      parse: (text) => readSubmission(text, (id) => router.findHome(id)),
+    });
+    if (submission === undefined) return;
     if (submission.isErr) {
       metrics.increment('gateway.bad-input');
       sendProblem(response, submission.error);
@@ -153,11 +178,23 @@
   return { status: 404, title: 'Not found', detail, outcome: Outcomes.MAY_HAVE_RUN };
 }
 
+function refused({ status, reason }: Refusal): Problem {
+  if (status === 413) return tooLarge();
+  return { status, title: 'Refused', detail: reason, outcome: Outcomes.NOT_RUN };
+}
+
 function tooLarge(): Problem {
   const detail = `the body is larger than ${MAX_BODY_BYTES} bytes`;
   return { status: 413, title: 'Body too large', detail, outcome: Outcomes.NOT_RUN };
 }
 
+function createDefaultIngress({ logger, metrics }: GatewayOptions): Ingress {
+  const limits = readIngressLimits({}, process.env);
+  if (limits.isErr)
+    logger.error('Ingress limits are not valid.', { faults: limits.error.join('; ') });
+  return createIngress({ limits: limits.unwrapOr(computeIngressLimits()), logger, metrics });
+}
+
 function tooBusy(): Problem {
   const detail = 'this instance has too many open requests';
   return {
--- /dev/null
+++ b/packages/ingress/src/exchange.ts
@@ -0,0 +1,306 @@
+/** One request and its response, with the limits for reading the request's body. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { describeError } from '@celerybarrow/shared';
+import { createBodyCollector } from './bodyCollector.js';
+import { measureDocument } from './documentShape.js';
+import type { Ingress } from './ingress.js';
+import type { BodyReader } from './readingBudget.js';
+import { nextRetryAfterS, Refusals, type Refusal } from './refusals.js';
+
+/** Smaller bodies with few values are parsed at once; the wait for a turn would cost more. */
+const LARGE_BYTES = 16_384;
+const MANY_ELEMENTS = 500;
+/** Estimated memory of a request in hand, and of one value of its document. */
+const REQUEST_BYTES = 1_024;
+const ELEMENT_BYTES = 100;
+const MIN_ELEMENT_BYTES = 2;
+/** Bytes of a refused body that are read and discarded, so that its sender reads the response. */
+const LINGER_BYTES = 262_144;
+const MAX_LOGGED_CHARACTERS = 100;
+
+export interface DocumentOptions<T> {
+  readonly maxBytes: number;
+  /** Time for the whole body. */
+  readonly withinMs: number;
+  /** Field of the outermost object whose items are counted, and their limit. */
+  readonly countedField: string;
+  readonly maxItems: number;
+  /** Parses the text into the request. Anything that it throws refuses the request. */
+  readonly parse: (text: string) => T;
+}
+
+export interface Exchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** When the head had arrived. */
+  readonly receivedMs: number;
+  /** Aborted when the connection ends before the response was sent. */
+  readonly left: () => AbortSignal;
+  /** Resolves with undefined if the request was refused, which is answered, or its caller has left. */
+  readonly readDocument: <T>(options: DocumentOptions<T>) => Promise<T | undefined>;
+  /** Declares that the body, if there is one, is not read: the connection ends with the response. */
+  readonly discardBody: () => void;
+  readonly refuse: (refusal: Refusal) => void;
+}
+
+/** The connection of an exchange, as the listener tracks it. */
+export interface ExchangeConnection {
+  readonly address: string;
+  body: BodyReading | undefined;
+  /** Whether it ends with a response that is decided; further requests on it are ignored. */
+  isClosing: boolean;
+  /** Marks the connection as closing; it is closed in any case after a short time. */
+  readonly startClosing: () => void;
+  readonly isPressed: () => boolean;
+}
+
+/** A body that is being read. */
+export interface BodyReading {
+  readonly sinceMs: number;
+  readonly untilMs: number;
+  progressMs: number;
+  bytes: number;
+  readonly refuse: (refusal: Refusal) => void;
+}
+
+export interface ExchangeOptions {
+  readonly ingress: Ingress;
+  readonly listener: string;
+  readonly connection: ExchangeConnection;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Whether the caller waits for `100 Continue` before it sends the body. */
+  readonly isContinueExpected: boolean;
+  readonly sendRefusal: (response: ServerResponse, refusal: Refusal) => void;
+}
+
+export interface OwnedExchange extends Exchange {
+  /** Releases what the exchange holds. Called once its response was sent or its connection closed. */
+  readonly end: () => void;
+}
+
+export function createExchange(options: ExchangeOptions): OwnedExchange {
+  const { ingress, connection, request, response } = options;
+  const { limits, timer, reading, work, queue } = ingress;
+  const receivedMs = timer.nowMs();
+  let reservedBytes = 0;
+  let controller: AbortController | undefined;
+  let hasEnded = false;
+  let abandon: (() => void) | undefined;
+
+  function left(): AbortSignal {
+    controller ??= new AbortController();
+    if (hasEnded && !response.writableFinished) controller.abort();
+    return controller.signal;
+  }
+
+  function end(): void {
+    if (hasEnded) return;
+    hasEnded = true;
+    work.release(reservedBytes);
+    reservedBytes = 0;
+    abandon?.();
+    if (!response.writableFinished) controller?.abort();
+  }
+
+  function declaredBytes(): number {
+    return Number(request.headers['content-length'] ?? 0);
+  }
+
+  function hasBody(): boolean {
+    return request.headers['transfer-encoding'] !== undefined || declaredBytes() > 0;
+  }
+
+  function discardBody(): void {
+    if (hasBody() && !request.complete) closeAfterResponse();
+  }
+
+  function closeAfterResponse(): void {
+    if (connection.isClosing) return;
+    connection.isClosing = true;
+    if (!response.headersSent) response.setHeader('connection', 'close');
+    const { socket } = request;
+    const mayLinger = declaredBytes() <= LINGER_BYTES && !connection.isPressed();
+    const destroySoon = socket.destroySoon.bind(socket);
+    // Node.js calls this once the response was sent. To close a connection with unread data resets
+    // it, and the caller may then lose the response.
+    socket.destroySoon = () => {
+      if (request.complete || !mayLinger) {
+        destroySoon();
+        return;
+      }
+      let discarded = 0;
+      request.on('data', (chunk: Buffer) => {
+        discarded += chunk.length;
+        if (discarded > LINGER_BYTES) socket.destroy();
+      });
+      request.once('end', destroySoon);
+      request.resume();
+      socket.end();
+    };
+    response.once('finish', connection.startClosing);
+  }
+
+  function refuse(refusal: Refusal): void {
+    const { status, reason } = refusal;
+    ingress.metrics.increment(`ingress-refused/${options.listener}/${reason}`);
+    ingress.log.warn('Request is refused.', {
+      listener: options.listener,
+      status,
+      reason,
+      path: request.url?.slice(0, MAX_LOGGED_CHARACTERS),
+      remote: connection.address,
+      declaredBytes: declaredBytes(),
+      readingBytes: reading.heldBytes(),
+      workBytes: work.reservedBytes(),
+    });
+    if (response.destroyed || response.headersSent) {
+      request.socket.destroy();
+      return;
+    }
+    // The unread rest of the body would be parsed as the next request on this connection.
+    closeAfterResponse();
+    if (status === 503) response.setHeader('retry-after', String(nextRetryAfterS()));
+    options.sendRefusal(response, refusal);
+    // A client that does not read the response must not keep the connection either. A response
+    // without a socket waits for that of an earlier request.
+    if (response.socket !== null) connection.startClosing();
+  }
+
+  function readDocument<T>(document: DocumentOptions<T>): Promise<T | undefined> {
+    return new Promise((resolve) => {
+      if (hasEnded) {
+        resolve(undefined);
+        return;
+      }
+      if (declaredBytes() > document.maxBytes) {
+        refuse(Refusals.TOO_LARGE);
+        resolve(undefined);
+        return;
+      }
+      const collector = createBodyCollector();
+      const nowMs = timer.nowMs();
+      let leaveQueue: (() => void) | undefined;
+      let isSettled = false;
+
+      const reader: BodyReader = {
+        address: connection.address,
+        onEvicted: () => {
+          refuseDocument(Refusals.READING_MEMORY);
+        },
+      };
+      const body: BodyReading = {
+        sinceMs: nowMs,
+        untilMs: nowMs + Math.min(limits.bodyMs, document.withinMs),
+        progressMs: nowMs,
+        bytes: 0,
+        refuse: refuseDocument,
+      };
+
+      function settle(value: T | undefined): void {
+        isSettled = true;
+        abandon = undefined;
+        leaveQueue?.();
+        reading.close(reader);
+        request.off('data', onData);
+        request.off('end', onEnd);
+        if (connection.body === body) connection.body = undefined;
+        resolve(value);
+      }
+
+      function refuseDocument(refusal: Refusal): void {
+        if (isSettled) return;
+        settle(undefined);
+        request.pause();
+        refuse(refusal);
+      }
+
+      /** Refuses the request if the guard itself fails. */
+      function failClosed(act: () => void): void {
+        try {
+          act();
+        } catch (error) {
+          ingress.metrics.increment(`ingress-failed/${options.listener}`);
+          ingress.log.warn('Reading failed with an internal error.', {
+            reason: describeError(error),
+          });
+          refuseDocument(Refusals.INTERNAL);
+        }
+      }
+
+      function onData(chunk: Buffer): void {
+        failClosed(() => {
+          collector.add(chunk);
+          body.bytes = collector.bytes();
+          if (body.bytes > document.maxBytes) {
+            refuseDocument(Refusals.TOO_LARGE);
+            return;
+          }
+          body.progressMs = timer.nowMs();
+          reading.hold(reader, collector.heldBytes(), body.progressMs);
+        });
+      }
+
+      function onEnd(): void {
+        failClosed(() => {
+          if (connection.body === body) connection.body = undefined;
+          if (body.bytes < LARGE_BYTES) parseText(takeText());
+          else
+            enqueue(() => {
+              parseText(takeText(), true);
+            });
+        });
+      }
+
+      function takeText(): string {
+        return collector.take().toString('utf8');
+      }
+
+      function enqueue(act: () => void): void {
+        leaveQueue = queue.add(body.bytes, () => {
+          if (!isSettled) failClosed(act);
+        });
+        if (leaveQueue === undefined) refuseDocument(Refusals.QUEUE);
+      }
+
+      function parseText(text: string, isQueued = false): void {
+        const shapeLimits = {
+          elements: limits.elements ?? Math.ceil(document.maxBytes / MIN_ELEMENT_BYTES),
+          depth: limits.depth,
+          items: document.maxItems,
+        };
+        const { elements, fault } = measureDocument(text, shapeLimits, document.countedField);
+        if (fault !== undefined) {
+          refuseDocument({ status: 400, reason: fault });
+          return;
+        }
+        if (!isQueued && elements > MANY_ELEMENTS)
+          enqueue(() => {
+            parseMeasured(text, elements);
+          });
+        else parseMeasured(text, elements);
+      }
+
+      function parseMeasured(text: string, elements: number): void {
+        const bytes = REQUEST_BYTES + text.length + ELEMENT_BYTES * elements;
+        if (!work.reserve(bytes)) {
+          refuseDocument(Refusals.WORK_MEMORY);
+          return;
+        }
+        reservedBytes = bytes;
+        settle(document.parse(text));
+      }
+
+      abandon = () => {
+        if (!isSettled) settle(undefined);
+      };
+      reading.open(reader);
+      connection.body = body;
+      request.on('data', onData);
+      request.on('end', onEnd);
+      if (options.isContinueExpected) response.writeContinue();
+    });
+  }
+
+  return { request, response, receivedMs, left, readDocument, discardBody, refuse, end };
+}
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -21,7 +21,8 @@
     'admission',
     'telemetry',
   ],
-  gateway: ['shared', 'protocol', 'membership', 'jobs', 'telemetry'],
+  ingress: ['shared', 'timer', 'telemetry'],
+  gateway: ['shared', 'protocol', 'membership', 'jobs', 'ingress', 'telemetry'],
   endpoints: ['shared', 'timer', 'protocol', 'telemetry'],
   dispatch: ['shared', 'timer', 'protocol', 'endpoints', 'telemetry'],
   leadership: ['shared', 'timer', 'protocol', 'store', 'telemetry'],
@@ -75,5 +76,6 @@
     'claims',
     'daemon',
     'standins',
+    'ingress',
   ],
 };
