--- a/packages/ingress/src/bodyCollector.ts
+++ b/packages/ingress/src/bodyCollector.ts
@@ -2,8 +2,7 @@
  * Collects the chunks of a body in blocks. Handles bodies in very many small chunks: each chunk has
  * a backing store of its own, which costs some hundred bytes even for a single byte.
  */
-const FIRST_BLOCK_BYTES = 4_096;
-const MAX_BLOCK_BYTES = 65_536;
+import { MAX_BLOCK_BYTES, type BlockPool } from './blockPool.js';
 
 export interface BodyCollector {
   add(chunk: Buffer): void;
@@ -11,57 +10,64 @@
   bytes(): number;
   /** Bytes of memory that are kept for the body. */
   heldBytes(): number;
-  /** Returns the body and releases the blocks. */
-  take(): Buffer;
+  text(): string;
+  /** Gives the memory back. */
+  release(): void;
 }
 
-export function createBodyCollector(): BodyCollector {
-  const parts: Buffer[] = [];
-  let block: Buffer | undefined;
-  let used = 0;
+export function createBodyCollector(pool: BlockPool): BodyCollector {
+  /** Most bodies are one chunk, which needs no copy. */
+  let onlyChunk: Buffer | undefined;
+  let blocks: Buffer[] = [];
+  let free = 0;
   let bytes = 0;
   let heldBytes = 0;
 
-  function seal(): void {
-    if (block !== undefined && used > 0) parts.push(block.subarray(0, used));
-    block = undefined;
-    used = 0;
-  }
-
-  function openBlock(): Buffer {
-    const size = Math.min(MAX_BLOCK_BYTES, Math.max(FIRST_BLOCK_BYTES, heldBytes));
-    heldBytes += size;
-    // Not from the shared pool, of which a small part would keep the whole.
-    return Buffer.allocUnsafeSlow(size);
+  function append(chunk: Buffer): void {
+    for (let copied = 0; copied < chunk.length;) {
+      let block = blocks.at(-1);
+      if (block === undefined || free === 0) {
+        block = pool.take(Math.max(heldBytes, Math.min(chunk.length - copied, MAX_BLOCK_BYTES)));
+        blocks.push(block);
+        free = block.length;
+        heldBytes += block.length;
+      }
+      const length = Math.min(free, chunk.length - copied);
+      chunk.copy(block, block.length - free, copied, copied + length);
+      copied += length;
+      free -= length;
+    }
   }
 
   return {
     add(chunk) {
       bytes += chunk.length;
-      // Most bodies are one chunk, which needs no copy.
-      if (heldBytes === 0) {
-        parts.push(chunk);
-        heldBytes += chunk.length;
+      if (bytes === chunk.length) {
+        onlyChunk = chunk;
+        heldBytes = chunk.length;
         return;
       }
-      for (let copied = 0; copied < chunk.length;) {
-        block ??= openBlock();
-        const length = Math.min(block.length - used, chunk.length - copied);
-        chunk.copy(block, used, copied, copied + length);
-        copied += length;
-        used += length;
-        if (used === block.length) seal();
+      if (onlyChunk !== undefined) {
+        heldBytes = 0;
+        append(onlyChunk);
+        onlyChunk = undefined;
       }
+      append(chunk);
     },
     bytes: () => bytes,
     heldBytes: () => heldBytes,
-    take() {
-      seal();
-      const [first, ...rest] = parts;
-      const body = first !== undefined && rest.length === 0 ? first : Buffer.concat(parts, bytes);
-      parts.length = 0;
+    text() {
+      if (onlyChunk !== undefined) return onlyChunk.toString('utf8');
+      const [first] = blocks;
+      if (first !== undefined && blocks.length === 1) return first.toString('utf8', 0, bytes);
+      return Buffer.concat(blocks, bytes).toString('utf8');
+    },
+    release() {
+      for (const block of blocks) pool.give(block);
+      blocks = [];
+      free = 0;
+      onlyChunk = undefined;
       heldBytes = 0;
-      return body;
     },
   };
 }
--- a/packages/ingress/src/exchange.ts
+++ b/packages/ingress/src/exchange.ts
@@ -16,6 +16,10 @@
 const MIN_ELEMENT_BYTES = 2;
 /** Bytes of a refused body that are read and discarded, so that its sender reads the response. */
 const LINGER_BYTES = 262_144;
+/** Chunks of a body after which the connection waits for a turn before it is read further. */
+const CHUNKS_PER_TURN = 1_024;
+/** Bodies that wait for such a turn. More of them would take the processor time of the others. */
+const MAX_CHUNK_TURNS = 32;
 const MAX_LOGGED_CHARACTERS = 100;
 
 export interface DocumentOptions<T> {
@@ -119,7 +123,15 @@
     if (connection.isClosing) return;
     connection.isClosing = true;
     if (!response.headersSent) response.setHeader('connection', 'close');
+    response.once('finish', connection.startClosing);
+    if (request.complete) return;
     const { socket } = request;
+    let discardedBytes = 0;
+    request.on('data', (chunk: Buffer) => {
+      discardedBytes += chunk.length;
+      ingress.garbage.add(chunk.length);
+      if (discardedBytes > LINGER_BYTES) socket.destroy();
+    });
     const mayLinger = declaredBytes() <= LINGER_BYTES && !connection.isPressed();
     const destroySoon = socket.destroySoon.bind(socket);
     // Node.js calls this once the response was sent. To close a connection with unread data resets
@@ -129,16 +141,11 @@
         destroySoon();
         return;
       }
-      let discarded = 0;
-      request.on('data', (chunk: Buffer) => {
-        discarded += chunk.length;
-        if (discarded > LINGER_BYTES) socket.destroy();
-      });
       request.once('end', destroySoon);
       request.resume();
+      socket.resume();
       socket.end();
     };
-    response.once('finish', connection.startClosing);
   }
 
   function refuse(refusal: Refusal): void {
@@ -178,9 +185,11 @@
         resolve(undefined);
         return;
       }
-      const collector = createBodyCollector();
+      const collector = createBodyCollector(ingress.blocks);
       const nowMs = timer.nowMs();
       let leaveQueue: (() => void) | undefined;
+      let chunks = 0;
+      let chunkTurn: (() => void) | undefined;
       let isSettled = false;
 
       const reader: BodyReader = {
@@ -202,6 +211,8 @@
         abandon = undefined;
         leaveQueue?.();
         reading.close(reader);
+        collector.release();
+        chunkTurn?.();
         request.off('data', onData);
         request.off('end', onEnd);
         if (connection.body === body) connection.body = undefined;
@@ -211,7 +222,6 @@
       function refuseDocument(refusal: Refusal): void {
         if (isSettled) return;
         settle(undefined);
-        request.pause();
         refuse(refusal);
       }
 
@@ -238,24 +248,45 @@
           }
           body.progressMs = timer.nowMs();
           reading.hold(reader, collector.heldBytes(), body.progressMs);
+          ingress.garbage.add(chunk.length);
+          chunks += 1;
+          // After this read: paused earlier, the request would keep the other chunks one by one.
+          if (chunks % CHUNKS_PER_TURN === 0)
+            setImmediate(() => {
+              failClosed(waitForTurn);
+            });
+        });
+      }
+
+      /**
+       * Lets the event loop turn between two reads with very many chunks, which take some 20 ms each.
+       */
+      function waitForTurn(): void {
+        if (isSettled || chunkTurn !== undefined || request.complete) return;
+        if (ingress.chunkTurns.size() >= MAX_CHUNK_TURNS) {
+          refuseDocument(Refusals.CHUNKS);
+          return;
+        }
+        request.pause();
+        request.socket.pause();
+        chunkTurn = ingress.chunkTurns.add(1, () => {
+          chunkTurn = undefined;
+          request.socket.resume();
+          request.resume();
         });
       }
 
       function onEnd(): void {
         failClosed(() => {
           if (connection.body === body) connection.body = undefined;
-          if (body.bytes < LARGE_BYTES) parseText(takeText());
+          if (body.bytes < LARGE_BYTES) parseText(collector.text());
           else
             enqueue(() => {
-              parseText(takeText(), true);
+              parseText(collector.text(), true);
             });
         });
       }
 
-      function takeText(): string {
-        return collector.take().toString('utf8');
-      }
-
       function enqueue(act: () => void): void {
         leaveQueue = queue.add(body.bytes, () => {
           if (!isSettled) failClosed(act);
@@ -294,7 +325,7 @@
       abandon = () => {
         if (!isSettled) settle(undefined);
       };
-      reading.open(reader);
+      reading.open(reader, nowMs);
       connection.body = body;
       request.on('data', onData);
       request.on('end', onEnd);
--- a/packages/ingress/src/index.ts
+++ b/packages/ingress/src/index.ts
@@ -22,3 +22,5 @@
 export { decidePipelined, PipelineDecisions } from './pipelineLimits.js';
 export { measureDocument, ShapeFaults } from './documentShape.js';
 export { createTurnQueue } from './turnQueue.js';
+export { createBlockPool } from './blockPool.js';
+export { createGarbageBound } from './garbageBound.js';
--- a/packages/ingress/src/readingBudget.ts
+++ b/packages/ingress/src/readingBudget.ts
@@ -16,7 +16,7 @@
 }
 
 export interface ReadingBudget {
-  open(reader: BodyReader): void;
+  open(reader: BodyReader, nowMs: number): void;
   /** Records that a reader keeps `bytes` now. Evicts readers, possibly this one, over the limit. */
   hold(reader: BodyReader, bytes: number, nowMs: number): void;
   close(reader: BodyReader): void;
@@ -77,8 +77,8 @@
   }
 
   return {
-    open(reader) {
-      holdings.set(reader, { bytes: READER_BYTES, progressMs: -Infinity });
+    open(reader, nowMs) {
+      holdings.set(reader, { bytes: READER_BYTES, progressMs: nowMs });
       add(reader.address, READER_BYTES);
     },
     hold(reader, bytes, nowMs) {
--- a/packages/ingress/src/refusals.ts
+++ b/packages/ingress/src/refusals.ts
@@ -10,6 +10,7 @@
   READING_MEMORY: { status: 503, reason: 'too many bodies are being read' },
   WORK_MEMORY: { status: 503, reason: 'too much work in hand' },
   QUEUE: { status: 503, reason: 'too many large bodies wait' },
+  CHUNKS: { status: 503, reason: 'too many bodies in very small chunks' },
   ROOM: { status: 503, reason: 'too many connections' },
   SLOW: { status: 503, reason: 'the body did not arrive in time' },
   EXPECTATION: { status: 417, reason: 'the expectation is not supported' },
--- a/packages/ingress/src/turnQueue.ts
+++ b/packages/ingress/src/turnQueue.ts
@@ -17,6 +17,7 @@
   add(bytes: number, work: () => void): (() => void) | undefined;
   /** Estimated time until all queued work is done. */
   waitMs(): number;
+  size(): number;
 }
 
 export interface TurnQueueOptions {
@@ -76,5 +77,6 @@
       };
     },
     waitMs: () => queuedBytes * msPerByte,
+    size: () => queue.size,
   };
 }
