fix(ingress): count the items of every list that a valid job bounds

One step with hundreds of thousands of entries in `after` passes the number of steps, and its validation keeps an object for each entry.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 const IDLE_TIMEOUT_MS = 15_000;
 const MAX_OPEN_REQUESTS = 4_096;
 const BUSY_RETRY_MS = 1_000;
+const COUNTED_FIELDS = [{ name: 'tasks', depth: 1 }];
 const JOB_PATH = /^\/v1\/jobs\/([^/?]+)$/;
 
 export interface Gateway {
@@ -108,7 +109,7 @@
     const submission = await readDocument({
       maxBytes: MAX_BODY_BYTES,
       withinMs: REQUEST_TIMEOUT_MS,
-      countedField: 'tasks',
+      countedFields: COUNTED_FIELDS,
       maxItems: ingress.limits.steps,
       parse: (text) => readSubmission(text, (id) => router.findHome(id)),
     });
--- a/packages/ingress/__tests__/decisions.spec.ts
+++ b/packages/ingress/__tests__/decisions.spec.ts
@@ -224,13 +224,18 @@
 
 describe('the shape of a document', () => {
   const shapeLimits = { elements: 120_000, depth: 512, items: 10_000 };
-  const measure = (text: string) => measureDocument(text, shapeLimits, 'steps').fault;
+  const fields = [
+    { name: 'steps', depth: 1 },
+    { name: 'after', depth: 3 },
+  ];
+  const measure = (text: string) => measureDocument(text, shapeLimits, fields).fault;
   const steps = (count: number) => `{"steps":[${'{},'.repeat(count).slice(0, -1)}]}`;
 
   // Guards against 80,000 empty steps in 240 KB, whose objects stall the process for seconds.
   it('finds too many steps, also behind an escaped key', () => {
     expect(measure(steps(10_001))).toEqual(ShapeFaults.ITEMS);
     expect(measure(steps(10_001).replace('steps', '\\u0073teps'))).toEqual(ShapeFaults.ITEMS);
+    expect(measure(`{"steps":[{"after":[${'0,'.repeat(10_000)}0]}]}`)).toEqual(ShapeFaults.ITEMS);
     expect(measure(`[${'['.repeat(513)}`)).toEqual(ShapeFaults.DEPTH);
     expect(measure(`{"x":[${'0,'.repeat(120_000)}0]}`)).toEqual(ShapeFaults.ELEMENTS);
   });
--- a/packages/ingress/__tests__/guardedListener.spec.ts
+++ b/packages/ingress/__tests__/guardedListener.spec.ts
@@ -61,7 +61,8 @@
 }
 
 async function readAndAnswer({ response, readDocument }: Exchange): Promise<void> {
-  const options = { maxBytes: 100_000, withinMs: 5_000, countedField: 'steps', maxItems: 10 };
+  const countedFields = [{ name: 'steps', depth: 1 }];
+  const options = { maxBytes: 100_000, withinMs: 5_000, countedFields, maxItems: 10 };
   const length = await readDocument({ ...options, parse: (text) => text.length });
   if (length !== undefined) response.end(String(length));
 }
--- a/packages/ingress/src/documentShape.ts
+++ b/packages/ingress/src/documentShape.ts
@@ -10,10 +10,16 @@
    * number of values. Each needs two bytes of text.
    */
   readonly elements: number;
-  /** Items of the longest array in the counted field of the outermost object. */
+  /** Items of the longest array in a counted field. */
   readonly items: number;
 }
 
+/** A field whose items are counted, at the depth of its object; the outermost object has depth 1. */
+export interface CountedField {
+  readonly name: string;
+  readonly depth: number;
+}
+
 export interface ShapeLimits {
   readonly elements: number;
   readonly depth: number;
@@ -40,29 +46,38 @@
 const CLOSE_ARRAY = 0x5d;
 const OPEN_OBJECT = 0x7b;
 const CLOSE_OBJECT = 0x7d;
-/** Depth inside the array of the counted field. */
-const ITEMS_DEPTH = 2;
 /** Characters of text for one escaped character of a key. */
 const MAX_ESCAPE_CHARACTERS = 6;
 
 export function measureDocument(
   text: string,
   limits: ShapeLimits,
-  countedField: string,
+  countedFields: readonly CountedField[],
 ): MeasuredDocument {
-  const maxKeyCharacters = countedField.length * MAX_ESCAPE_CHARACTERS;
+  /** Items of the open array at a depth; only of arrays in counted fields. */
+  const itemsByDepth = new Map<number, number>();
   let elements = 0;
   let depth = 0;
   let items = 0;
-  let itemsOfArray = 0;
   let isCountedNext = false;
-  let isInCounted = false;
   let stringStart = 0;
   let stringEnd = 0;
 
   function isCountedKey(): boolean {
-    if (stringEnd - stringStart > maxKeyCharacters) return false;
-    return unescape(text.slice(stringStart, stringEnd)) === countedField;
+    for (const { name, depth: fieldDepth } of countedFields) {
+      if (depth !== fieldDepth) continue;
+      const length = stringEnd - stringStart;
+      if (length < name.length || length > name.length * MAX_ESCAPE_CHARACTERS) continue;
+      if (unescape(text.slice(stringStart, stringEnd)) === name) return true;
+    }
+    return false;
+  }
+
+  function countItem(): void {
+    const count = itemsByDepth.get(depth);
+    if (count === undefined) return;
+    itemsByDepth.set(depth, count + 1);
+    items = Math.max(items, count + 1);
   }
 
   function findFault(): ShapeFault | undefined {
@@ -78,23 +93,18 @@
       stringEnd = findStringEnd(text, stringStart);
       index = stringEnd;
     } else if (code === COLON) {
-      isCountedNext = depth === 1 && isCountedKey();
+      isCountedNext = isCountedKey();
     } else if (code === CLOSE_ARRAY || code === CLOSE_OBJECT) {
-      if (depth === ITEMS_DEPTH) isInCounted = false;
+      itemsByDepth.delete(depth);
       depth -= 1;
     } else if (code === COMMA || code === OPEN_ARRAY || code === OPEN_OBJECT) {
       elements += 1;
       if (code !== COMMA) {
         depth += 1;
-        if (depth === ITEMS_DEPTH) {
-          isInCounted = isCountedNext && code === OPEN_ARRAY;
-          itemsOfArray = 0;
-        }
-      }
-      if (isInCounted && depth === ITEMS_DEPTH) {
-        itemsOfArray += 1;
-        items = Math.max(items, itemsOfArray);
+        if (isCountedNext && code === OPEN_ARRAY) itemsByDepth.set(depth, 0);
+        isCountedNext = false;
       }
+      countItem();
       const fault = findFault();
       if (fault !== undefined) return { elements, items, fault };
     }
--- a/packages/ingress/src/exchange.ts
+++ b/packages/ingress/src/exchange.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { describeError } from '@celerybarrow/shared';
 import { createBodyCollector } from './bodyCollector.js';
-import { measureDocument } from './documentShape.js';
+import { measureDocument, type CountedField } from './documentShape.js';
 import type { Ingress } from './ingress.js';
 import type { BodyReader } from './readingBudget.js';
 import { nextRetryAfterS, Refusals, type Refusal } from './refusals.js';
@@ -26,8 +26,8 @@
   readonly maxBytes: number;
   /** Time for the whole body. */
   readonly withinMs: number;
-  /** Field of the outermost object whose items are counted, and their limit. */
-  readonly countedField: string;
+  /** Fields whose items are counted, and their limit. */
+  readonly countedFields: readonly CountedField[];
   readonly maxItems: number;
   /** Parses the text into the request. Anything that it throws refuses the request. */
   readonly parse: (text: string) => T;
@@ -300,7 +300,7 @@
           depth: limits.depth,
           items: document.maxItems,
         };
-        const { elements, fault } = measureDocument(text, shapeLimits, document.countedField);
+        const { elements, fault } = measureDocument(text, shapeLimits, document.countedFields);
         if (fault !== undefined) {
           refuseDocument({ status: 400, reason: fault });
           return;
