--- a/packages/ingress/src/documentShape.ts
+++ b/packages/ingress/src/documentShape.ts
@@ -55,7 +55,8 @@
   countedFields: readonly CountedField[],
 ): MeasuredDocument {
   /** Items of the open array at a depth; only of arrays in counted fields. */
-  const itemsByDepth = new Map<number, number>();
+  const itemsByDepth: (number | undefined)[] = [];
+  const hasEscapes = text.includes('\\');
   let elements = 0;
   let depth = 0;
   let items = 0;
@@ -67,17 +68,18 @@
     for (const { name, depth: fieldDepth } of countedFields) {
       if (depth !== fieldDepth) continue;
       const length = stringEnd - stringStart;
-      if (length < name.length || length > name.length * MAX_ESCAPE_CHARACTERS) continue;
+      if (length === name.length && text.startsWith(name, stringStart)) return true;
+      if (!hasEscapes || length > name.length * MAX_ESCAPE_CHARACTERS) continue;
       if (unescape(text.slice(stringStart, stringEnd)) === name) return true;
     }
     return false;
   }
 
   function countItem(): void {
-    const count = itemsByDepth.get(depth);
+    const count = itemsByDepth[depth];
     if (count === undefined) return;
-    itemsByDepth.set(depth, count + 1);
-    items = Math.max(items, count + 1);
+    itemsByDepth[depth] = count + 1;
+    if (count >= items) items = count + 1;
   }
 
   function findFault(): ShapeFault | undefined {
@@ -95,15 +97,17 @@
     } else if (code === COLON) {
       isCountedNext = isCountedKey();
     } else if (code === CLOSE_ARRAY || code === CLOSE_OBJECT) {
-      itemsByDepth.delete(depth);
+      itemsByDepth[depth] = undefined;
       depth -= 1;
+      // Nothing of a valid text follows the end of its value.
+      if (depth <= 0) break;
     } else if (code === COMMA || code === OPEN_ARRAY || code === OPEN_OBJECT) {
       elements += 1;
       if (code !== COMMA) {
         depth += 1;
-        if (isCountedNext && code === OPEN_ARRAY) itemsByDepth.set(depth, 0);
-        isCountedNext = false;
+        if (isCountedNext && code === OPEN_ARRAY) itemsByDepth[depth] = 0;
       }
+      isCountedNext = false;
       countItem();
       const fault = findFault();
       if (fault !== undefined) return { elements, items, fault };
