feat(ingress): bound the large jobs in hand

Cause: in a trial, 300 valid jobs of 10,000 tasks ended a process of 350 MB at its heap limit of 160 MB: three such jobs raise its memory by 90 MB, and their text is only 100 bytes to 30 KB.

--- a/packages/ingress/src/exchange.ts
+++ b/packages/ingress/src/exchange.ts
@@ -10,9 +10,10 @@
 /** Smaller bodies with few values are parsed at once; the wait for a turn would cost more. */
 const LARGE_BYTES = 16_384;
 const MANY_ELEMENTS = 500;
-/** Estimated memory of a request in hand, and of one value of its document. */
+/** Estimated memory of a document in hand: on its own, for each item and for each other value. */
 const REQUEST_BYTES = 1_024;
-const ELEMENT_BYTES = 100;
+const ITEM_BYTES = 256;
+const ELEMENT_BYTES = 16;
 const MIN_ELEMENT_BYTES = 2;
 /** Bytes of a refused body that are read and discarded, so that its sender reads the response. */
 const LINGER_BYTES = 262_144;
@@ -31,6 +32,8 @@
   readonly maxItems: number;
   /** Parses the text into the request. Anything that it throws refuses the request. */
   readonly parse: (text: string) => T;
+  /** Estimates the bytes that carrying out the request needs besides the parsed document. */
+  readonly estimateBytes?: (value: T) => number;
 }
 
 export interface Exchange {
@@ -300,26 +303,41 @@
           depth: limits.depth,
           items: document.maxItems,
         };
-        const { elements, fault } = measureDocument(text, shapeLimits, document.countedFields);
+        const { elements, items, fault } = measureDocument(
+          text,
+          shapeLimits,
+          document.countedFields,
+        );
         if (fault !== undefined) {
           refuseDocument({ status: 400, reason: fault });
           return;
         }
+        const bytes = REQUEST_BYTES + text.length + ITEM_BYTES * items + ELEMENT_BYTES * elements;
         if (!isQueued && elements > MANY_ELEMENTS)
           enqueue(() => {
-            parseMeasured(text, elements);
+            parseMeasured(text, bytes);
           });
-        else parseMeasured(text, elements);
+        else parseMeasured(text, bytes);
       }
 
-      function parseMeasured(text: string, elements: number): void {
-        const bytes = REQUEST_BYTES + text.length + ELEMENT_BYTES * elements;
+      function parseMeasured(text: string, bytes: number): void {
         if (!work.reserve(bytes)) {
           refuseDocument(Refusals.WORK_MEMORY);
           return;
         }
         reservedBytes = bytes;
-        settle(document.parse(text));
+        const value = document.parse(text);
+        const furtherBytes = document.estimateBytes?.(value) ?? 0;
+        if (furtherBytes > 0) {
+          work.release(reservedBytes);
+          reservedBytes = 0;
+          if (!work.reserve(bytes + furtherBytes)) {
+            refuseDocument(Refusals.WORK_MEMORY);
+            return;
+          }
+          reservedBytes = bytes + furtherBytes;
+        }
+        settle(value);
       }
 
       abandon = () => {
--- a/packages/ingress/src/ingressLimits.ts
+++ b/packages/ingress/src/ingressLimits.ts
@@ -2,6 +2,7 @@
  * The limits that protect a process from its callers. The defaults follow from the memory and the
  * file descriptors of the machine; an environment variable replaces each of them.
  */
+import { getHeapStatistics } from 'node:v8';
 import { Result } from 'true-myth';
 
 const MB = 1_048_576;
@@ -27,6 +28,7 @@
 const MAX_METRICS_CONNECTIONS = 32;
 const MIN_METRICS_CONNECTIONS = 8;
 const CONNECTIONS_PER_WORKER = 4;
+const HEAP_SHARE_FOR_WORK = 0.25;
 
 export interface IngressLimits {
   /** Sockets that the process may have open. */
@@ -91,6 +93,8 @@
 export interface MachineLimits {
   readonly memoryMb?: number | undefined;
   readonly maxFds?: number | undefined;
+  /** Limit of the JavaScript heap, in which the work in hand is kept. */
+  readonly heapBytes?: number | undefined;
 }
 
 export function computeIngressLimits(machine: MachineLimits = {}): IngressLimits {
@@ -102,7 +106,9 @@
     sockets,
     readingBytes: Math.floor(spareBytes / 8),
     readingBytesPerAddress: undefined,
-    workBytes: Math.floor(spareBytes / 8),
+    workBytes: Math.floor(
+      Math.min(spareBytes / 4, (machine.heapBytes ?? Infinity) * HEAP_SHARE_FOR_WORK),
+    ),
     connections: Math.max(
       MIN_CONNECTIONS,
       Math.min(connectionsInMemory, Math.floor(sockets * CALLER_SHARE)),
@@ -167,6 +173,7 @@
   const limits = computeIngressLimits({
     memoryMb: machine.memoryMb ?? read('CELERYBARROW_MEMORY_MB'),
     maxFds: machine.maxFds ?? read('CELERYBARROW_MAX_FDS'),
+    heapBytes: machine.heapBytes ?? getHeapStatistics().heap_size_limit,
   });
   const overrides = Object.entries(variables).flatMap(([name, variable]) => {
     const value = read(variable);
