--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -77,5 +77,6 @@
     'daemon',
     'standins',
     'ingress',
+    'telemetry',
   ],
 };
