--- a/packages/dispatch/__tests__/loadedPool.ts
+++ b/packages/dispatch/__tests__/loadedPool.ts
@@ -14,7 +14,7 @@
 } from '@celerybarrow/endpoints';
 import { JobStates, type JobOutcome, type LeasedJob } from '@celerybarrow/protocol';
 import { createRandom, type Random } from '@celerybarrow/shared';
-import { createMetrics, type Logger } from '@celerybarrow/telemetry';
+import { createMetrics, type LogContext, type Logger, type Metrics } from '@celerybarrow/telemetry';
 import { createElapsedClock, createManualTimer, type ManualTimer } from '@celerybarrow/timer';
 import { createDispatcher } from '../src/index.js';
 
@@ -36,12 +36,33 @@
   /** Factor on all arrivals. */
   readonly load: number;
   readonly durationMs: number;
+  /** Jobs whose tasks all take `factor` times as long; none by default. */
+  readonly tail?: { readonly share: number; readonly factor: number };
+  /** Time that callers wait; 1,500 ms by default. */
+  readonly deadlineMs?: number;
+  readonly fault?: EndpointFault;
+  readonly onLog?: (atMs: number, sentence: string, context: LogContext) => void;
+  readonly metrics?: Metrics;
+}
+
+/** Factor on the speed of one endpoint for some time; its runs fail if `fails` is set. */
+export interface EndpointFault {
+  readonly endpoint: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly speedFactor: number;
+  readonly fails?: boolean;
 }
 
 export interface SimulatedJob {
+  readonly id: string;
   readonly team: string;
+  readonly isLong: boolean;
+  readonly submittedMs: number;
   readonly tasks: number;
   readonly taskMs: number;
+  /** Time of its longest task on an endpoint of speed 1. */
+  longestMs: number;
   readonly estimateMs: number;
   outcome?: JobOutcome;
 }
@@ -51,6 +72,8 @@
 const JOB_SPREAD = 0.4;
 const TASK_SPREAD = 0.15;
 const DEADLINE_MS = 1_500;
+/** Time until a run fails on an endpoint that fails its runs. */
+const FAILURE_MS = 10;
 const STEP_MS = 50;
 
 function sampleNormal(random: Random): number {
@@ -63,10 +86,31 @@
   return Math.exp(spread * sampleNormal(random) - (spread * spread) / 2);
 }
 
+/** Returns the time that an endpoint of speed 1 has worked at `nowMs` since `startMs`. */
+function workedMs(startMs: number, nowMs: number, fault: EndpointFault | undefined): number {
+  if (fault === undefined) return nowMs - startMs;
+  const { fromMs, untilMs, speedFactor } = fault;
+  const affectedMs = Math.max(0, Math.min(nowMs, untilMs) - Math.max(startMs, fromMs));
+  return nowMs - startMs - affectedMs * (1 - speedFactor);
+}
+
+/** Returns how long work that begins at `startMs` takes. */
+function durationMs(startMs: number, workMs: number, fault: EndpointFault | undefined): number {
+  if (fault === undefined) return workMs;
+  const { fromMs, untilMs, speedFactor } = fault;
+  const beforeMs = Math.max(0, fromMs - startMs);
+  if (workMs <= beforeMs || startMs >= untilMs) return workMs;
+  const affectedMs = (workMs - beforeMs) / speedFactor;
+  const windowMs = untilMs - Math.max(startMs, fromMs);
+  if (affectedMs <= windowMs) return beforeMs + affectedMs;
+  return workMs + windowMs * (1 - speedFactor);
+}
+
 function createNetwork(
   timer: ManualTimer,
   speedOf: (endpoint: string) => number,
   taskMsOf: (job: string, index: number) => number,
+  faultOf: (endpoint: string) => EndpointFault | undefined,
 ): EndpointNetwork {
   return {
     open(entry) {
@@ -87,8 +131,11 @@
           const ranMs = taskMsOf(task.job, task.index) / speedOf(entry.id);
           const key = taskKey(task);
           running.set(key, { task: { task, run, percent: 0 }, startMs: timer.nowMs(), ranMs });
-          timer.onAfter(ranMs, () => {
-            if (running.get(key)?.task.run === run) end(key, RunEnds.DONE);
+          const fault = faultOf(entry.id);
+          const nowMs = timer.nowMs();
+          const fails = fault?.fails === true && nowMs >= fault.fromMs && nowMs < fault.untilMs;
+          timer.onAfter(fails ? FAILURE_MS : durationMs(nowMs, ranMs, fault), () => {
+            if (running.get(key)?.task.run === run) end(key, fails ? RunEnds.FAILED : RunEnds.DONE);
           });
           return Result.ok(OrderAnswers.ACCEPTED);
         },
@@ -114,7 +161,7 @@
             bornMs: 1,
             running: [...running.values()].map(({ task, startMs, ranMs }) => ({
               ...task,
-              percent: Math.floor((100 * (nowMs - startMs)) / ranMs),
+              percent: Math.floor((100 * workedMs(startMs, nowMs, faultOf(entry.id))) / ranMs),
             })),
             ended: ended.slice(endsSeen),
           };
@@ -132,7 +179,11 @@
   return { id, ...base, capacity };
 }
 
-function jobOf(id: string, kind: JobKind, { tasks, estimateMs }: SimulatedJob): LeasedJob {
+function jobOf(
+  { id, tasks, estimateMs }: SimulatedJob,
+  kind: JobKind,
+  remainingMs: number,
+): LeasedJob {
   const demand = { cores: CORES_PER_TASK, memoryMb: 64, accelerators: 0 };
   return {
     id,
@@ -145,7 +196,7 @@
     payload: '',
     steps: [{ tasks, demand, estimateMs, after: [] }],
     ageMs: 0,
-    remainingMs: DEADLINE_MS,
+    remainingMs,
   };
 }
 
@@ -156,12 +207,17 @@
   const ignore = () => undefined;
   const jobsById = new Map<string, SimulatedJob>();
   const taskFactors = new Map<string, number>();
-  const logger: Logger = { debug: ignore, info: ignore, warn: ignore, error: ignore };
+  const log = (sentence: string, context: LogContext = {}) =>
+    load.onLog?.(timer.nowMs(), sentence, context);
+  const logger: Logger = { debug: log, info: log, warn: log, error: log };
+  const deadlineMs = load.deadlineMs ?? DEADLINE_MS;
+  const { tail, fault } = load;
   const ids = Array.from({ length: load.endpoints }, (_, index) => `e${index}`);
   const network = createNetwork(
     timer,
     (endpoint) => load.speeds[Number(endpoint.slice(1)) % load.speeds.length] ?? 1,
     (job, index) => (jobsById.get(job)?.taskMs ?? 1) * (taskFactors.get(`${job}/${index}`) ?? 1),
+    (endpoint) => (endpoint === fault?.endpoint ? fault : undefined),
   );
   const dispatcher = createDispatcher({
     network,
@@ -169,7 +225,7 @@
     clock: createElapsedClock(timer),
     random: createRandom(load.seed + 1),
     logger,
-    metrics: createMetrics(),
+    metrics: load.metrics ?? createMetrics(),
     fence: () => 1,
     onFenced: ignore,
   });
@@ -182,14 +238,21 @@
       kind.maxTasks,
       Math.max(1, Math.round(kind.meanTasks * logNormalFactor(random, JOB_SPREAD))),
     );
-    const taskMs = kind.meanMs * logNormalFactor(random, JOB_SPREAD);
-    const estimateMs = taskMs * logNormalFactor(random, JOB_SPREAD);
-    const simulatedJob: SimulatedJob = { team: kind.team, tasks, taskMs, estimateMs };
+    const usualMs = kind.meanMs * logNormalFactor(random, JOB_SPREAD);
+    const estimateMs = usualMs * logNormalFactor(random, JOB_SPREAD);
+    const isLong = tail !== undefined && random.next() < tail.share;
+    const taskMs = usualMs * (isLong ? tail.factor : 1);
+    const submittedMs = timer.nowMs();
+    const simulatedJob: SimulatedJob = {
+      ...{ id, team: kind.team, isLong, submittedMs, tasks, taskMs, longestMs: 0, estimateMs },
+    };
     jobsById.set(id, simulatedJob);
     for (let index = 0; index < tasks; index += 1) {
-      taskFactors.set(`${id}/${index}`, logNormalFactor(random, TASK_SPREAD));
+      const factor = logNormalFactor(random, TASK_SPREAD);
+      taskFactors.set(`${id}/${index}`, factor);
+      simulatedJob.longestMs = Math.max(simulatedJob.longestMs, taskMs * factor);
     }
-    const job = jobOf(id, kind, simulatedJob);
+    const job = jobOf(simulatedJob, kind, deadlineMs);
     void dispatcher.submit({ job, gateway: 'g', resubmissions: 0 }).then((outcome) => {
       simulatedJob.outcome = outcome;
     });
@@ -205,7 +268,7 @@
   }
 
   for (const kind of load.kinds) arrive(kind);
-  for (let passed = 0; passed < load.durationMs + DEADLINE_MS; passed += STEP_MS) {
+  for (let passed = 0; passed < load.durationMs + deadlineMs; passed += STEP_MS) {
     dispatcher.renewGatewayLease('g');
     await timer.advance(STEP_MS);
   }
