feat(dispatch): tell a long job from a slow endpoint

Cause: a run that was more than 2.5 times behind counted as one on a slow endpoint, although 3% of the jobs of some teams take seven times as long on any endpoint. It was stopped and restarted elsewhere, where it took as long again; its endpoint was learned as slow (weight 0.4 for an outlier); and by wrong speeds and wrong lengths jobs were ended that could have met their deadline.

A restart is made only where it makes the deadline or the objective clearly more likely with this probability, and an early end needs other runs as evidence. The known length of a job counts for its waiting tasks and its objective. A slow run counts for the slowness of its endpoint with the probability of that cause only, and not for the usual time of the team. Where the lengths of a service show no tail, nothing of this is used.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -52,6 +52,7 @@
 import { createPlacer, type PlannedJob } from './placer.js';
 import type { PlannedStart } from './placeTasks.js';
 import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
+import { createRunLengths } from './runLengths.js';
 import { createRunTimes } from './runTimes.js';
 import { createDuplicateRunDetector } from './duplicateRunDetector.js';
 import { createStallDetector } from './stallDetector.js';
@@ -130,6 +131,11 @@
   const outcomeCache = createOutcomeCache(timer);
   const cancelledJobs = createCancelledJobs(timer);
   const runTimes = createRunTimes();
+  const runLengths = createRunLengths({
+    logger,
+    metrics,
+    find: (key) => byTask.get(key)?.record,
+  });
   const gatewayLeases = createGatewayLeases(clock);
   const jobSizes = createJobSizeClassifier();
   const duplicateRuns = createDuplicateRunDetector({
@@ -173,6 +179,7 @@
     }),
     onRemoved: (endpoint) => {
       runTimes.forget(endpoint);
+      runLengths.forget(endpoint);
       health.forget(endpoint);
     },
   });
@@ -184,6 +191,7 @@
     health,
     rates: arrivalRates,
     clock,
+    hasTail: runLengths.hasTail,
     find: (run) => byTask.get(run.key),
   });
   const reconciliation = createReconciliation({
@@ -474,8 +482,12 @@
     const { estimateMs } = record.job.steps[task.ref.step] ?? { estimateMs: 1 };
     const nowMs = clock.nowMs();
     const ranMs = nowMs - run.sentMs;
-    recordLength(record, task, ranMs, placer.expectedMs(record, task));
-    runTimes.learn({ team: record.job.team, estimateMs, endpoint, ranMs }, nowMs);
+    const expectedMs = placer.expectedMs(record, task);
+    recordLength(record, task, ranMs, expectedMs);
+    const { team } = record.job;
+    const cause = runLengths.observeEnd({ run, record, task, expectedMs, totalMs: ranMs }, nowMs);
+    const longChance = cause?.longChance;
+    runTimes.learn({ team, estimateMs, endpoint, ranMs, longChance }, nowMs);
     task.isDone = true;
     completeIfDone(record);
   }
@@ -559,6 +571,7 @@
     if (outcome.state === JobStates.COMPLETED && nowMs > record.objectiveMs)
       metrics.increment(`late/${team}`);
     metrics.time('job', team, nowMs - record.arrivedMs);
+    runLengths.recordJob(record);
     outcomeCache.keep(id, outcome);
     for (const task of record.tasks) stopTask(task);
     removeIfFinished(record);
@@ -578,7 +591,9 @@
   function handleOverdueTasks(endpoint: string): void {
     const overdue = findOverdueTasks(pool.find(endpoint), clock.nowMs(), {
       placer,
+      runLengths,
       logger,
+      metrics,
       find(run) {
         const found = byTask.get(run.key);
         const isOpen = found?.task.run === run && found.record.outcome === undefined;
--- a/packages/dispatch/src/jobLength.ts
+++ b/packages/dispatch/src/jobLength.ts
@@ -41,6 +41,31 @@
   return factors[Math.floor((factors.length - 1) / 2)];
 }
 
+/** Log length of a job that its runs on one endpoint show. */
+export interface EndpointLength {
+  readonly endpoint: string;
+  readonly logFactor: number;
+}
+
+/** Returns the median length by the runs on each endpoint except one, for all steps of the job. */
+export function lengthsElsewhere(
+  samples: Iterable<LengthSample>,
+  endpoint: string | undefined,
+): EndpointLength[] {
+  const byEndpoint = new Map<string, number[]>();
+  for (const sample of samples) {
+    if (sample.endpoint === undefined || sample.endpoint === endpoint) continue;
+    const known = byEndpoint.get(sample.endpoint);
+    if (known === undefined) byEndpoint.set(sample.endpoint, [sample.factor]);
+    else known.push(sample.factor);
+  }
+  return [...byEndpoint].map(([id, factors]) => {
+    factors.sort((a, b) => a - b);
+    const median = factors[Math.floor((factors.length - 1) / 2)] ?? 1;
+    return { endpoint: id, logFactor: Math.log(median) };
+  });
+}
+
 /** Returns the objective of a job whose tasks take `factor` times the expected run time. */
 export function adjustedObjectiveMs(record: JobRecord, factor = 1): number {
   const excess = Math.max(0, factor - 1);
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -15,6 +15,9 @@
   failures: number;
   /** How often the task was restarted on another endpoint. */
   restarts: number;
+  /** Number of the last run whose cause of slowness was counted, and of the last one logged. */
+  countedRun?: number;
+  loggedRun?: number;
   /** Endpoints on which it failed, stalled or was overdue. */
   readonly avoided: Set<string>;
 }
@@ -34,6 +37,12 @@
   readonly criticalPathMs: number;
   /** Relative run times of its runs, by task and endpoint. */
   readonly lengthSamples: Map<string, LengthSample>;
+  /**
+   * Length of its tasks relative to the prediction, once its runs show it. It is used only for
+   * services whose job lengths have a tail.
+   */
+  knownLength?: number;
+  isLengthRecorded?: boolean;
   readonly tasks: readonly TaskRecord[];
   /** Expected core-milliseconds of the whole job in thousandths, and its size within the team. */
   readonly work: number;
--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -31,6 +31,18 @@
  * slow.
  */
 const MAX_ESTIMATE_ERROR_FACTOR = 2.5;
+/** Least gain in the probability of a limit that justifies a restart; more for the objective. */
+const MIN_DEADLINE_GAIN = 0.35;
+const MIN_OBJECTIVE_GAIN = 0.5;
+/** Spread of the time of a fresh run: tasks of a job differ by 0.15, learned speeds by 0.1. */
+const FRESH_SPREAD = 0.18;
+/** Loss in the probability of the deadline that a restart for the objective may cause. */
+const MAX_LOSS = 0.05;
+/** Standard deviation of the projected end: half a percent of progress, and the report's delay. */
+const ROUNDING_PERCENT = 0.5;
+const MIN_END_SPREAD_MS = 15;
+/** Ratio of the scales of the logistic and the normal distribution. */
+const LOGISTIC_SCALE = 1.7;
 
 /** Progress of a run as reported by its endpoint. */
 export interface ReportedProgress {
@@ -54,6 +66,17 @@
   readonly newestListing?: Listing | undefined;
   /** Median factor of the job's other runs on their expected time; undefined if there are none. */
   readonly lengthFactor?: number | undefined;
+  /**
+   * Probability that its job is long, not its endpoint slow; undefined where the run is not slow or
+   * the service has no long jobs.
+   */
+  readonly longChance?: number | undefined;
+  /** Length of its job if that is the cause, relative to the prediction. */
+  readonly length?: number | undefined;
+  /** Share of the differences between the learned speeds that are not noise. */
+  readonly speedTrust?: number | undefined;
+  /** Share of the team's jobs that are as long as this run. */
+  readonly longShare?: number | undefined;
 }
 
 /** Whether the run may be restarted and is expected to miss its objective or deadline. */
@@ -67,12 +90,53 @@
  * expected run time on an endpoint with free capacity.
  */
 export function isWorthRestarting(run: RunProgress, freshMs: number): boolean {
+  if (run.longChance !== undefined) return isLikelyWorthRestarting(run, run.longChance, freshMs);
   const endMs = run.nowMs + remainingMs(run);
   const freshEndMs = run.nowMs + correctedMs(run, freshMs) * FRESH_MARGIN + RESTART_COST_MS;
   const wouldMeet = (limitMs: number) => endMs > limitMs && freshEndMs <= limitMs;
   return wouldMeet(run.objectiveMs) || wouldMeet(run.deadlineMs);
 }
 
+/**
+ * Whether a restart makes it clearly more likely that the task meets its objective or deadline, and
+ * not less likely that it meets its deadline. A fresh run of a long job takes as long as this
+ * one, and one on a sound endpoint the time that the other runs of the job show.
+ */
+function isLikelyWorthRestarting(run: RunProgress, longChance: number, freshMs: number): boolean {
+  const startMs = run.nowMs + RESTART_COST_MS;
+  const { length = 1, longShare = 0, speedTrust = 1 } = run;
+  // The fastest of many endpoints seems faster than it is, so the difference counts in part.
+  const expectedMs = Math.max(1, run.expectedMs);
+  const longMs = length * expectedMs * (freshMs / expectedMs) ** speedTrust;
+  const usualMs = correctedMs(run, freshMs);
+  const freshChance = (runMs: number, limitMs: number) =>
+    chanceBefore(startMs + runMs, limitMs, runMs * FRESH_SPREAD);
+  const gain = (limitMs: number) =>
+    longChance * freshChance(longMs, limitMs) +
+    (1 - longChance) * (1 - longShare) * freshChance(usualMs, limitMs) -
+    chanceToMeet(run, limitMs);
+  const deadlineGain = gain(run.deadlineMs);
+  if (deadlineGain >= MIN_DEADLINE_GAIN) return true;
+  return gain(run.objectiveMs) >= MIN_OBJECTIVE_GAIN && deadlineGain >= -MAX_LOSS;
+}
+
+/** Returns the probability that the run meets a limit, with the rounding of its progress. */
+function chanceToMeet(run: RunProgress, limitMs: number): number {
+  const remaining = remainingMs(run);
+  if (!Number.isFinite(remaining)) return 0;
+  const spreadMs = Math.max(
+    MIN_END_SPREAD_MS,
+    (projectedRunMs(run) * ROUNDING_PERCENT) / Math.max(1, run.percent),
+  );
+  // The percentage is rounded down, so the run ends before the projected time on average.
+  const endMs = run.nowMs + remaining - spreadMs;
+  return chanceBefore(endMs, limitMs, spreadMs);
+}
+
+function chanceBefore(endMs: number, limitMs: number, spreadMs: number): number {
+  return 1 / (1 + Math.exp((LOGISTIC_SCALE * (endMs - limitMs)) / Math.max(1, spreadMs)));
+}
+
 /**
  * Whether neither this run nor a fresh one can end before the deadline. `expectFastestMs` returns
  * the expected run time of a fresh run on the fastest endpoint.
--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -45,6 +45,8 @@
   readonly nowMs: number;
   /** Whether to accept any endpoint on which a task is expected to end before its deadline. */
   readonly isUrgent: boolean;
+  /** The latency objective of the job, with its known length. */
+  readonly objectiveMs: number;
   /** Returns the expected run time of the tasks of a step on an endpoint of usual speed. */
   readonly baseMs: (step: number) => number;
 }
@@ -53,7 +55,7 @@
 export function placeTasks(
   record: JobRecord,
   { places: candidates, minDemand, minSlowness, forecast }: PlacementState,
-  { nowMs, isUrgent, baseMs }: PlacementTerms,
+  { nowMs, isUrgent, objectiveMs, baseMs }: PlacementTerms,
 ): PlannedStart[] {
   const starts: PlannedStart[] = [];
   /** Steps whose tasks no candidate could serve. */
@@ -69,7 +71,7 @@
       service: record.job.service,
       step,
       baseMs: baseMs(task.ref.step),
-      objectiveInMs: record.objectiveMs - nowMs,
+      objectiveInMs: objectiveMs - nowMs,
       patienceMs,
       minSlowness,
       avoided: task.avoided,
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -11,6 +11,7 @@
 import type { EndpointHealth } from './endpointHealth.js';
 import { compareJobs } from './jobOrder.js';
 import { stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import { adjustedObjectiveMs } from './jobLength.js';
 import { remainingMs } from './overdueRun.js';
 import {
   placeTasks,
@@ -80,6 +81,13 @@
    * undefined if there is none.
    */
   freshMs(record: JobRecord, task: TaskRecord): number | undefined;
+  /**
+   * Returns the share of the differences between the learned speeds that is not noise: near 1 if the
+   * endpoints differ in speed, and 0 if they differ no more than learned speeds of equal endpoints.
+   */
+  speedTrust(): number;
+  /** Whether enough runs have completed to know the speeds of the endpoints. */
+  areSpeedsKnown(): boolean;
   /** Returns the expected run time on the fastest endpoint, busy or not. */
   fastestRunMs(record: JobRecord, task: TaskRecord): number;
 }
@@ -90,6 +98,8 @@
   readonly health: EndpointHealth;
   readonly rates: ArrivalRates;
   readonly clock: ElapsedClock;
+  /** Whether the job lengths of a service have a tail; no service has by default. */
+  readonly hasTail?: (service: string) => boolean;
   /** Returns the job and the task of a run. */
   readonly find: (run: Run) => { record: JobRecord; task: TaskRecord } | undefined;
 }
@@ -98,6 +108,15 @@
 const PACKING_EFFICIENCY = 0.88;
 /** Expected time until a stopped run has terminated. */
 const STOP_MS = 50;
+/**
+ * Variance of the log slowness that is learned for equal endpoints: a weight of 0.15 of deviations
+ * of 0.35, and outliers from before a tail was known.
+ */
+const LEARNED_VARIANCE = 0.04;
+/** Completed runs per endpoint after which their speeds are known. */
+const MIN_RUNS_PER_ENDPOINT = 5;
+/** Largest log deviation that counts for the variance: slow endpoints do not show that all differ. */
+const MAX_LOG_DEVIATION = 0.7;
 /** Share of the capacity assumed to drain the queue even if arrivals exceed the capacity. */
 const MIN_DRAIN_SHARE = 0.04;
 
@@ -112,7 +131,7 @@
 }
 
 export function createPlacer(options: PlacerOptions): Placer {
-  const { pool, times, health, rates, clock } = options;
+  const { pool, times, health, rates, clock, hasTail = () => false } = options;
 
   function openCandidates(service: string | undefined, nowMs: number): OpenCandidate[] {
     const candidates: OpenCandidate[] = [];
@@ -138,6 +157,11 @@
     return times.baseMs(job.team, job.steps[step]?.estimateMs ?? 1);
   }
 
+  /** Returns the length of a job relative to the prediction; 1 while its runs do not show it. */
+  function lengthOf({ job, knownLength = 1 }: JobRecord): number {
+    return hasTail(job.service) ? knownLength : 1;
+  }
+
   function criticalPathMs(job: LeasedJob): number {
     const ends: number[] = [];
     job.steps.forEach((step, number) => {
@@ -179,7 +203,7 @@
     };
     const usableCapacity = capacity * PACKING_EFFICIENCY;
     let workAhead = 0;
-    return ordered.map(({ record, runMs, workLeft, priority }) => {
+    return ordered.map(({ record, runMs, workLeft, priority, objectiveMs, length }) => {
       const fastestRunMs = runMs * Math.min(1, minSlowness);
       const makespanMs = minMakespanMs(workLeft, capacity);
       const planned = { record, runMs: fastestRunMs, makespanMs, workAhead };
@@ -190,7 +214,7 @@
       );
       // Uses the run time on the fastest endpoint, because a long job runs there and does not wait
       // for one of usual speed.
-      const canMeetObjective = nowMs + waitWithinPriorityMs + fastestRunMs <= record.objectiveMs;
+      const canMeetObjective = nowMs + waitWithinPriorityMs + fastestRunMs <= objectiveMs;
       const waitBehindAllMs = canMeetObjective
         ? 0
         : drainMs(workAhead, usableCapacity, rates.before(undefined, nowMs));
@@ -204,7 +228,8 @@
         ? placeTasks(record, state, {
             nowMs,
             isUrgent,
-            baseMs: (step) => baseMs(record.job, step),
+            objectiveMs,
+            baseMs: (step) => baseMs(record.job, step) * length,
           })
         : [];
       if (starts.length >= record.waiting)
@@ -228,19 +253,27 @@
     if (found === undefined || run.state === RunStates.IN_DOUBT) return Infinity;
     const { sentMs: startedMs, percent, percentAtMs, seenMs } = run;
     const expectedMs = expectedMsOf(found.record, found.task);
-    return remainingMs({ nowMs, startedMs, percent, percentAtMs, seenMs, expectedMs });
+    const lengthMs = expectedMs * lengthOf(found.record);
+    return remainingMs({ nowMs, startedMs, percent, percentAtMs, seenMs, expectedMs: lengthMs });
   }
 
   function toQueuedJob(record: JobRecord, nowMs: number) {
-    const runMs = criticalPathMs(record.job);
+    const length = lengthOf(record);
+    const runMs = criticalPathMs(record.job) * length;
     const workLeft = workLeftOf(record);
     const { priority } = record.job;
-    const { arrivedMs, hasStarted, objectiveMs } = record;
+    const { arrivedMs, hasStarted } = record;
+    const objectiveMs = adjustedObjectiveMs(record, length);
     const canMeetObjective = nowMs + runMs <= objectiveMs;
-    return { record, priority, canMeetObjective, hasStarted, workLeft, arrivedMs, runMs };
+    const queued = { record, priority, canMeetObjective, hasStarted, workLeft, arrivedMs, runMs };
+    return { ...queued, objectiveMs, length };
   }
 
-  function workLeftOf({ job, tasks, waiting }: JobRecord): number {
+  function workLeftOf(record: JobRecord): number {
+    return predictedWorkOf(record) * lengthOf(record);
+  }
+
+  function predictedWorkOf({ job, tasks, waiting }: JobRecord): number {
     const [only] = job.steps;
     if (job.steps.length === 1 && only !== undefined) {
       return waiting * only.demand.cores * baseMs(job, 0);
@@ -304,6 +337,8 @@
       const best = Math.min(...free.map((candidate) => candidate.slowness));
       return baseMs(record.job, task.ref.step) * best;
     },
+    areSpeedsKnown: () => times.learnedRuns() >= pool.size() * MIN_RUNS_PER_ENDPOINT,
+    speedTrust: () => speedTrust(pool, times, clock.nowMs()),
     fastestRunMs(record, task) {
       const { minSlowness } = measurePool(pool, times, clock.nowMs());
       return baseMs(record.job, task.ref.step) * Math.min(1, minSlowness);
@@ -350,3 +385,19 @@
   }
   return { capacity, minSlowness };
 }
+
+function speedTrust(pool: EndpointPool, times: RunTimes, nowMs: number): number {
+  let count = 0;
+  let sum = 0;
+  let squares = 0;
+  for (const { id } of pool.controllers()) {
+    const log = Math.log(times.slowness(id, nowMs));
+    const deviation = Math.max(-MAX_LOG_DEVIATION, Math.min(MAX_LOG_DEVIATION, log));
+    count += 1;
+    sum += deviation;
+    squares += deviation * deviation;
+  }
+  if (count < 2) return 1;
+  const variance = squares / count - (sum / count) ** 2;
+  return Math.max(0, 1 - LEARNED_VARIANCE / Math.max(LEARNED_VARIANCE, variance));
+}
--- a/packages/dispatch/src/runTimes.ts
+++ b/packages/dispatch/src/runTimes.ts
@@ -27,6 +27,8 @@
   slowness(endpoint: string, nowMs: number): number;
   /** Updates the predictions with the time of a completed run. */
   learn(run: FinishedRun, nowMs: number): void;
+  /** Returns the number of runs that the predictions are based on. */
+  learnedRuns(): number;
   forget(endpoint: string): void;
 }
 
@@ -35,6 +37,12 @@
   readonly estimateMs: number;
   readonly endpoint: string;
   readonly ranMs: number;
+  /**
+   * Probability that the job of a slow run is long, and not its endpoint slow; undefined if the run
+   * is not slow or the service has no long jobs. The run then counts for the endpoint with the
+   * remaining probability only, and not for the usual time of the team.
+   */
+  readonly longChance?: number | undefined;
 }
 
 interface TeamTimes {
@@ -52,6 +60,7 @@
 export function createRunTimes(): RunTimes {
   const teams = new Map<string, TeamTimes>();
   const endpoints = new Map<string, EndpointSpeed>();
+  let learnedRuns = 0;
 
   function logBase(team: string, estimateMs: number): number {
     const declared = Math.log(Math.max(1, estimateMs));
@@ -71,15 +80,21 @@
   return {
     baseMs: (team, estimateMs) => Math.exp(logBase(team, estimateMs)),
     slowness: (endpoint, nowMs) => Math.exp(logSlowness(endpoint, nowMs)),
-    learn({ team, estimateMs, endpoint, ranMs }, nowMs) {
+    learn({ team, estimateMs, endpoint, ranMs, longChance }, nowMs) {
+      learnedRuns += 1;
       const ran = Math.log(Math.max(1, ranMs));
       const slowness = logSlowness(endpoint, nowMs);
       const deviation = ran - logBase(team, estimateMs) - slowness;
       const weight = Math.abs(deviation) > OUTLIER_LOG_DEVIATION ? OUTLIER_WEIGHT : ENDPOINT_WEIGHT;
-      const learned = Math.min(MAX_LOG_SLOWNESS, slowness + weight * deviation);
+      const learned = Math.min(
+        MAX_LOG_SLOWNESS,
+        slowness + weight * (1 - (longChance ?? 0)) * deviation,
+      );
       endpoints.set(endpoint, { logSlowness: learned, atMs: nowMs });
+      if (longChance !== undefined) return;
       updateTeam(teams, team, Math.log(Math.max(1, estimateMs)), ran - slowness);
     },
+    learnedRuns: () => learnedRuns,
     forget(endpoint) {
       endpoints.delete(endpoint);
     },
