--- a/packages/dispatch/src/runLengths.ts
+++ b/packages/dispatch/src/runLengths.ts
@@ -31,8 +31,11 @@
 const TASK_SPREAD = 0.15;
 /** Spread of the length that a run on another endpoint shows. */
 const SIBLING_SPREAD = 0.2;
-/** Spread of the speed of an endpoint around what was learned, within its normal range. */
-const SPEED_SPREAD = 0.3;
+/**
+ * Speed of an endpoint before any of its runs is known: what was learned, within its normal range.
+ * One other run that is slow may belong to a long job itself, and does not outweigh this.
+ */
+const LEARNED_SPEED: LogSample = { logFactor: 0, spread: 0.3 };
 /** Spread of the length that the projection of the run itself shows. */
 const OWN_SPREAD = 0.2;
 /** Share of one run's deviation that is the length of its job; the rest differs by task. */
@@ -52,8 +55,8 @@
   readonly factor: number;
   readonly length: number;
   /** Factor of the endpoint by the runs of other jobs on it, its spread and number of runs. */
-  readonly endpointFactor: number | undefined;
-  readonly endpointSpread: number | undefined;
+  readonly endpointFactor: number;
+  readonly endpointSpread: number;
   readonly neighbours: number;
   /** Endpoints on which other runs of the job were seen. */
   readonly siblings: number;
@@ -120,8 +123,8 @@
     return lengthsElsewhere(record.lengthSamples.values(), endpoint).map((length) => {
       const sample = toSample(length);
       if (sample.logFactor < Math.log(SLOW_FACTOR)) return sample;
-      const speed = speedOf(neighboursOf(length.endpoint, record.job.id, sinceMs));
-      const isSlow = speed !== undefined && speed.logFactor - 2 * speed.spread > SLOW_LOG_FACTOR;
+      const speed = speedAmong(neighboursOf(length.endpoint, record.job.id, sinceMs));
+      const isSlow = speed.logFactor - 2 * speed.spread > SLOW_LOG_FACTOR;
       return isSlow ? { ...sample, logFactor: sample.logFactor - speed.logFactor } : sample;
     });
   }
@@ -159,7 +162,7 @@
           };
     const evidence = { logFactor, neighbours, siblings, rateChange, longShare, slowShare };
     const longChance = longJobChance(evidence);
-    const speed = speedOf(neighbours);
+    const speed = speedAmong(neighbours);
     const length = lengthOf(logFactor, speed, siblings);
     const hasEvidence = neighbours.length + siblings.length > 0;
     const isCertain = hasEvidence && longChance >= CERTAIN_CHANCE;
@@ -175,8 +178,8 @@
       isCertain,
       factor,
       length,
-      endpointFactor: speed === undefined ? undefined : Math.exp(speed.logFactor),
-      endpointSpread: speed?.spread,
+      endpointFactor: Math.exp(speed.logFactor),
+      endpointSpread: speed.spread,
       neighbours: neighbours.length,
       siblings: siblings.length,
       longShare,
@@ -258,19 +261,16 @@
   };
 }
 
+function speedAmong(neighbours: readonly LogSample[]): EndpointSpeed {
+  return speedOf([LEARNED_SPEED, ...neighbours]) ?? { ...LEARNED_SPEED, runs: 0 };
+}
+
 /**
  * Returns the length of a task by its run, without the speed of its endpoint, and by the runs of its
  * job on other endpoints.
  */
-function lengthOf(
-  logFactor: number,
-  speed: EndpointSpeed | undefined,
-  siblings: readonly LogSample[],
-): number {
-  // The speed is uncertain itself, so only a part of the measured deviation is the endpoint's.
-  const speedShare =
-    speed === undefined ? 0 : SPEED_SPREAD ** 2 / (SPEED_SPREAD ** 2 + speed.spread ** 2);
-  const ownLog = logFactor - speedShare * (speed?.logFactor ?? 0);
+function lengthOf(logFactor: number, speed: EndpointSpeed, siblings: readonly LogSample[]): number {
+  const ownLog = logFactor - speed.logFactor;
   const others = speedOf(siblings);
   if (others === undefined) return Math.exp(ownLog);
   const ownWeight = 1 / OWN_SPREAD ** 2;
