--- a/packages/dispatch/src/overdueRun.ts
+++ b/packages/dispatch/src/overdueRun.ts
@@ -7,6 +7,10 @@
  * restarted if a fresh run on a healthy endpoint would meet that limit. A restart that does not
  * change the result for the caller would waste work and is not made.
  *
+ * Load pattern: a few percent of the jobs take several times as long on every endpoint. Where a
+ * service has such jobs, the probability that this is the cause decides on a restart; see
+ * `runLengths.ts`. Elsewhere a run far behind its prediction counts as one on a slow endpoint.
+ *
  * Load pattern: a task needs more time than its deadline allows on every endpoint. Its result is of
  * no use, and the runs of its job take capacity from other jobs until the deadline. The job ends
  * early once the progress shows that this run is too long and that a fresh run on the fastest
--- a/packages/dispatch/src/overdueTasks.ts
+++ b/packages/dispatch/src/overdueTasks.ts
@@ -88,7 +88,7 @@
       ? undefined
       : runLengths.causeOf({ run, record, task, expectedMs, totalMs: extrapolatedMs });
   const isStalled = run.seenMs - run.percentAtMs > expectedMs;
-  const judged = withCause(progress, record, cause, placer);
+  const judged = withCause(progress, record, cause);
   if (
     cannotMeetDeadline(withCertainLength(judged, progress, cause, placer), () =>
       placer.fastestRunMs(record, task),
@@ -113,7 +113,12 @@
     lengthFactor,
     ...cause,
   };
-  if (!isOverdue(judged) || !isWorthRestarting(judged, freshMs)) {
+  const isWorthIt = () =>
+    isWorthRestarting(
+      cause === undefined ? judged : { ...judged, speedTrust: placer.speedTrust() },
+      freshMs,
+    );
+  if (!isOverdue(judged) || !isWorthIt()) {
     if (judged === progress || task.loggedRun === run.number) return undefined;
     if (!isWorthRestarting(progress, freshMs)) return undefined;
     task.loggedRun = run.number;
@@ -131,7 +136,6 @@
   progress: RunProgress,
   record: JobRecord,
   cause: SlownessCause | undefined,
-  placer: Placer,
 ): RunProgress {
   if (cause === undefined) return progress;
   const { longChance, longShare, length } = cause;
@@ -144,7 +148,6 @@
     longChance,
     longShare,
     length,
-    speedTrust: placer.speedTrust(),
   };
 }
 
--- a/packages/dispatch/src/runTimes.ts
+++ b/packages/dispatch/src/runTimes.ts
@@ -5,6 +5,9 @@
  * time, and endpoints differ in speed by a factor of almost three. The caller's estimate and the
  * typical time of the team are both noisy measurements of the run time, so the prediction uses
  * their geometric mean. The slowness of an endpoint is a factor on top of it.
+ *
+ * Load pattern: some jobs take several times as long on every endpoint. Their runs must not count for
+ * the slowness of their endpoints, nor runs on a slow endpoint for the usual time of the team.
  */
 
 /** Weight of a new run in the typical time of a team. */
