feat(interference): learn which tasks slow each other down on one endpoint

Cause: some tasks slow each other down on one machine, and placement knows only the speed of an endpoint and the expected time of a task.

Change: a package without I/O.

--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -23,7 +23,8 @@
   ],
   gateway: ['shared', 'protocol', 'membership', 'jobs', 'telemetry'],
   endpoints: ['shared', 'timer', 'protocol', 'telemetry'],
-  dispatch: ['shared', 'timer', 'protocol', 'endpoints', 'telemetry'],
+  interference: ['shared'],
+  dispatch: ['shared', 'timer', 'protocol', 'endpoints', 'interference', 'telemetry'],
   leadership: ['shared', 'timer', 'protocol', 'store', 'telemetry'],
   entry: ['shared', 'timer', 'protocol', 'leadership', 'telemetry'],
   instance: [
