feat(dispatch): keep tasks that slow each other down apart while there is capacity

Cause: the choice of an endpoint knows only its speed and free capacity.

Change: behind the option isInterferenceEnabled of the dispatcher (off by default), runs and reports are passed to packages/interference. A start whose usual endpoint has a loss takes another one on which run time and loss compare better. Whether a task starts or waits is decided as before, so the loss never makes a task wait, and no endpoint is excluded.

--- a/packages/dispatch/__tests__/loadedPool.ts
+++ b/packages/dispatch/__tests__/loadedPool.ts
@@ -36,6 +36,16 @@
   /** Factor on all arrivals. */
   readonly load: number;
   readonly durationMs: number;
+  /** Tasks that slow each other down; none by default. */
+  readonly noise?: Noise;
+}
+
+/** How tasks on one endpoint slow each other down, and what is measured of it. */
+export interface Noise {
+  readonly isInterferenceEnabled: boolean;
+  factor(team: string, neighbour: string): number;
+  /** Called with the time that a task was slowed down by a neighbour, and when that ended. */
+  onSlowed(ms: number, nowMs: number): void;
 }
 
 export interface SimulatedJob {
@@ -63,20 +73,57 @@
   return Math.exp(spread * sampleNormal(random) - (spread * spread) / 2);
 }
 
+interface ActiveRun {
+  readonly task: RunningTask;
+  /** Run time without neighbours, and how much of it is done. */
+  readonly totalMs: number;
+  doneMs: number;
+  factor: number;
+  cancelEnd: () => void;
+}
+
 function createNetwork(
   timer: ManualTimer,
   speedOf: (endpoint: string) => number,
   taskMsOf: (job: string, index: number) => number,
+  factorOf: (job: string, neighbour: string) => number,
+  onSlowed: (ms: number, nowMs: number) => void = () => undefined,
 ): EndpointNetwork {
   return {
     open(entry) {
-      const running = new Map<string, { task: RunningTask; startMs: number; ranMs: number }>();
+      const running = new Map<string, ActiveRun>();
       const ended: EndedTask[] = [];
+      let settledMs = 0;
       let wake = (): void => undefined;
+      const settle = () => {
+        const ms = timer.nowMs() - settledMs;
+        settledMs = timer.nowMs();
+        for (const active of running.values()) {
+          active.doneMs += ms / active.factor;
+          if (active.factor > 1) onSlowed(ms, settledMs);
+        }
+      };
+      const schedule = () => {
+        for (const [key, active] of running) {
+          active.factor = 1;
+          for (const other of running.values()) {
+            if (other === active) continue;
+            active.factor *= factorOf(active.task.task.job, other.task.task.job);
+          }
+          active.cancelEnd();
+          const leftMs = (active.totalMs - active.doneMs) * active.factor;
+          active.cancelEnd = timer.onAfter(Math.max(0, leftMs), () => {
+            if (running.get(key) === active) end(key, RunEnds.DONE);
+          });
+        }
+      };
       const end = (key: string, state: EndedTask['end']) => {
         const active = running.get(key);
         if (active === undefined) return;
+        settle();
+        active.cancelEnd();
         running.delete(key);
+        schedule();
         const { task, run } = active.task;
         ended.push({ number: ended.length + 1, task, run, end: state });
         wake();
@@ -84,12 +131,17 @@
       return {
         async start({ task, run }) {
           await timer.sleep(1);
-          const ranMs = taskMsOf(task.job, task.index) / speedOf(entry.id);
-          const key = taskKey(task);
-          running.set(key, { task: { task, run, percent: 0 }, startMs: timer.nowMs(), ranMs });
-          timer.onAfter(ranMs, () => {
-            if (running.get(key)?.task.run === run) end(key, RunEnds.DONE);
+          const totalMs = taskMsOf(task.job, task.index) / speedOf(entry.id);
+          const listed = { task, run, percent: 0 };
+          settle();
+          running.set(taskKey(task), {
+            task: listed,
+            totalMs,
+            doneMs: 0,
+            factor: 1,
+            cancelEnd: () => undefined,
           });
+          schedule();
           return Result.ok(OrderAnswers.ACCEPTED);
         },
         async stop({ task }) {
@@ -108,13 +160,13 @@
               };
             });
           }
-          const nowMs = timer.nowMs();
+          settle();
           const report = {
-            clockMs: nowMs + 1_000,
+            clockMs: timer.nowMs() + 1_000,
             bornMs: 1,
-            running: [...running.values()].map(({ task, startMs, ranMs }) => ({
+            running: [...running.values()].map(({ task, doneMs, totalMs }) => ({
               ...task,
-              percent: Math.floor((100 * (nowMs - startMs)) / ranMs),
+              percent: Math.floor((100 * doneMs) / totalMs),
             })),
             ended: ended.slice(endsSeen),
           };
@@ -162,6 +214,9 @@
     timer,
     (endpoint) => load.speeds[Number(endpoint.slice(1)) % load.speeds.length] ?? 1,
     (job, index) => (jobsById.get(job)?.taskMs ?? 1) * (taskFactors.get(`${job}/${index}`) ?? 1),
+    (job, neighbour) =>
+      load.noise?.factor(jobsById.get(job)?.team ?? '', jobsById.get(neighbour)?.team ?? '') ?? 1,
+    load.noise?.onSlowed,
   );
   const dispatcher = createDispatcher({
     network,
@@ -172,6 +227,7 @@
     metrics: createMetrics(),
     fence: () => 1,
     onFenced: ignore,
+    isInterferenceEnabled: load.noise?.isInterferenceEnabled,
   });
   dispatcher.setEndpoints(ids.map(entryOf));
   await timer.advance(500);
--- a/packages/dispatch/src/chooseEndpoint.ts
+++ b/packages/dispatch/src/chooseEndpoint.ts
@@ -84,10 +84,7 @@
   request: PlacementRequest,
 ): T | undefined {
   const maxRunMs = maxRunMsOf(request);
-  const safeRunMs = Math.min(
-    request.objectiveInMs * SAFE_OBJECTIVE_SHARE,
-    request.patienceMs * SAFE_DEADLINE_SHARE,
-  );
+  const safeRunMs = safeRunMsOf(request);
   let slowestSafe: T | undefined;
   let slowestSafeMs = -Infinity;
   let earliest: T | undefined;
@@ -114,6 +111,11 @@
     : undefined;
 }
 
+/** Returns the longest expected run time with which a task ends well before its limits. */
+export function safeRunMsOf({ objectiveInMs, patienceMs }: PlacementRequest): number {
+  return Math.min(objectiveInMs * SAFE_OBJECTIVE_SHARE, patienceMs * SAFE_DEADLINE_SHARE);
+}
+
 /**
  * Returns the longest expected run time that justifies a start.
  *
@@ -121,7 +123,7 @@
  * time that meets the deadline reliably, whichever is shorter. Otherwise, and for an urgent task,
  * the limit is the deadline. There is no limit if no endpoint can meet the deadline.
  */
-function maxRunMsOf(request: PlacementRequest): number {
+export function maxRunMsOf(request: PlacementRequest): number {
   const { objectiveInMs, patienceMs, isUrgent = false } = request;
   const fastestMs = request.baseMs * request.minSlowness;
   if (!isUrgent && fastestMs <= Math.min(objectiveInMs, patienceMs)) {
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -46,11 +46,13 @@
 import { recordLength } from './jobLength.js';
 import { createJobSizeClassifier } from './jobSizes.js';
 import { createOrderWindow, orderBytes } from './orderWindow.js';
+import { createNeighbourLoss } from './neighbourLoss.js';
 import { createCancelledJobs } from './cancelledJobs.js';
 import { createOutcomeCache } from './outcomeCache.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
 import type { PlannedStart } from './placeTasks.js';
+import { describeRelocations } from './quieterEndpoint.js';
 import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
 import { createRunTimes } from './runTimes.js';
 import { createDuplicateRunDetector } from './duplicateRunDetector.js';
@@ -121,6 +123,8 @@
    * Whether the endpoint list is at least as recent as any earlier dispatcher's; true by default.
    */
   readonly isListCurrent?: () => boolean;
+  /** Whether to learn which tasks slow each other down, and to keep them apart; off by default. */
+  readonly isInterferenceEnabled?: boolean | undefined;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
@@ -130,6 +134,10 @@
   const outcomeCache = createOutcomeCache(timer);
   const cancelledJobs = createCancelledJobs(timer);
   const runTimes = createRunTimes();
+  const neighbourLoss =
+    options.isInterferenceEnabled === true
+      ? createNeighbourLoss({ clock, logger, metrics })
+      : undefined;
   const gatewayLeases = createGatewayLeases(clock);
   const jobSizes = createJobSizeClassifier();
   const duplicateRuns = createDuplicateRunDetector({
@@ -157,6 +165,7 @@
       onFenced: options.onFenced,
       onChange: schedulePass,
       onReport: () => {
+        neighbourLoss?.reported(pool.find(endpoint));
         handleOverdueTasks(endpoint);
       },
       onLog: (sentence, details) => {
@@ -173,6 +182,7 @@
     }),
     onRemoved: (endpoint) => {
       runTimes.forget(endpoint);
+      neighbourLoss?.forgetEndpoint(endpoint);
       health.forget(endpoint);
     },
   });
@@ -185,6 +195,7 @@
     rates: arrivalRates,
     clock,
     find: (run) => byTask.get(run.key),
+    neighbourLoss,
   });
   const reconciliation = createReconciliation({
     pool,
@@ -380,6 +391,7 @@
         )
         .join(' '),
       left: record.waiting,
+      apart: describeRelocations(starts),
       waitedMs: Math.round(nowMs - record.arrivedMs),
       expectedWaitMs: Math.round(waitMs),
     });
@@ -417,7 +429,7 @@
    * Starts a task, or claims its orphaned run if an endpoint reports one. Returns whether it
    * started.
    */
-  function startTask(record: JobRecord, { task, controller }: PlannedStart): boolean {
+  function startTask(record: JobRecord, { task, controller, relocation }: PlannedStart): boolean {
     const demand = record.job.steps[task.ref.step]?.demand;
     if (demand === undefined) return false;
     if (reconciliation.claimTask(record, task)) {
@@ -437,6 +449,8 @@
     const settleOrder = orderWindow.open(payload);
     task.run = controller.start({ task: task.ref, number, demand, payload });
     openOrders.set(task.run, settleOrder);
+    neighbourLoss?.started(record, task, task.run, placer.expectedMs(record, task));
+    if (relocation !== undefined) metrics.increment('interference.placements-changed');
     metrics.increment('starts');
     return true;
   }
@@ -446,6 +460,7 @@
     if (found?.task.run !== run) return;
     const { record, task } = found;
     task.run = undefined;
+    neighbourLoss?.ended(task.endpoint ?? '', run, end === RunEnds.DONE);
     if (record.outcome !== undefined) logEndAfterAnswer(record, task, run, end);
     if (end === RunEnds.DONE) handleDone(record, task, run);
     else handleUnsuccessfulEnd(record, task, run, end, answer);
@@ -672,6 +687,7 @@
     isClosed = true;
     stopReviews();
     pool.close();
+    neighbourLoss?.close();
     for (const record of jobs.values()) {
       if (record.outcome !== undefined) continue;
       const heldOn = endpointsWithRuns(record);
--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -10,16 +10,21 @@
 import type { Resources } from '@celerybarrow/protocol';
 import {
   chooseEndpoint,
+  expectedRunMs,
   hasCapacityFor,
   type Candidate,
   type PlacementRequest,
 } from './chooseEndpoint.js';
 import { isStepReady, stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
 import type { CapacityForecast } from './capacityForecast.js';
+import type { TaskLoss } from './neighbourLoss.js';
+import { quieterEndpoint, type Relocation } from './quieterEndpoint.js';
 
 export interface PlannedStart {
   readonly task: TaskRecord;
   readonly controller: EndpointController;
+  /** Set if the task starts on another endpoint than it would without regard to its neighbours. */
+  readonly relocation?: Relocation | undefined;
 }
 
 /** An endpoint that may get tasks in this planning pass. */
@@ -47,13 +52,15 @@
   readonly isUrgent: boolean;
   /** Returns the expected run time of the tasks of a step on an endpoint of usual speed. */
   readonly baseMs: (step: number) => number;
+  /** Returns what the tasks of a step lose beside others; undefined if that is nothing. */
+  readonly lossOf?: ((step: number) => TaskLoss | undefined) | undefined;
 }
 
 /** Plans the starts of ready tasks while there are candidates, and deducts their capacity. */
 export function placeTasks(
   record: JobRecord,
   { places: candidates, minDemand, minSlowness, forecast }: PlacementState,
-  { nowMs, isUrgent, baseMs }: PlacementTerms,
+  { nowMs, isUrgent, baseMs, lossOf }: PlacementTerms,
 ): PlannedStart[] {
   const starts: PlannedStart[] = [];
   /** Steps whose tasks no candidate could serve. */
@@ -79,17 +86,21 @@
       },
       tasksOn: (endpoint: string) => countTasksOn(record, task, endpoint, starts),
     };
-    const candidate =
+    const usual =
       candidateFor(task, candidates, request) ??
       (isUrgent
         ? candidateFor(task, candidates, { ...request, objectiveInMs: patienceMs, isUrgent })
         : undefined);
-    if (candidate === undefined) {
+    if (usual === undefined) {
       if (isWaiting) forecast.reserve(request);
       else if (task.avoided.size === 0) unplaceable.add(task.ref.step);
       continue;
     }
-    starts.push({ task, controller: candidate.controller });
+    const loss = lossOf?.(task.ref.step);
+    const relocation = loss && quieterEndpoint(candidates, request, usual, loss.extraMs);
+    const candidate = relocation?.candidate ?? usual;
+    starts.push({ task, controller: candidate.controller, relocation });
+    loss?.addStart(candidate.entry.id, expectedRunMs(candidate, request));
     forecast.addStart(candidate, request);
     occupy(candidates, candidate, step.demand, minDemand);
   }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -11,6 +11,7 @@
 import type { EndpointHealth } from './endpointHealth.js';
 import { compareJobs } from './jobOrder.js';
 import { stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
+import type { NeighbourLoss } from './neighbourLoss.js';
 import { remainingMs } from './overdueRun.js';
 import {
   placeTasks,
@@ -92,6 +93,8 @@
   readonly clock: ElapsedClock;
   /** Returns the job and the task of a run. */
   readonly find: (run: Run) => { record: JobRecord; task: TaskRecord } | undefined;
+  /** Undefined unless neighbours count in the choice of an endpoint. */
+  readonly neighbourLoss?: NeighbourLoss | undefined;
 }
 
 /** Share of the cores that tasks of a third to a half of an endpoint can use; the rest is gaps. */
@@ -177,6 +180,7 @@
       minSlowness,
       forecast,
     };
+    const lossesOf = options.neighbourLoss?.beginPass(nowMs);
     const usableCapacity = capacity * PACKING_EFFICIENCY;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority }) => {
@@ -205,6 +209,7 @@
             nowMs,
             isUrgent,
             baseMs: (step) => baseMs(record.job, step),
+            lossOf: lossesOf?.(record.job),
           })
         : [];
       if (starts.length >= record.waiting)
--- a/packages/interference/src/interference.ts
+++ b/packages/interference/src/interference.ts
@@ -7,7 +7,7 @@
 import { createPairModel, type PairChange, type SharedPair } from './pairModel.js';
 import { placementPenaltyMs, type Neighbour } from './placementPenalty.js';
 import { runContrasts } from './runContrasts.js';
-import { createRunObservation, type ObservedReport } from './runObservation.js';
+import { createRunObservation, type LiveRun, type ObservedReport } from './runObservation.js';
 
 const REVIEW_INTERVAL_MS = 1_000;
 
@@ -81,12 +81,6 @@
       ? 1
       : model.factor(target.index, neighbour.index);
 
-  function* neighboursOn(endpoint: string, atMs: number): Iterable<Neighbour<Group>> {
-    for (const run of observation.runsOn(endpoint)) {
-      yield { group: run.group, remainingMs: observation.remainingMs(run, atMs) };
-    }
-  }
-
   return {
     started({ endpoint, key, task, expectedMs, sentMs }) {
       const group = groups.count(groupKey(task), sentMs);
@@ -109,9 +103,11 @@
     groupOf: (task) => groups.find(groupKey(task)),
     penaltyMs(endpoint, group, runMs, atMs, starting = []) {
       if (model.pairsInForce() === 0) return 0;
+      const runs = observation.runsOn(endpoint);
+      const remainingMsOf = (run: LiveRun) => observation.remainingMs(run, atMs);
       return (
-        placementPenaltyMs(neighboursOn(endpoint, atMs), group, runMs, factorOf) +
-        placementPenaltyMs(starting, group, runMs, factorOf)
+        placementPenaltyMs(runs, group, runMs, factorOf, remainingMsOf) +
+        placementPenaltyMs(starting, group, runMs, factorOf, ({ remainingMs }) => remainingMs)
       );
     },
     exportPairs: (atMs) => model.exportPairs(atMs, (index) => groups.at(index)?.key),
--- a/packages/interference/src/pairModel.ts
+++ b/packages/interference/src/pairModel.ts
@@ -133,6 +133,7 @@
   /** Factors of the pairs in force, by target and neighbour. */
   const factors = new Float64Array(MAX_GROUPS * MAX_GROUPS).fill(1);
   const product = new Float64Array(SIZE);
+  const correlated: number[] = [];
   const exposures: { feature: number; amount: number }[] = [];
   let inForce = 0;
 
@@ -171,12 +172,16 @@
       noise += Math.max(0, Math.abs(innovation) - USUAL_LOG_CHANGE) ** 2;
     }
     const total = explained + noise;
-    for (let row = 0; row < SIZE; row += 1) {
+    // Groups that never ran beside these have no covariance with them.
+    correlated.length = 0;
+    for (let feature = 0; feature < SIZE; feature += 1) {
+      if (product[feature] !== 0) correlated.push(feature);
+    }
+    for (const row of correlated) {
       const gain = (product[row] ?? 0) / total;
-      if (gain === 0) continue;
       mean[row] = (mean[row] ?? 0) + gain * innovation;
       const offset = row * SIZE;
-      for (let column = 0; column < SIZE; column += 1) {
+      for (const column of correlated) {
         covariance[offset + column] =
           (covariance[offset + column] ?? 0) - gain * (product[column] ?? 0);
       }
