test(dispatch): keep the event order of the loaded pool without noise

Change: timers of ended runs fire without effect, as they did before. Progress is computed from the last change of a run's factor, so it is the same as before where no tasks slow each other down.

--- a/packages/dispatch/__tests__/loadedPool.ts
+++ b/packages/dispatch/__tests__/loadedPool.ts
@@ -75,9 +75,10 @@
 
 interface ActiveRun {
   readonly task: RunningTask;
-  /** Run time without neighbours, and how much of it is done. */
+  /** Run time without neighbours, and how much of it was done when the factor last changed. */
   readonly totalMs: number;
   doneMs: number;
+  sinceMs: number;
   factor: number;
   cancelEnd: () => void;
 }
@@ -93,37 +94,34 @@
     open(entry) {
       const running = new Map<string, ActiveRun>();
       const ended: EndedTask[] = [];
-      let settledMs = 0;
       let wake = (): void => undefined;
-      const settle = () => {
-        const ms = timer.nowMs() - settledMs;
-        settledMs = timer.nowMs();
-        for (const active of running.values()) {
-          active.doneMs += ms / active.factor;
-          if (active.factor > 1) onSlowed(ms, settledMs);
-        }
+      const doneMs = (active: ActiveRun) =>
+        active.doneMs + (timer.nowMs() - active.sinceMs) / active.factor;
+      const setFactor = (key: string, active: ActiveRun, factor: number) => {
+        if (active.factor > 1) onSlowed(timer.nowMs() - active.sinceMs, timer.nowMs());
+        active.doneMs = doneMs(active);
+        active.sinceMs = timer.nowMs();
+        active.factor = factor;
+        active.cancelEnd();
+        active.cancelEnd = timer.onAfter((active.totalMs - active.doneMs) * factor, () => {
+          if (running.get(key) === active) end(key, RunEnds.DONE);
+        });
       };
-      const schedule = () => {
+      const updateFactors = () => {
         for (const [key, active] of running) {
-          active.factor = 1;
+          let factor = 1;
           for (const other of running.values()) {
-            if (other === active) continue;
-            active.factor *= factorOf(active.task.task.job, other.task.task.job);
+            if (other !== active) factor *= factorOf(active.task.task.job, other.task.task.job);
           }
-          active.cancelEnd();
-          const leftMs = (active.totalMs - active.doneMs) * active.factor;
-          active.cancelEnd = timer.onAfter(Math.max(0, leftMs), () => {
-            if (running.get(key) === active) end(key, RunEnds.DONE);
-          });
+          if (factor !== active.factor) setFactor(key, active, factor);
         }
       };
       const end = (key: string, state: EndedTask['end']) => {
         const active = running.get(key);
         if (active === undefined) return;
-        settle();
-        active.cancelEnd();
+        if (active.factor > 1) onSlowed(timer.nowMs() - active.sinceMs, timer.nowMs());
         running.delete(key);
-        schedule();
+        updateFactors();
         const { task, run } = active.task;
         ended.push({ number: ended.length + 1, task, run, end: state });
         wake();
@@ -132,16 +130,18 @@
         async start({ task, run }) {
           await timer.sleep(1);
           const totalMs = taskMsOf(task.job, task.index) / speedOf(entry.id);
-          const listed = { task, run, percent: 0 };
-          settle();
-          running.set(taskKey(task), {
-            task: listed,
+          const key = taskKey(task);
+          const active: ActiveRun = {
+            task: { task, run, percent: 0 },
             totalMs,
             doneMs: 0,
+            sinceMs: timer.nowMs(),
             factor: 1,
             cancelEnd: () => undefined,
-          });
-          schedule();
+          };
+          running.set(key, active);
+          setFactor(key, active, 1);
+          updateFactors();
           return Result.ok(OrderAnswers.ACCEPTED);
         },
         async stop({ task }) {
@@ -160,13 +160,12 @@
               };
             });
           }
-          settle();
           const report = {
             clockMs: timer.nowMs() + 1_000,
             bornMs: 1,
-            running: [...running.values()].map(({ task, doneMs, totalMs }) => ({
-              ...task,
-              percent: Math.floor((100 * doneMs) / totalMs),
+            running: [...running.values()].map((active) => ({
+              ...active.task,
+              percent: Math.floor((100 * doneMs(active)) / active.totalMs),
             })),
             ended: ended.slice(endsSeen),
           };
