--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -20,6 +20,7 @@
   type Run,
   type RunEnd,
 } from '@celerybarrow/endpoints';
+import type { SharedPair } from '@celerybarrow/interference';
 import {
   JobStates,
   type JobOutcome,
@@ -105,6 +106,9 @@
   setEndpoints(entries: readonly EndpointEntry[]): void;
   /** Returns the number of jobs without a started task, by team. */
   waiting(): Record<string, number>;
+  /** Returns the noisy neighbours in force for other dispatchers, and takes those of others. */
+  exportPairs(): SharedPair[];
+  importPairs(pairs: readonly SharedPair[]): void;
   /** Returns all jobs to their gateways and leaves their runs for the next dispatcher to claim. */
   close(): void;
 }
@@ -715,6 +719,8 @@
       schedulePass();
     },
     waiting,
+    exportPairs: () => neighbourLoss?.exportPairs() ?? [],
+    importPairs: (pairs) => neighbourLoss?.importPairs(pairs),
     close,
   };
 }
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -25,6 +25,7 @@
 import { createShardChooser } from './chooseShard.js';
 import { createEndpointWatcher } from './watchEndpoints.js';
 import { createRoutingWatcher, type RoutingStatus } from './watchRouting.js';
+import { createPairSharing } from './sharePairs.js';
 import { createShardDispatchers } from './shardDispatchers.js';
 import { warmUp, type LoopbackEndpoints } from './warmUp.js';
 
@@ -57,6 +58,11 @@
   readonly metrics: Metrics;
   /** Opens endpoints to warm up the dispatcher with. If undefined, there is no warm-up. */
   readonly openLoopback?: () => Promise<LoopbackEndpoints>;
+  /**
+   * Whether the dispatchers learn which tasks slow each other down, and keep them apart; off by
+   * default.
+   */
+  readonly isInterferenceEnabled?: boolean;
 }
 
 export interface Instance {
@@ -77,7 +83,7 @@
 }
 
 export function createInstance(options: InstanceOptions): Instance {
-  const { self, store, timer, random, metrics } = options;
+  const { self, store, timer, random, metrics, isInterferenceEnabled = false } = options;
   const closing = new AbortController();
   const clock = createElapsedClock(timer);
   const documents = createReplicatedDocuments(timer);
@@ -136,7 +142,19 @@
     shards: () => leadership.shards().length,
     entries: endpoints.entries,
     areEntriesCurrent: endpoints.isCurrent,
+    isInterferenceEnabled,
+    onStart: (dispatcher) => {
+      pairSharing?.introduce(dispatcher);
+    },
   });
+  const pairSharing = isInterferenceEnabled
+    ? createPairSharing({
+        documents,
+        timer,
+        logger: createLogger('interference'),
+        dispatchers: dispatchers.all,
+      })
+    : undefined;
   const leadership = createFleetLeadership({
     self,
     greeting,
@@ -246,6 +264,7 @@
     async close() {
       isStopping = true;
       closing.abort();
+      pairSharing?.stop();
       leadership.close();
       endpoints.stop();
       dispatchers.stopAll();
--- a/packages/instance/src/shardDispatchers.ts
+++ b/packages/instance/src/shardDispatchers.ts
@@ -24,11 +24,16 @@
   readonly entries: () => readonly EndpointEntry[];
   /** Whether the endpoints were read from the store after the last start of a dispatcher here. */
   readonly areEntriesCurrent: () => boolean;
+  /** Whether the dispatchers keep tasks apart that slow each other down. */
+  readonly isInterferenceEnabled: boolean;
+  /** Called with a new dispatcher before it gets its endpoints. */
+  readonly onStart: (dispatcher: Dispatcher) => void;
 }
 
 export interface ShardDispatchers {
   /** Returns the running dispatcher of a shard. */
   get(shard: number): Dispatcher | undefined;
+  all(): Dispatcher[];
   isEmpty(): boolean;
   /** Starts the dispatcher of a shard, unless it is running. */
   start(leadership: Leadership): void;
@@ -61,6 +66,7 @@
       onFenced: () => {
         leadership.handleFenced();
       },
+      isInterferenceEnabled: options.isInterferenceEnabled,
       // In a round above 0 the store is unreachable, and the last list that the instances read from
       // it is the only one available.
       isListCurrent: () => options.areEntriesCurrent() || (leadership.view()?.round ?? 0) > 0,
@@ -69,6 +75,7 @@
       dispatcher.renewGatewayLease(self.instance);
     });
     running.set(shard, { dispatcher, stopRenewal });
+    options.onStart(dispatcher);
     dispatcher.setEndpoints(entriesOf(shard, options.entries()));
   }
 
@@ -82,6 +89,7 @@
 
   return {
     get: (shard) => running.get(shard)?.dispatcher,
+    all: () => [...running.values()].map(({ dispatcher }) => dispatcher),
     isEmpty: () => running.size === 0,
     start,
     stop,
--- a/packages/interference/__tests__/interference.spec.ts
+++ b/packages/interference/__tests__/interference.spec.ts
@@ -14,7 +14,7 @@
 const FOLLOWED_WITHIN_MS = 30_000;
 const FORGOTTEN_WITHIN_MS = 120_000;
 /** Bound of the model's memory for each dispatcher, as docs/design/interference.md states it. */
-const MAX_BYTES = 1.5e6;
+const MAX_BYTES = 1.1e6;
 
 const keyOf = (group: number) => groupKey(taskOf(`team-${group}`));
 
@@ -133,23 +133,21 @@
 
 describe('a flood of new groups', () => {
   it('stays within the memory bound and leaves the known pair in force', () => {
-    const { interference, pool, isInForce } = createPool({ seed: 9 });
-    pool.advance(interference, 40_000);
-    const flood = (number: number): void => {
-      const endpoint = `flood-${number % 50}`;
-      const key = `f${number}`;
-      const nowMs = 40_000 + number;
-      const task = taskOf(`${'long-name'.repeat(20)}${number}`.slice(-60));
-      interference.started({ endpoint, key, task, expectedMs: 100, sentMs: nowMs });
-      interference.ended(endpoint, key, true);
-      const clocks = { clockMs: nowMs, writtenMs: nowMs };
-      interference.reported({ endpoint, receivedMs: nowMs, ...clocks, running: [] });
-    };
-    for (let number = 0; number < 10_000; number += 1) flood(number);
+    const floodFrom = 4_000;
+    const { interference, pool, isInForce } = createPool({
+      seed: 9,
+      teamOf: (group, started) =>
+        started > floodFrom && group >= 2
+          ? `${'long-name-'.repeat(10)}${Math.floor(started / 4)}`.slice(-40)
+          : `team-${group}`,
+    });
+    while (pool.started.reduce((sum, one) => sum + one) < 3 * floodFrom) {
+      pool.advance(interference, pool.nowMs() + 1_000);
+    }
     const { bytes, groups } = interference.size();
     expect(bytes <= MAX_BYTES).toEqual(true);
     expect(groups <= 240).toEqual(true);
-    expect(isInForce(0, 1)).toEqual(true);
+    expect([isInForce(0, 1), isInForce(1, 0)]).toEqual([true, true]);
   });
 });
 
--- a/packages/interference/src/groupTable.ts
+++ b/packages/interference/src/groupTable.ts
@@ -24,6 +24,8 @@
 export interface GroupTable {
   /** Returns the group of a task that starts, and counts the task. */
   count(key: string, nowMs: number): Group;
+  /** Returns a group with an index, and assigns one if any is free. */
+  admit(key: string, nowMs: number): Group | undefined;
   /** Returns a group that has an index. */
   find(key: string): Group | undefined;
   at(index: number): Group | undefined;
@@ -64,6 +66,13 @@
     return created;
   }
 
+  function assign(group: CountedGroup, index: number): void {
+    candidates.delete(group.key);
+    group.index = index;
+    indexed[index] = group;
+    groups.set(group.key, group);
+  }
+
   function promote(candidate: CountedGroup, nowMs: number): void {
     if (candidate.tasks < MIN_TASKS) return;
     let index = indexed.length;
@@ -75,10 +84,7 @@
       groups.delete(rarest.key);
       rarest.index = undefined;
     }
-    candidates.delete(candidate.key);
-    candidate.index = index;
-    indexed[index] = candidate;
-    groups.set(candidate.key, candidate);
+    assign(candidate, index);
   }
 
   return {
@@ -93,6 +99,13 @@
       promote(candidate, nowMs);
       return candidate;
     },
+    admit(key, nowMs) {
+      const known = groups.get(key);
+      if (known !== undefined || indexed.length >= MAX_GROUPS) return known;
+      const group = candidates.get(key) ?? { key, index: undefined, tasks: 0, countedMs: nowMs };
+      assign(group, indexed.length);
+      return group;
+    },
     find: (key) => groups.get(key),
     at: (index) => indexed[index],
     size: () => groups.size + candidates.size,
--- a/packages/interference/src/index.ts
+++ b/packages/interference/src/index.ts
@@ -8,6 +8,6 @@
   type StartedRun,
 } from './interference.js';
 export { type Group } from './groupTable.js';
-export { type SharedPair } from './pairModel.js';
 export { placementPenaltyMs, type Neighbour } from './placementPenalty.js';
 export { type ListedRun } from './runObservation.js';
+export { sharedPairSchema, type SharedPair } from './sharedPair.js';
--- a/packages/interference/src/interference.ts
+++ b/packages/interference/src/interference.ts
@@ -4,10 +4,11 @@
  */
 import { groupKey, type GroupedTask } from './groupKey.js';
 import { createGroupTable, type Group } from './groupTable.js';
-import { createPairModel, type PairChange, type SharedPair } from './pairModel.js';
+import { createPairModel, type PairChange } from './pairModel.js';
 import { placementPenaltyMs, type Neighbour } from './placementPenalty.js';
 import { runContrasts } from './runContrasts.js';
 import { createRunObservation, type LiveRun, type ObservedReport } from './runObservation.js';
+import type { SharedPair } from './sharedPair.js';
 
 const REVIEW_INTERVAL_MS = 1_000;
 
@@ -113,10 +114,8 @@
     exportPairs: (atMs) => model.exportPairs(atMs, (index) => groups.at(index)?.key),
     importPairs(pairs, atMs) {
       for (const pair of pairs) {
-        // Two counts give a group an index.
-        const [target, neighbour] = [pair.target, pair.neighbour].map((key) => {
-          return groups.find(key) ?? (groups.count(key, atMs), groups.count(key, atMs));
-        });
+        const target = groups.admit(pair.target, atMs);
+        const neighbour = groups.admit(pair.neighbour, atMs);
         if (target?.index === undefined || neighbour?.index === undefined) continue;
         model.importPair(target.index, neighbour.index, pair, atMs);
       }
--- a/packages/interference/src/pairModel.ts
+++ b/packages/interference/src/pairModel.ts
@@ -11,6 +11,7 @@
  * seen, is forgotten.
  */
 import { MAX_GROUPS } from './groupTable.js';
+import type { SharedPair } from './sharedPair.js';
 
 /** Coefficients that are common to all neighbours, before those of the neighbour groups. */
 export const Features = {
@@ -91,16 +92,6 @@
   readonly ageMs: number;
 }
 
-/** An estimate for exchange between dispatchers. */
-export interface SharedPair {
-  readonly target: string;
-  readonly neighbour: string;
-  readonly factor: number;
-  /** Inverse variance of the log factor. */
-  readonly weight: number;
-  readonly ageMs: number;
-}
-
 export interface PairModel {
   /** Adds evidence from one run of the target group. */
   learn(target: number, contrasts: readonly Contrast[], endpoint: string, nowMs: number): void;
@@ -303,7 +294,11 @@
       if (variance < UNKNOWN_SHARE * GROUP_PRIOR ** 2) return;
       exposures.length = 0;
       exposures.push({ feature, amount: 1 });
-      update(state, Math.log(pair.factor), SHARED_VARIANCE_FACTOR / pair.weight, false);
+      // The estimate has returned to the prior for as long as there was no evidence.
+      const kept = Math.exp(-pair.ageMs / RETURN_MS);
+      const sharedVariance =
+        (kept ** 2 * SHARED_VARIANCE_FACTOR) / pair.weight + (1 - kept ** 2) * GROUP_PRIOR ** 2;
+      update(state, kept * Math.log(pair.factor), sharedVariance, false);
       state.runs[feature] = MIN_RUNS;
       state.endpoints[feature] = 2 ** MIN_ENDPOINTS - 1;
       state.learnedMs[feature] = nowMs - pair.ageMs;
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -33,6 +33,7 @@
     'protocol',
     'store',
     'endpoints',
+    'interference',
     'dispatch',
     'leadership',
     'entry',
