--- a/packages/interference/__tests__/interference.spec.ts
+++ b/packages/interference/__tests__/interference.spec.ts
@@ -131,6 +131,20 @@
   });
 });
 
+describe('endpoints that restart', () => {
+  // Guards against durations between the clocks of two incarnations.
+  it('form no pair, and do not hide one', () => {
+    for (const seed of seeds(10)) {
+      const quiet = createPool({ seed, restartMs: 3_000, factor: () => 1 });
+      quiet.pool.advance(quiet.interference, 20_000);
+      expect(quiet.changes).toEqual([]);
+      const noisy = createPool({ seed, restartMs: 3_000 });
+      noisy.pool.advance(noisy.interference, 30_000);
+      expect([noisy.isInForce(0, 1), noisy.isInForce(1, 0)]).toEqual([true, true]);
+    }
+  });
+});
+
 describe('a flood of new groups', () => {
   it('stays within the memory bound and leaves the known pair in force', () => {
     const floodFrom = 4_000;
--- a/packages/interference/__tests__/simulatedPool.ts
+++ b/packages/interference/__tests__/simulatedPool.ts
@@ -23,6 +23,8 @@
   /** Spread of the rate between the quarters of a run, and delay before its progress begins. */
   readonly phaseSpread?: number;
   readonly startDelayMs?: number;
+  /** Interval at which an endpoint restarts: its runs are lost and its clock begins again. */
+  readonly restartMs?: number;
 }
 
 interface SimulatedRun {
@@ -74,6 +76,7 @@
     nowMs += STEP_MS;
     for (const endpoint of endpoints) {
       const { id, runs, index } = endpoint;
+      if (nowMs % (options.restartMs ?? Infinity) === index) restart(interference, endpoint);
       for (const run of runs) {
         let factor = slowness(index, nowMs);
         for (const other of runs) {
@@ -109,6 +112,14 @@
     }
   }
 
+  function restart(interference: Interference, endpoint: (typeof endpoints)[number]): void {
+    for (const { key } of endpoint.runs.splice(0)) {
+      interference.ended(endpoint.id, key, false);
+      endpoint.idleUntilMs.push(nowMs + 100);
+    }
+    endpoint.clockAheadMs = -nowMs;
+  }
+
   function start(interference: Interference, { id, runs }: { id: string; runs: SimulatedRun[] }) {
     const group = Math.floor(random.next() * options.groups);
     const lengthMs = sampleLength(random, options.meanMs);
