--- a/packages/dispatch/__tests__/loadedPool.ts
+++ b/packages/dispatch/__tests__/loadedPool.ts
@@ -17,6 +17,7 @@
 import { createMetrics, type LogContext, type Logger, type Metrics } from '@celerybarrow/telemetry';
 import { createElapsedClock, createManualTimer, type ManualTimer } from '@celerybarrow/timer';
 import { createDispatcher } from '../src/index.js';
+import { createNoisyNetwork, type Noise } from './noisyNetwork.js';
 
 export interface JobKind {
   readonly team: string;
@@ -41,6 +42,8 @@
   /** Time that callers wait; 1,500 ms by default. */
   readonly deadlineMs?: number;
   readonly fault?: EndpointFault;
+  /** Tasks that slow each other down, which excludes a fault; none by default. */
+  readonly noise?: Noise;
   readonly onLog?: (atMs: number, sentence: string, context: LogContext) => void;
   readonly metrics?: Metrics;
 }
@@ -213,12 +216,24 @@
   const deadlineMs = load.deadlineMs ?? DEADLINE_MS;
   const { tail, fault } = load;
   const ids = Array.from({ length: load.endpoints }, (_, index) => `e${index}`);
-  const network = createNetwork(
-    timer,
-    (endpoint) => load.speeds[Number(endpoint.slice(1)) % load.speeds.length] ?? 1,
-    (job, index) => (jobsById.get(job)?.taskMs ?? 1) * (taskFactors.get(`${job}/${index}`) ?? 1),
-    (endpoint) => (endpoint === fault?.endpoint ? fault : undefined),
-  );
+  const { noise } = load;
+  const speedOf = (endpoint: string) =>
+    load.speeds[Number(endpoint.slice(1)) % load.speeds.length] ?? 1;
+  const taskMsOf = (job: string, index: number) =>
+    (jobsById.get(job)?.taskMs ?? 1) * (taskFactors.get(`${job}/${index}`) ?? 1);
+  const teamOf = (job: string) => jobsById.get(job)?.team ?? '';
+  const network =
+    noise === undefined
+      ? createNetwork(timer, speedOf, taskMsOf, (endpoint) =>
+          endpoint === fault?.endpoint ? fault : undefined,
+        )
+      : createNoisyNetwork(
+          timer,
+          speedOf,
+          taskMsOf,
+          (job, neighbour) => noise.factor(teamOf(job), teamOf(neighbour)),
+          noise.onSlowed,
+        );
   const dispatcher = createDispatcher({
     network,
     timer,
@@ -228,6 +243,7 @@
     metrics: load.metrics ?? createMetrics(),
     fence: () => 1,
     onFenced: ignore,
+    isInterferenceEnabled: noise?.isInterferenceEnabled,
   });
   dispatcher.setEndpoints(ids.map(entryOf));
   await timer.advance(500);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -22,6 +22,7 @@
   type Run,
   type RunEnd,
 } from '@celerybarrow/endpoints';
+import type { SharedPair } from '@celerybarrow/interference';
 import {
   JobStates,
   type JobOutcome,
@@ -48,11 +49,13 @@
 import { recordLength } from './jobLength.js';
 import { createJobSizeClassifier } from './jobSizes.js';
 import { createOrderWindow, orderBytes } from './orderWindow.js';
+import { createNeighbourLoss } from './neighbourLoss.js';
 import { createCancelledJobs } from './cancelledJobs.js';
 import { createOutcomeCache } from './outcomeCache.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
 import type { PlannedStart } from './placeTasks.js';
+import { describeRelocations } from './quieterEndpoint.js';
 import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
 import { createRunLengths } from './runLengths.js';
 import { createRunTimes } from './runTimes.js';
@@ -106,6 +109,9 @@
   setEndpoints(entries: readonly EndpointEntry[]): void;
   /** Returns the number of jobs without a started task, by team. */
   waiting(): Record<string, number>;
+  /** Returns the noisy neighbours in force for other dispatchers, and takes those of others. */
+  exportPairs(): SharedPair[];
+  importPairs(pairs: readonly SharedPair[]): void;
   /** Returns all jobs to their gateways and leaves their runs for the next dispatcher to claim. */
   close(): void;
 }
@@ -124,6 +130,8 @@
    * Whether the endpoint list is at least as recent as any earlier dispatcher's; true by default.
    */
   readonly isListCurrent?: () => boolean;
+  /** Whether to learn which tasks slow each other down, and to keep them apart; off by default. */
+  readonly isInterferenceEnabled?: boolean | undefined;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
@@ -138,6 +146,10 @@
     metrics,
     find: (key) => byTask.get(key)?.record,
   });
+  const neighbourLoss =
+    options.isInterferenceEnabled === true
+      ? createNeighbourLoss({ clock, logger, metrics })
+      : undefined;
   const gatewayLeases = createGatewayLeases(clock);
   const jobSizes = createJobSizeClassifier();
   const duplicateRuns = createDuplicateRunDetector({
@@ -168,6 +180,7 @@
       onFenced: options.onFenced,
       onChange: schedulePass,
       onReport: () => {
+        neighbourLoss?.reported(pool.find(endpoint));
         handleOverdueTasks(endpoint);
       },
       onLog: (sentence, details) => {
@@ -186,6 +199,7 @@
     onRemoved: (endpoint) => {
       runTimes.forget(endpoint);
       runLengths.forget(endpoint);
+      neighbourLoss?.forgetEndpoint(endpoint);
       health.forget(endpoint);
     },
   });
@@ -199,6 +213,7 @@
     clock,
     hasTail: runLengths.hasTail,
     find: (run) => byTask.get(run.key),
+    neighbourLoss,
   });
   const reconciliation = createReconciliation({
     pool,
@@ -406,6 +421,7 @@
         )
         .join(' '),
       left: record.waiting,
+      apart: describeRelocations(starts),
       waitedMs: Math.round(nowMs - record.arrivedMs),
       expectedWaitMs: Math.round(waitMs),
     });
@@ -453,7 +469,7 @@
    * Starts a task, or claims its orphaned run if an endpoint reports one. Returns whether it
    * started.
    */
-  function startTask(record: JobRecord, { task, controller }: PlannedStart): boolean {
+  function startTask(record: JobRecord, { task, controller, relocation }: PlannedStart): boolean {
     const demand = record.job.steps[task.ref.step]?.demand;
     if (demand === undefined) return false;
     if (reconciliation.claimTask(record, task)) {
@@ -473,6 +489,8 @@
     const settleOrder = orderWindow.open(payload);
     task.run = controller.start({ task: task.ref, number, demand, payload });
     openOrders.set(task.run, settleOrder);
+    neighbourLoss?.started(record, task, task.run, placer.expectedMs(record, task));
+    if (relocation !== undefined) metrics.increment('interference.placements-changed');
     metrics.increment('starts');
     return true;
   }
@@ -498,6 +516,7 @@
     if (found?.task.run !== run) return;
     const { record, task } = found;
     task.run = undefined;
+    neighbourLoss?.ended(task.endpoint ?? '', run, end === RunEnds.DONE);
     if (record.outcome !== undefined) logEndAfterAnswer(record, task, run, end);
     if (end === RunEnds.DONE) handleDone(record, task, run);
     else handleUnsuccessfulEnd(record, task, run, end, answer);
@@ -731,6 +750,7 @@
     isClosed = true;
     stopReviews();
     pool.close();
+    neighbourLoss?.close();
     for (const record of jobs.values()) {
       if (record.outcome !== undefined) continue;
       const heldOn = endpointsWithRuns(record);
@@ -760,6 +780,8 @@
       schedulePass();
     },
     waiting,
+    exportPairs: () => neighbourLoss?.exportPairs() ?? [],
+    importPairs: (pairs) => neighbourLoss?.importPairs(pairs),
     close,
   };
 }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -12,6 +12,7 @@
 import { compareJobs } from './jobOrder.js';
 import { stepOf, type JobRecord, type TaskRecord } from './jobRecord.js';
 import { adjustedObjectiveMs } from './jobLength.js';
+import type { NeighbourLoss } from './neighbourLoss.js';
 import { remainingMs } from './overdueRun.js';
 import {
   placeTasks,
@@ -107,6 +108,8 @@
   readonly hasTail?: (service: string) => boolean;
   /** Returns the job and the task of a run. */
   readonly find: (run: Run) => { record: JobRecord; task: TaskRecord } | undefined;
+  /** Undefined unless neighbours count in the choice of an endpoint. */
+  readonly neighbourLoss?: NeighbourLoss | undefined;
 }
 
 /** Share of the cores that tasks of a third to a half of an endpoint can use; the rest is gaps. */
@@ -206,6 +209,7 @@
       minSlowness,
       forecast,
     };
+    const lossesOf = options.neighbourLoss?.beginPass(nowMs);
     const usableCapacity = capacity * PACKING_EFFICIENCY;
     let workAhead = 0;
     return ordered.map(({ record, runMs, workLeft, priority, objectiveMs, length }) => {
@@ -235,6 +239,7 @@
             isUrgent,
             objectiveMs,
             baseMs: (step) => baseMs(record.job, step) * length,
+            lossOf: lossesOf?.(record.job),
           })
         : [];
       if (starts.length >= record.waiting)
--- a/scripts/layers.mjs
+++ b/scripts/layers.mjs
@@ -24,7 +24,8 @@
   ingress: ['shared', 'timer', 'telemetry'],
   gateway: ['shared', 'protocol', 'membership', 'jobs', 'ingress', 'telemetry'],
   endpoints: ['shared', 'timer', 'protocol', 'telemetry'],
-  dispatch: ['shared', 'timer', 'protocol', 'endpoints', 'telemetry'],
+  interference: ['shared'],
+  dispatch: ['shared', 'timer', 'protocol', 'endpoints', 'interference', 'telemetry'],
   leadership: ['shared', 'timer', 'protocol', 'store', 'telemetry'],
   entry: ['shared', 'timer', 'protocol', 'leadership', 'telemetry'],
   instance: [
@@ -33,6 +34,7 @@
     'protocol',
     'store',
     'endpoints',
+    'interference',
     'dispatch',
     'leadership',
     'entry',
