feat(dispatch,platform): take the factor outside the data's rack from the settings

The code had 1.5 for every deployment, while the settings say 1.5, 2 or 3 (bounds.farFactor), so run times far from the data were expected too short. Where the settings don't tell it, 1.5 holds as before. The new test of decisions.spec.ts chooses the near endpoint with 3 and the far one with 1.5.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -51,6 +51,18 @@
     expect(chooseEndpoint([fast, usual, slow], request({}))?.entry.id).toEqual('usual');
   });
 
+  // Guards against a factor that differs from the platform's, by which tasks run far from their data.
+  it('counts the factor outside the rack of the data as the settings tell it', () => {
+    const near = { ...candidate('near', 2), entry: { ...entry('near'), labels: ['r1'] } };
+    const step = { tasks: 1, demand, estimateMs: 900, after: [], rack: 'r1' };
+    const choose = (otherRackFactor?: number) =>
+      chooseEndpoint(
+        [near, usual],
+        request({ step, baseMs: 300, objectiveInMs: 50, otherRackFactor }),
+      )?.entry.id;
+    expect([choose(), choose(1.5), choose(3)]).toEqual(['usual', 'usual', 'near']);
+  });
+
   it('chooses the fastest one for a long task that would miss its deadline on a slow one', () => {
     const long = request({ baseMs: 900, objectiveInMs: 1_500 });
     expect(chooseEndpoint([slow, usual, fast], long)?.entry.id).toEqual('fast');
--- a/packages/dispatch/src/chooseEndpoint.ts
+++ b/packages/dispatch/src/chooseEndpoint.ts
@@ -28,8 +28,8 @@
 const RELIABLE_DEADLINE_SHARE = 0.5;
 /** Factor on the run time on the fastest endpoint up to which waiting for it gains too little. */
 const COMPARABLE_FACTOR = 1.5;
-/** Factor on the run time outside the rack that holds the data of the task. */
-const OTHER_RACK_FACTOR = 1.5;
+/** Factor on the run time outside the rack that holds the data, where settings don't tell it. */
+export const DEFAULT_OTHER_RACK_FACTOR = 1.5;
 
 /** An endpoint on which a task may start. */
 export interface Candidate {
@@ -51,6 +51,8 @@
   readonly patienceMs: number;
   /** Slowness of the fastest endpoint that could run the task, busy or not. */
   readonly minSlowness: number;
+  /** Factor on the run time outside the rack that holds the data of the task. */
+  readonly otherRackFactor?: number | undefined;
   /** Whether to accept any endpoint on which the task is expected to end before its deadline. */
   readonly isUrgent?: boolean;
   /**
@@ -143,9 +145,10 @@
   return Math.min(patienceMs, reliableRunMs);
 }
 
-export function expectedRunMs(candidate: Candidate, { step, baseMs }: PlacementRequest): number {
+export function expectedRunMs(candidate: Candidate, request: PlacementRequest): number {
+  const { step, baseMs, otherRackFactor = DEFAULT_OTHER_RACK_FACTOR } = request;
   const isOutsideRack = step.rack !== undefined && !candidate.entry.labels.includes(step.rack);
-  return baseMs * candidate.slowness * (isOutsideRack ? OTHER_RACK_FACTOR : 1);
+  return baseMs * candidate.slowness * (isOutsideRack ? otherRackFactor : 1);
 }
 
 /** Whether an endpoint may run the task, whether or not it has free capacity. */
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -132,6 +132,8 @@
   readonly isListCurrent?: () => boolean;
   /** Whether to learn which tasks slow each other down, and to keep them apart; off by default. */
   readonly isInterferenceEnabled?: boolean | undefined;
+  /** Factor on the run time outside the rack that holds the data of a task; 1.5 by default. */
+  readonly otherRackFactor?: number | undefined;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
@@ -214,6 +216,7 @@
     hasTail: runLengths.hasTail,
     find: (run) => byTask.get(run.key),
     neighbourLoss,
+    otherRackFactor: options.otherRackFactor,
   });
   const reconciliation = createReconciliation({
     pool,
--- a/packages/dispatch/src/placeTasks.ts
+++ b/packages/dispatch/src/placeTasks.ts
@@ -56,13 +56,14 @@
   readonly baseMs: (step: number) => number;
   /** Returns what the tasks of a step lose beside others; undefined if that is nothing. */
   readonly lossOf?: ((step: number) => TaskLoss | undefined) | undefined;
+  readonly otherRackFactor?: number | undefined;
 }
 
 /** Plans the starts of ready tasks while there are candidates, and deducts their capacity. */
 export function placeTasks(
   record: JobRecord,
   { places: candidates, minDemand, minSlowness, forecast }: PlacementState,
-  { nowMs, isUrgent, objectiveMs, baseMs, lossOf }: PlacementTerms,
+  { nowMs, isUrgent, objectiveMs, baseMs, lossOf, otherRackFactor }: PlacementTerms,
 ): PlannedStart[] {
   const starts: PlannedStart[] = [];
   /** Steps whose tasks no candidate could serve. */
@@ -81,6 +82,7 @@
       objectiveInMs: objectiveMs - nowMs,
       patienceMs,
       minSlowness,
+      otherRackFactor,
       avoided: task.avoided,
       awaitedEndMs: () => {
         isWaiting = true;
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -108,6 +108,8 @@
   readonly hasTail?: (service: string) => boolean;
   /** Returns the job and the task of a run. */
   readonly find: (run: Run) => { record: JobRecord; task: TaskRecord } | undefined;
+  /** Factor on the run time outside the rack that holds the data of a task. */
+  readonly otherRackFactor?: number | undefined;
   /** Undefined unless neighbours count in the choice of an endpoint. */
   readonly neighbourLoss?: NeighbourLoss | undefined;
 }
@@ -240,6 +242,7 @@
             objectiveMs,
             baseMs: (step) => baseMs(record.job, step) * length,
             lossOf: lossesOf?.(record.job),
+            otherRackFactor: options.otherRackFactor,
           })
         : [];
       if (starts.length >= record.waiting)
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -70,6 +70,8 @@
    * default.
    */
   readonly isInterferenceEnabled?: boolean;
+  /** Factor on the run time outside the rack that holds the data of a task; 1.5 by default. */
+  readonly otherRackFactor?: number | undefined;
 }
 
 export interface Instance {
@@ -151,6 +153,7 @@
     entries: usableEntries,
     areEntriesCurrent: endpoints.isCurrent,
     isInterferenceEnabled,
+    otherRackFactor: options.otherRackFactor,
     onStart: (dispatcher) => {
       pairSharing?.introduce(dispatcher);
     },
--- a/packages/instance/src/shardDispatchers.ts
+++ b/packages/instance/src/shardDispatchers.ts
@@ -26,6 +26,7 @@
   readonly areEntriesCurrent: () => boolean;
   /** Whether the dispatchers keep tasks apart that slow each other down. */
   readonly isInterferenceEnabled: boolean;
+  readonly otherRackFactor: number | undefined;
   /** Called with a new dispatcher before it gets its endpoints. */
   readonly onStart: (dispatcher: Dispatcher) => void;
 }
@@ -67,6 +68,7 @@
         leadership.handleFenced();
       },
       isInterferenceEnabled: options.isInterferenceEnabled,
+      otherRackFactor: options.otherRackFactor,
       // In a round above 0 the store is unreachable, and the last list that the instances read from
       // it is the only one available.
       isListCurrent: () => options.areEntriesCurrent() || (leadership.view()?.round ?? 0) > 0,
