feat(dispatch): bound the open start orders of an endpoint and all open tasks

Cause: such tasks fit on every endpoint at once, so all start orders were sent in one pass; they waited for four connections and timed out, each with a stop, a report request and a log line. And each instance bounds only its own callers, while their jobs meet at one dispatcher.

Why it works: at most 32 start orders are open at an endpoint, the rest follows as they are answered, and a dispatcher with 40,000 open tasks refuses further jobs before it keeps anything of them. Tasks of usual size never meet the first limit (two or three fit on an endpoint).

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -65,6 +65,12 @@
 
 /** Interval of the periodic check of waiting jobs, deadlines and gateway leases. */
 const REVIEW_INTERVAL_MS = 20;
+/**
+ * Tasks of all open jobs. Callers may send many jobs of 10,000 tasks, each of which takes memory and
+ * time here. 900 jobs of 5 tasks a second that are open for 1.5 s have 7,000. A single job is always
+ * accepted.
+ */
+const MAX_OPEN_TASKS = 40_000;
 const CANCELLED_REASON = 'cancelled';
 const MOVED_REASON = 'another instance dispatches';
 /** Gateways hand their jobs over to a new dispatcher within this time. */
@@ -164,6 +170,8 @@
   const openOrders = new Map<Run, (isAnswered: boolean) => void>();
   /** Whether the last pass held jobs back until more orders are answered. */
   let areJobsHeldByLink = false;
+  /** Whether endpoints were left out of the last pass until their open starts are answered. */
+  let wereStartsLimited = false;
   let hasEvacuatedEndpoints = false;
   /** Whether a job can start nowhere because of an evacuation, by the current list of endpoints. */
   let evacuatedJobs = new WeakMap<JobRecord, boolean>();
@@ -177,7 +185,7 @@
       onStartSettled(run, isAnswered) {
         openOrders.get(run)?.(isAnswered);
         openOrders.delete(run);
-        if (areJobsHeldByLink) schedulePass();
+        if (areJobsHeldByLink || wereStartsLimited) schedulePass();
       },
       onFenced: options.onFenced,
       onChange: schedulePass,
@@ -323,6 +331,9 @@
 
   function admit(submission: Submission): Promise<JobOutcome> {
     const { job, gateway, resubmissions } = submission;
+    const tasks = job.steps.reduce((sum, step) => sum + step.tasks, 0);
+    if (byTask.size > 0 && byTask.size + tasks > MAX_OPEN_TASKS)
+      return Promise.resolve(refuseUntracked(submission, tasks));
     return new Promise((resolve) => {
       const arrivedMs = clock.nowMs();
       const criticalPathMs = placer.criticalPathMs(job);
@@ -345,6 +356,22 @@
     });
   }
 
+  /** Refuses a job before anything is kept of it. */
+  function refuseUntracked({ job, resubmissions }: Submission, tasks: number): JobOutcome {
+    metrics.increment(`refused/${job.team}`);
+    metrics.increment('refused-by-open-tasks');
+    logger.warn('Job is refused because too many tasks are open.', {
+      job: job.id,
+      tasks,
+      openTasks: byTask.size,
+    });
+    return {
+      state: resubmissions > 0 ? JobStates.LOST : JobStates.REFUSED,
+      reason: 'too many open tasks',
+      retryAfterMs: retryAfterMs(0, options.random),
+    };
+  }
+
   /** Schedules one placement pass for all events of this turn of the event loop. */
   function schedulePass(): void {
     if (isPassDue || isClosed) return;
@@ -387,6 +414,7 @@
       refuseIfLate({ ...planned, waitMs }, linkWaitMs !== undefined);
     }
     areJobsHeldByLink = linkWaitsMs.size > 0;
+    wereStartsLimited = [...pool.controllers()].some(placer.isStartLimited);
   }
 
   function isEvacuated(record: JobRecord): boolean {
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -72,6 +72,8 @@
    * run it is in an evacuated data centre or leaves.
    */
   isEvacuated(record: JobRecord): boolean;
+  /** Whether an endpoint gets no start until one that is open was answered. */
+  isStartLimited(controller: EndpointController): boolean;
   /** Returns the capacity that is free for a job now. */
   freeCapacity(record: JobRecord): FreeCapacity;
   /** Returns the core-milliseconds of the tasks of a job that have not started, in thousandths. */
@@ -116,6 +118,11 @@
 
 /** Share of the cores that tasks of a third to a half of an endpoint can use; the rest is gaps. */
 const PACKING_EFFICIENCY = 0.88;
+/**
+ * Start orders to one endpoint that may be open at a time. Four connections carry them, and those
+ * that wait for one would time out: a job of 10,000 tasks without a demand fits everywhere at once.
+ */
+const MAX_STARTS_IN_FLIGHT = 32;
 /** Expected time until a stopped run has terminated. */
 const STOP_MS = 50;
 /**
@@ -149,7 +156,9 @@
       if (!controller.isUsable()) continue;
       const entry = controller.entry();
       if (service !== undefined && entry.service !== service) continue;
-      const taskLimit = health.taskLimit(entry.id, nowMs) - (isProbing(controller, health) ? 1 : 0);
+      const healthLimit =
+        health.taskLimit(entry.id, nowMs) - (isProbing(controller, health) ? 1 : 0);
+      const taskLimit = Math.min(healthLimit, MAX_STARTS_IN_FLIGHT - controller.startsInFlight());
       if (taskLimit <= 0) continue;
       const slowness = times.slowness(entry.id, nowMs);
       candidates.push({
@@ -322,6 +331,7 @@
   return {
     hasFreeCapacity,
     plan,
+    isStartLimited: (controller) => controller.startsInFlight() >= MAX_STARTS_IN_FLIGHT,
     workLeft: workLeftOf,
     totalWork: (job) =>
       job.steps.reduce((sum, { tasks, demand }, step) => {
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -172,6 +172,8 @@
   /** Returns the starts that the endpoint may still carry out, also after a restart. */
   unacknowledgedStarts(): readonly UnacknowledgedStart[];
   start(request: RunRequest): Run;
+  /** Returns the number of start orders that were sent and have neither an answer nor a timeout. */
+  startsInFlight(): number;
   stop(run: Run): void;
   /**
    * Takes over an orphaned run, which may be stopping. Returns `DONE` if the run has already
@@ -223,6 +225,7 @@
   /** Number of consecutive unanswered calls. */
   let unanswered = 0;
   let pausedUntilMs = 0;
+  let startsInFlight = 0;
   let abandonedStopsSentMs = -Infinity;
   /** When the newest restart was noticed, on the monotonic clock. */
   let restartSeenMs = -Infinity;
@@ -714,7 +717,9 @@
       leaseEndMs,
       ...(bornMs === undefined ? {} : { bornMs }),
     };
+    startsInFlight += 1;
     const answer = await endpoint.start(order);
+    startsInFlight -= 1;
     events.onStartSettled(run, answer.isOk);
     if (closing.signal.aborted) return;
     if (answer.isOk) unacknowledgedStarts.recordResolved(run.key, run.number);
@@ -944,6 +949,7 @@
     isEmpty,
     unacknowledgedStarts: () => unacknowledgedStarts.all(timer.nowMs()),
     start,
+    startsInFlight: () => startsInFlight,
     stop,
     claim,
     close() {
