--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -3,11 +3,13 @@
  * the dispatching machine's process is killed. The next dispatcher doesn't know the worker and starts
  * its tasks elsewhere. Three times in a row, with steady traffic.
  */
-import { fileURLToPath } from 'node:url';
+import { performance } from 'node:perf_hooks';
+import { URL, fileURLToPath } from 'node:url';
 import { setTimeout as delay } from 'node:timers/promises';
 import { send } from '../lib-2/http.mjs';
 import { clientRequest, startFleet } from '../lib-2/fleet.mjs';
 import { runCase } from '../lib-2/case.mjs';
+import { findOverlaps } from '../lib-2/overlaps.mjs';
 
 const FOLDER = fileURLToPath(new URL('.', import.meta.url));
 const RESEND_MS = 1_300;
@@ -74,19 +76,5 @@
   isOver = true;
   await delay(1_500);
 
-  const broken = [];
-  const byTask = new Map();
-  for (const run of fleet.runs()) byTask.set(run.task, [...(byTask.get(run.task) ?? []), run]);
-  for (const [task, runs] of byTask) {
-    runs.sort((a, b) => a.startMs - b.startMs);
-    for (let index = 1; index < runs.length; index += 1) {
-      const [earlier, later] = [runs[index - 1], runs[index]];
-      const overlapMs = Math.round(Math.min(earlier.endMs ?? Infinity, later.endMs ?? Infinity) - later.startMs);
-      if (overlapMs > 0)
-        broken.push(
-          `run ${earlier.number} of ${task} on ${earlier.worker} and run ${later.number} on ${later.worker} ran at the same time for ${overlapMs} ms`,
-        );
-    }
-  }
-  return broken;
+  return findOverlaps(fleet.runs());
 });
--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -1,4 +1,7 @@
 /** Runs a case: writes its record, and exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run. */
+import { performance } from 'node:perf_hooks';
+import process from 'node:process';
+import { setTimeout } from 'node:timers';
 import { writeFileSync, appendFileSync } from 'node:fs';
 import { join } from 'node:path';
 
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -2,12 +2,16 @@
  * Starts the program as the deploy file does, one process for each machine, with the settings file
  * that DEPLOY.md describes. Each machine has a loopback address of its own.
  */
+import { performance } from 'node:perf_hooks';
+import process from 'node:process';
+import { Buffer } from 'node:buffer';
+import { clearTimeout, setTimeout } from 'node:timers';
 import { spawn } from 'node:child_process';
 import { createServer } from 'node:net';
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
+import { URL, fileURLToPath } from 'node:url';
 import { setTimeout as delay } from 'node:timers/promises';
 import { send } from './http.mjs';
 import { startStore } from './store.mjs';
@@ -18,6 +22,8 @@
 const ZONES = { 'dub-a': 'eu-dub', 'dub-b': 'eu-dub', 'dub-c': 'eu-dub' };
 const ZONE_NAMES = Object.keys(ZONES);
 const RESTART_MS = 500;
+const LOWEST_PORT = 12_000;
+const PORTS = 18_000;
 
 /** Bounds of the site lrd-notes. */
 const BOUNDS = {
@@ -59,17 +65,27 @@
 export const QUEUE_HOST = 'nony24.example';
 export const QUEUE_PREFIX = '/lohu930/';
 
-function freePort(host) {
-  return new Promise((resolve, reject) => {
+function tryListen(host, port) {
+  return new Promise((resolve) => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, host, () => {
-      const { port } = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(undefined));
+    server.listen(port, host, () => resolve(server));
   });
 }
 
+/** Returns free ports of a loopback address, below those that the system gives to outgoing connections. */
+async function findFreePorts(host, count) {
+  const servers = [];
+  while (servers.length < count) {
+    const port = LOWEST_PORT + Math.floor(Math.random() * PORTS);
+    const server = await tryListen(host, port);
+    if (server !== undefined) servers.push(server);
+  }
+  const ports = servers.map((server) => server.address().port);
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
+
 /** Reads the command and the environment of the role from the deploy file. */
 function readDeployFile() {
   const text = readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8');
@@ -105,8 +121,23 @@
         stretch: 1.6,
       },
     ],
-    services: [{ name: SERVICE, healthPath: '/health', maxConns: 64, protocol: 'h1', tls: false, admissionCheck: true, spare: false }],
-    limits: { maxHeaderBytes: 16384, maxBodyBytes: 262144, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+    services: [
+      {
+        name: SERVICE,
+        healthPath: '/health',
+        maxConns: 64,
+        protocol: 'h1',
+        tls: false,
+        admissionCheck: true,
+        spare: false,
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 16384,
+      maxBodyBytes: 262144,
+      headerTimeoutMs: 3000,
+      idleTimeoutMs: 15000,
+    },
   });
 
   const workerList = [];
@@ -115,7 +146,15 @@
     const id = `i-${(0x7f3a91c2 + 7919 * index).toString(16)}`;
     const host = `127.0.8.${index + 1}`;
     workerList.push(
-      await startWorker({ host, id, service: SERVICE, zone, rack: `r1-${index % 3}`, store, record }),
+      await startWorker({
+        host,
+        id,
+        service: SERVICE,
+        zone,
+        rack: `r1-${index % 3}`,
+        store,
+        record,
+      }),
     );
   }
 
@@ -126,12 +165,7 @@
     const zone = ZONE_NAMES[index % ZONE_NAMES.length];
     const name = `front-${zone}-${Math.floor(index / ZONE_NAMES.length) + 1}`;
     const ip = `127.0.${ZONE_NAMES.indexOf(zone) + 1}.${index + 1}`;
-    const [front, ready, control, peer] = [
-      await freePort(ip),
-      await freePort(ip),
-      await freePort(ip),
-      await freePort(ip),
-    ];
+    const [front, ready, control, peer] = await findFreePorts(ip, 4);
     const path = join(folder, `${name}.json`);
     const settings = {
       nodeName: name,
@@ -147,21 +181,55 @@
       seeds: [],
       bootstrap: true,
       countsAsLoss: false,
-      limits: { cpuShare: 0.675, cores: 1, memoryMb: 350, maxFds: 4100, linkMbps: 1000.0, diskMb: 0 },
+      limits: {
+        cpuShare: 0.675,
+        cores: 1,
+        memoryMb: 350,
+        maxFds: 4100,
+        linkMbps: 1000.0,
+        diskMb: 0,
+      },
       dataDir: null,
       discovery: 'platform',
       entry: 'vip',
       heartbeatMs: 1500,
-      contracts: ['base', 'drain', 'config', 'cost', 'recover', 'sched', 'platform', 'advice', 'upkeep', 'sharing'],
+      contracts: [
+        'base',
+        'drain',
+        'config',
+        'cost',
+        'recover',
+        'sched',
+        'platform',
+        'advice',
+        'upkeep',
+        'sharing',
+      ],
       faultTolerance: { machines: 2, zones: 1, regions: 0 },
       bounds: BOUNDS,
       orders: 'rpc',
       advice: '127.0.9.2:8169',
-      platform: { address: store.address, form: 'kv', writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000 },
+      platform: {
+        address: store.address,
+        form: 'kv',
+        writesPerS: 400,
+        readsPerS: 2000,
+        historyS: 20,
+        valueBytes: 1048576,
+        ttlMinMs: 1000,
+      },
       cloud: { address: '127.0.9.3:8169', ratePerS: 60.0, duties: [], dutyPerS: 60.0 },
     };
     writeFileSync(path, JSON.stringify(settings));
-    return { name, zone, front: settings.listen.front, ready: settings.listen.ready, path, child: undefined, log: [] };
+    return {
+      name,
+      zone,
+      front: settings.listen.front,
+      ready: settings.listen.ready,
+      path,
+      child: undefined,
+      log: [],
+    };
   }
 
   function start(machine) {
@@ -185,7 +253,9 @@
   }
 
   const isReady = ({ ready }) =>
-    send(ready, { method: 'GET', path: '/-/ready', timeoutMs: 500 }).then(({ status }) => status === 200);
+    send(ready, { method: 'GET', path: '/-/ready', timeoutMs: 500 }).then(
+      ({ status }) => status === 200,
+    );
 
   async function waitUntilReady(machine) {
     const untilMs = performance.now() + READY_WITHIN_MS;
--- a/review/lib-2/http.mjs
+++ b/review/lib-2/http.mjs
@@ -1,4 +1,8 @@
 /** Small HTTP helpers for the stand-ins and the clients of the review cases. */
+import process from 'node:process';
+import { Buffer } from 'node:buffer';
+import { clearTimeout, setTimeout } from 'node:timers';
+import { URL } from 'node:url';
 import { createServer, request as httpRequest } from 'node:http';
 
 /**
@@ -20,6 +24,7 @@
         headers: request.headers,
         body: text === '' ? {} : JSON.parse(text),
         isGone: () => response.destroyed,
+        socket: request.socket,
       };
       Promise.resolve(handle(call)).then(
         (reply) => {
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -2,6 +2,9 @@
  * Stand-in for the platform's metadata store, by the store section of PROTOCOL.md. Keys under `op/`
  * and `servers/` are written by `put` and `remove` only, as the operator and the workers do.
  */
+import { performance } from 'node:perf_hooks';
+import { Buffer } from 'node:buffer';
+import { clearInterval, setInterval } from 'node:timers';
 import { setTimeout as delay } from 'node:timers/promises';
 import { startJsonServer } from './http.mjs';
 
--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -4,6 +4,8 @@
  * writes its entry to the store about every 1.5 s. The store drops the entry after three intervals
  * of silence. A task's `spec` is JSON and tells its duration in `ms`.
  */
+import { performance } from 'node:perf_hooks';
+import { clearInterval, setInterval, setTimeout } from 'node:timers';
 import { setTimeout as delay } from 'node:timers/promises';
 import { startJsonServer } from './http.mjs';
 
@@ -15,8 +17,8 @@
 const BEFORE_HEARTBEAT_MS = 60;
 
 export async function startWorker({ host, id, service, zone, rack, store, record, cpu = 32_000 }) {
-  const bornMs = Date.now();
-  const startedMs = performance.now();
+  let bornMs = Date.now();
+  let startedMs = performance.now();
   const running = new Map();
   const highestRun = new Map();
   const runs = [];
@@ -28,10 +30,21 @@
   let lastHeartbeatMs = -Infinity;
   let isListed = false;
   let isCutFromStore = false;
-  let state = 'ready';
+  const state = 'ready';
+  let isDark = false;
+  /** The life of the worker that each connection was opened in; undefined while it was dark. */
+  const lifeOfSocket = new Map();
+  let life = 1;
+  let heldBackJob;
+  let isHoldingBack = false;
+  const heldBack = [];
+  const orders = { all: 0, heldBack: 0 };
 
   const clockMs = () => Math.floor(performance.now() - startedMs) + 1_000;
-  const reply = (status, body = {}) => ({ status, body: { clockMs: clockMs(), born: bornMs, ...body } });
+  const reply = (status, body = {}) => ({
+    status,
+    body: { clockMs: clockMs(), born: bornMs, ...body },
+  });
 
   function finish(name, how) {
     const active = running.get(name);
@@ -45,16 +58,23 @@
 
   function tick() {
     const nowMs = performance.now();
+    if (isDark) {
+      expireEntry(nowMs);
+      return;
+    }
     if (running.size > 0 && clockMs() >= leaseEndMs)
       for (const name of [...running.keys()]) finish(name, 'lapsed');
     for (const [name, { run, durationMs }] of [...running])
       if (nowMs - run.startMs >= durationMs) finish(name, 'done');
     if (!isCutFromStore && nowMs - lastHeartbeatMs >= HEARTBEAT_MS) heartbeat(nowMs);
-    if (isListed && nowMs - lastHeartbeatMs >= SILENT_HEARTBEATS * HEARTBEAT_MS) {
-      isListed = false;
-      record(`store: the entry of ${id} is removed after ${SILENT_HEARTBEATS} silent intervals`);
-      store.remove(`servers/${id}`);
-    }
+    expireEntry(nowMs);
+  }
+
+  function expireEntry(nowMs) {
+    if (!isListed || nowMs - lastHeartbeatMs < SILENT_HEARTBEATS * HEARTBEAT_MS) return;
+    isListed = false;
+    record(`store: the entry of ${id} is removed after ${SILENT_HEARTBEATS} silent intervals`);
+    store.remove(`servers/${id}`);
   }
 
   function heartbeat(nowMs) {
@@ -82,6 +102,31 @@
     leaseEndMs = Math.max(leaseEndMs, Math.min(deadlineMs, clockMs() + HOLD_MAX_MS));
   }
 
+  /** A machine without power answers nothing; a connection of an earlier life is reset by the next one. */
+  async function receive(call) {
+    const { socket, path, body } = call;
+    if (!lifeOfSocket.has(socket)) lifeOfSocket.set(socket, isDark ? undefined : life);
+    if (isDark) return undefined;
+    const receivedIn = life;
+    if (lifeOfSocket.get(socket) !== life) {
+      socket.resetAndDestroy();
+      return undefined;
+    }
+    if (path.startsWith('/-/')) orders.all += 1;
+    if (path === '/-/run-start' && isHoldingBack) {
+      const job = body.task.split('.')[0];
+      heldBackJob ??= job;
+      if (job === heldBackJob) {
+        orders.heldBack += 1;
+        heldBack.push({ call, sentMs: performance.now() });
+        record(`worker ${id}: leaves the start of run ${body.run} of ${body.task} unanswered`);
+        return undefined;
+      }
+    }
+    const reply = await handle(call);
+    return life === receivedIn && !isDark ? reply : undefined;
+  }
+
   async function handle({ method, path, headers, body }) {
     if (method === 'GET' && path === '/health')
       return { status: state === 'ready' ? 200 : 503, headers: { 'instance-id': id } };
@@ -134,7 +179,7 @@
     return reply(200, { running: rows, ended: ended.slice(0, MAX_ENDS) });
   }
 
-  const server = await startJsonServer(host, handle);
+  const server = await startJsonServer(host, receive);
   const timer = setInterval(tick, TICK_MS);
   heartbeat(performance.now());
   return {
@@ -142,12 +187,66 @@
     runs,
     runningTasks: () => [...running.keys()],
     isListed: () => isListed,
+    orders,
+    /** Leaves the starts of the next job that comes unanswered; they are carried out by `carryOutLate`. */
+    holdBackNextJob() {
+      isHoldingBack = true;
+      heldBackJob = undefined;
+    },
+    heldBackSinceMs: () => heldBack[0]?.sentMs,
+    endHoldBack() {
+      isHoldingBack = false;
+    },
+    /**
+     * Carries out the starts that were left unanswered, each `leastMs` after it was sent or now if that is later,
+     * whatever life the worker is in by then.
+     */
+    carryOutLate(leastMs) {
+      for (const { call, sentMs } of heldBack.splice(0)) {
+        const { body } = call;
+        const carryOut = () => {
+          const afterMs = Math.round(performance.now() - sentMs);
+          record(
+            `worker ${id}: carries out the start of run ${body.run} of ${body.task}, sent ${afterMs} ms before`,
+          );
+          void handle(call);
+        };
+        const inMs = sentMs + leastMs - performance.now();
+        if (inMs <= 0) carryOut();
+        else setTimeout(carryOut, inMs);
+      }
+    },
+    /** Loses power for `downMs`, and starts again under the same id, knowing nothing of before. */
+    async losePower(downMs) {
+      record(`worker ${id}: loses power`);
+      isDark = true;
+      for (const [name, { run }] of [...running]) {
+        running.delete(name);
+        run.endMs = performance.now();
+        run.how = 'crashed';
+      }
+      await delay(downMs);
+      highestRun.clear();
+      ended = [];
+      nextEnd = 1;
+      fence = 0;
+      leaseEndMs = 0;
+      seq = 0;
+      life += 1;
+      bornMs = Date.now();
+      startedMs = performance.now();
+      isDark = false;
+      record(`worker ${id}: has started again`);
+      heartbeat(performance.now());
+    },
     /**
      * Cuts the worker off from the store alone for `cutMs`, from just before its next heartbeat. Its
      * first heartbeat after the cut reaches the store `returnMs` later.
      */
     async cutFromStore({ cutMs, returnMs }) {
-      await delay(Math.max(0, lastHeartbeatMs + HEARTBEAT_MS - BEFORE_HEARTBEAT_MS - performance.now()));
+      await delay(
+        Math.max(0, lastHeartbeatMs + HEARTBEAT_MS - BEFORE_HEARTBEAT_MS - performance.now()),
+      );
       isCutFromStore = true;
       record(`worker ${id}: is cut off from the store`);
       await delay(cutMs);
