fix(dispatch,instance): ask endpoints that left the list for runs after a takeover

The next dispatcher started the tasks elsewhere.

Cause: which endpoints have runs was known to one process. The next dispatcher asks the endpoints of the store's list and of the shared list; an endpoint that has left both is asked by nobody.

A dispatcher now shares the endpoints that get no new tasks and still run some, with their jobs, as a document of the shard that travels with its heartbeats. The next one asks them. Only jobs named there wait, marked as resubmitted or not; if the endpoint does not answer, until the leases have expired, provided that the caller waits for that long. A missing endpoint is listed as leaving for 350 ms before it is dropped, so that the document arrives first. A planned handover that names an unknown endpoint waits for the leases instead of ending the job at once, where the caller waits.

Why it works: an endpoint that leaves gets no new tasks, so an old document names too many jobs, never too few; a report requested by the new dispatcher proves what runs there, and its fencing token stops the earlier one.

The simulated partitions let an endpoint depart alone, with longer runs, and their endpoints have addresses that can be dialled, because shared entries are checked.

--- a/packages/dispatch/__tests__/decisions.spec.ts
+++ b/packages/dispatch/__tests__/decisions.spec.ts
@@ -386,6 +386,23 @@
     expect(directory.entries()).toEqual([]);
   });
 
+  // Its dispatcher tells the other instances which jobs still run there before they drop it.
+  it('lists an endpoint whose entry is missing as leaving before it drops it', async () => {
+    const timer = createManualTimer();
+    const directory = createEndpointDirectory(createElapsedClock(timer));
+    directory.take('a', entry('a'));
+    directory.markRemoved('a');
+    const isLeaving = () => directory.entries().map((listed) => listed.isLeaving);
+    await timer.advance(2_500);
+    expect(isLeaving()).toEqual([false]);
+    await timer.advance(50);
+    expect(isLeaving()).toEqual([true]);
+    await timer.advance(350);
+    expect(isLeaving()).toEqual([true]);
+    await timer.advance(50);
+    expect(isLeaving()).toEqual([]);
+  });
+
   it('keeps a live endpoint whose unreadable entry is removed', () => {
     const directory = createEndpointDirectory(createElapsedClock(createManualTimer()));
     directory.take('a', entry('a'));
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -15,6 +15,7 @@
   OrderAnswers,
   RunEnds,
   taskKey,
+  type DepartingEndpoint,
   type EndpointEntry,
   type EndpointNetwork,
   type OrderAnswer,
@@ -35,6 +36,8 @@
 import { createArrivalRates } from './arrivalRates.js';
 import { createReconciliation, RECONCILIATION_TIMEOUT_MS } from './reconciliation.js';
 import { createEndpointPool } from './endpointPool.js';
+import { describeDepartures, findDepartures } from './departures.js';
+import { createInheritedEndpoints } from './inheritedEndpoints.js';
 import { describeUnserved, describeWork } from './describeOutcome.js';
 import { createEndpointHealth } from './endpointHealth.js';
 import { createGatewayLeases } from './gatewayLeases.js';
@@ -92,6 +95,8 @@
    * Time since the job was submitted to another dispatcher, which was lost without handing it over.
    */
   readonly lostHandoverAgoMs?: number | undefined;
+  /** Version of the departing endpoints that the gateway knows; see `DispatcherOptions`. */
+  readonly departuresVersion?: number | undefined;
 }
 
 export interface Dispatcher {
@@ -113,6 +118,10 @@
   renewGatewayLease(gateway: string): void;
   /** Replaces the list of endpoints. */
   setEndpoints(entries: readonly EndpointEntry[]): void;
+  /** Returns the endpoints that get no new tasks and may still run some. */
+  departures(): readonly DepartingEndpoint[];
+  /** Takes the departing endpoints of an earlier dispatcher, and asks them for their runs. */
+  inherit(departures: readonly DepartingEndpoint[]): void;
   /** Returns the number of jobs without a started task, by team. */
   waiting(): Record<string, number>;
   /** Returns the noisy neighbours in force for other dispatchers, and takes those of others. */
@@ -136,6 +145,11 @@
    * Whether the endpoint list is at least as recent as any earlier dispatcher's; true by default.
    */
   readonly isListCurrent?: () => boolean;
+  /**
+   * Returns the version of the departing endpoints that were inherited last, 0 if there are none. A job
+   * whose gateway knows a newer version waits for that.
+   */
+  readonly departuresVersion?: () => number;
   /** Whether to learn which tasks slow each other down, and to keep them apart; off by default. */
   readonly isInterferenceEnabled?: boolean | undefined;
   /** Factor on the run time outside the rack that holds the data of a task; 1.5 by default. */
@@ -226,12 +240,15 @@
     neighbourLoss,
     otherRackFactor: options.otherRackFactor,
   });
+  const inherited = createInheritedEndpoints(pool, timer);
   const reconciliation = createReconciliation({
     pool,
+    inherited,
     clock,
     monotonicClock: timer,
     logger,
     isListCurrent: options.isListCurrent ?? (() => true),
+    departuresVersion: options.departuresVersion ?? (() => 0),
     onDone: completeIfDone,
     onLost: (record, reason) => {
       finish(record, { state: JobStates.LOST, reason });
@@ -810,6 +827,12 @@
       evacuatedJobs = new WeakMap();
       schedulePass();
     },
+    departures: () => findDepartures(pool, inherited),
+    inherit(departures) {
+      inherited.take(departures);
+      metrics.increment('departures/inherited', departures.length);
+      logger.info('Departing endpoints are inherited.', describeDepartures(departures));
+    },
     waiting,
     exportPairs: () => neighbourLoss?.exportPairs() ?? [],
     importPairs: (pairs) => neighbourLoss?.importPairs(pairs),
--- a/packages/dispatch/src/endpointDirectory.ts
+++ b/packages/dispatch/src/endpointDirectory.ts
@@ -5,6 +5,10 @@
  * expire while the store is unreachable, and live endpoints restore theirs about two seconds after
  * it is reachable again. The endpoint controller detects whether such an endpoint still answers.
  *
+ * After the grace period the entry is listed as leaving for a while before it is dropped. The
+ * endpoint gets no new tasks then, and its dispatcher has time to tell the other instances which
+ * jobs still run there.
+ *
  * The published list distinguishes an announced leave from an unreadable entry, so that the next
  * dispatcher keeps the endpoint as well.
  */
@@ -13,6 +17,11 @@
 
 /** Live endpoints restore their entries within 2 s after the store is reachable again. */
 const MISSING_GRACE_MS = 2_500;
+/**
+ * How long an endpoint is listed as leaving before it is dropped. Until then the other instances have
+ * received its jobs with a heartbeat, which is sent every 220 ms or more often.
+ */
+const DEPARTURE_MS = 350;
 
 export interface EndpointDirectory {
   /**
@@ -29,9 +38,14 @@
   changes(): number;
 }
 
+/** Marks an endpoint that gets no new tasks although it did not announce a leave. */
+const DEPARTING = { isLeaving: true, isSpoiled: true } as const;
+
 interface ListedEndpoint {
   readonly entry: EndpointEntry;
   missingSinceMs?: number;
+  /** Since when it is listed as leaving because it was missing for the grace period. */
+  departingSinceMs?: number;
 }
 
 export function createEndpointDirectory(clock: MonotonicClock): EndpointDirectory {
@@ -40,9 +54,16 @@
 
   function removeExpired(): void {
     const nowMs = clock.nowMs();
-    for (const [id, { missingSinceMs }] of listed) {
+    for (const [id, { entry, missingSinceMs, departingSinceMs }] of listed) {
       if (missingSinceMs === undefined || nowMs - missingSinceMs <= MISSING_GRACE_MS) continue;
-      listed.delete(id);
+      const wasListedAsLeaving =
+        departingSinceMs === undefined ? entry.isLeaving : nowMs - departingSinceMs > DEPARTURE_MS;
+      if (wasListedAsLeaving) listed.delete(id);
+      else if (departingSinceMs !== undefined) continue;
+      else {
+        const departing = { ...entry, ...DEPARTING };
+        listed.set(id, { entry: departing, missingSinceMs, departingSinceMs: nowMs });
+      }
       changes += 1;
     }
   }
@@ -57,8 +78,7 @@
       if (entry !== undefined) listed.set(id, { entry });
       else if (known !== undefined) {
         const missingSinceMs = known.missingSinceMs ?? clock.nowMs();
-        const invalid = { ...known.entry, isLeaving: true, isSpoiled: true };
-        listed.set(id, { entry: invalid, missingSinceMs });
+        listed.set(id, { entry: { ...known.entry, ...DEPARTING }, missingSinceMs });
       }
     },
     markRemoved(id) {
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -24,6 +24,10 @@
    * runs there.
    */
   removeDrained(): void;
+  /** Opens an unlisted endpoint, unless one of its id is open, and keeps it until nothing runs there. */
+  keep(entry: EndpointEntry): void;
+  /** Whether the current list has an endpoint of this id at the address that is open here. */
+  isListed(endpoint: string): boolean;
   controllers(): Iterable<EndpointController>;
   find(endpoint: string): EndpointController | undefined;
   size(): number;
@@ -45,6 +49,8 @@
   const probes = createProbeBudget(options.timer);
   const addresses = new Map<string, string>();
   let currentEntries: readonly EndpointEntry[] = [];
+  /** The address of each listed endpoint, by id. */
+  let listedAddresses: ReadonlyMap<string, string> = new Map();
   /** Whether an unlisted or moved endpoint is kept because tasks still run there. */
   let hasDrainingEndpoints = false;
 
@@ -75,9 +81,9 @@
   function setEntries(entries: readonly EndpointEntry[]): void {
     currentEntries = entries;
     hasDrainingEndpoints = false;
-    const listed = new Set(entries.map((entry) => entry.id));
+    listedAddresses = new Map(entries.map(({ id, address }) => [id, address]));
     for (const controller of [...controllers.values()]) {
-      if (listed.has(controller.id)) continue;
+      if (listedAddresses.has(controller.id)) continue;
       controller.update({ ...controller.entry(), isLeaving: true });
       if (controller.isEmpty()) remove(controller.id);
       else hasDrainingEndpoints = true;
@@ -98,6 +104,13 @@
     removeDrained() {
       if (hasDrainingEndpoints) setEntries(currentEntries);
     },
+    keep(entry) {
+      if (controllers.has(entry.id)) return;
+      open({ ...entry, isLeaving: true });
+      hasDrainingEndpoints = true;
+    },
+    isListed: (endpoint) =>
+      listedAddresses.has(endpoint) && listedAddresses.get(endpoint) === addresses.get(endpoint),
     controllers: () => controllers.values(),
     find: (endpoint) => controllers.get(endpoint),
     size: () => controllers.size,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,4 +1,5 @@
 export { canRunStep } from './chooseEndpoint.js';
+export { coversDepartures, describeDepartures } from './departures.js';
 export {
   createDispatcher,
   type Dispatcher,
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -64,6 +64,8 @@
   reconcileUntilMs?: number | undefined;
   /** Endpoints that have to report their runs before reconciliation ends, listed or not. */
   surveyed?: Set<string>;
+  /** Version of the departing endpoints that the gateway of the job knows. */
+  departuresVersion?: number | undefined;
   /** Only reports requested after this time of the monotonic clock count. */
   reconcileFromMs?: number;
   /**
--- a/packages/dispatch/src/reconciliation.ts
+++ b/packages/dispatch/src/reconciliation.ts
@@ -8,16 +8,21 @@
  * - A resubmitted job starts nothing new until every endpoint has reported its runs in answer to a
  *   request made after the job arrived. If that takes too long the job is lost, because a new run
  *   could overlap an orphaned one.
+ * - A job that may have runs on an endpoint that has left the list waits for the report of that
+ *   endpoint as well. If there is none, the job waits until the leases there have expired, or is lost
+ *   if its caller does not wait for that long. Other jobs do not wait for such an endpoint.
  * - A job is also lost if another dispatcher received it after this one was created, and was then
  *   lost itself. That dispatcher was disconnected together with its data centre, and may have used
  *   endpoints that have since left the list here.
  * - Any other job may have been submitted before at another instance. It waits for the first
- *   reports of all endpoints, for at most the same time, and then starts.
+ *   reports of all endpoints, for at most the same time, and then starts. If the earlier dispatcher
+ *   named it among those with runs on such an endpoint, it counts as resubmitted.
  */
 import { RunEnds, taskKey } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
 import type { ElapsedClock, MonotonicClock } from '@celerybarrow/timer';
 import type { EndpointPool } from './endpointPool.js';
+import { ORPHANED_RUN_LIFETIME_MS, type InheritedEndpoints } from './inheritedEndpoints.js';
 import { describeRuns, type JobRecord, type TaskRecord } from './jobRecord.js';
 
 /**
@@ -25,8 +30,9 @@
  * new dispatcher refuses no job for lack of capacity before it has passed.
  */
 export const RECONCILIATION_TIMEOUT_MS = 300;
-/** Without renewal by their dispatcher, all orphaned runs have terminated after this time. */
-const ORPHANED_RUN_LIFETIME_MS = 1_700;
+
+/** Time in which the expiry of the leases is noticed. */
+const EXPIRY_MARGIN_MS = 50;
 
 /** Maximum number of endpoints named in a log line. */
 const MAX_NAMED_ENDPOINTS = 5;
@@ -36,6 +42,7 @@
   readonly resubmissions: number;
   readonly heldOn?: readonly string[] | undefined;
   readonly lostHandoverAgoMs?: number | undefined;
+  readonly departuresVersion?: number | undefined;
 }
 
 export interface Reconciliation {
@@ -54,12 +61,15 @@
 
 export interface ReconciliationOptions {
   readonly pool: EndpointPool;
+  readonly inherited: InheritedEndpoints;
   readonly clock: ElapsedClock;
   /** Clock for the expiry of orphaned runs, and for the request times of reports. */
   readonly monotonicClock: MonotonicClock;
   readonly logger: Logger;
   /** Whether the pool includes every endpoint that an earlier dispatcher may have used. */
   readonly isListCurrent: () => boolean;
+  /** Returns the version of the departing endpoints that were received from an earlier dispatcher. */
+  readonly departuresVersion: () => number;
   /** Called when a claimed run turns out to have completed. */
   readonly onDone: (record: JobRecord) => void;
   readonly onLost: (record: JobRecord, reason: string) => void;
@@ -68,7 +78,7 @@
 }
 
 export function createReconciliation(options: ReconciliationOptions): Reconciliation {
-  const { pool, clock, monotonicClock, logger } = options;
+  const { pool, inherited, clock, monotonicClock, logger } = options;
   const createdMs = monotonicClock.nowMs();
 
   function ageMs(): number {
@@ -77,9 +87,13 @@
 
   function claim(record: JobRecord, handover: Handover): void {
     const { heldOn = [], lostHandoverAgoMs } = handover;
-    const isResubmitted = handover.resubmissions > 0;
+    const { id } = record.job;
+    const isResubmitted = handover.resubmissions > 0 || inherited.isNamed(id);
     const nowMs = clock.nowMs();
-    if (heldOn.some((endpoint) => pool.find(endpoint) === undefined)) {
+    record.departuresVersion = handover.departuresVersion;
+    const unknown = heldOn.filter((endpoint) => pool.find(endpoint) === undefined);
+    for (const endpoint of unknown) inherited.takeUnknown(endpoint, id);
+    if (unknown.length > 0 && !canAwait(record, unknown, nowMs)) {
       options.onLost(record, 'an endpoint with its runs is not listed');
       return;
     }
@@ -88,13 +102,19 @@
     if (!isResubmitted) {
       logUnmarkedJob(record);
       const leftMs = RECONCILIATION_TIMEOUT_MS - ageMs();
-      if (leftMs > 0 && !haveAllReported()) record.reconcileUntilMs = nowMs + leftMs;
+      if (leftMs > 0 && !haveAllReported(record)) record.reconcileUntilMs = nowMs + leftMs;
       return;
     }
+    record.wasApart ||= lostHandoverAgoMs !== undefined && lostHandoverAgoMs < ageMs();
+    awaitReports(record, nowMs);
+  }
+
+  /** Holds the missing tasks of a job back until the endpoints have reported their runs. */
+  function awaitReports(record: JobRecord, nowMs: number): void {
+    record.mayHaveRun = true;
     record.reconcileFromMs = monotonicClock.nowMs();
     record.surveyed ??= new Set();
-    for (const { id } of pool.controllers()) record.surveyed.add(id);
-    record.wasApart ||= lostHandoverAgoMs !== undefined && lostHandoverAgoMs < ageMs();
+    surveyListed(record.surveyed);
     // While all tasks of the job have runs, there is no timeout for the reports.
     record.reconcileUntilMs = Infinity;
     if (record.waiting > 0) requestReports(record, nowMs);
@@ -105,6 +125,17 @@
     for (const controller of pool.controllers()) controller.refresh();
   }
 
+  /** Adds the endpoints of the list, and those that have left it here. */
+  function surveyListed(surveyed: Set<string>): void {
+    for (const { id } of pool.controllers()) if (!inherited.isBesideList(id)) surveyed.add(id);
+  }
+
+  /** Whether the leases on the given endpoints expire early enough for the job to run after that. */
+  function canAwait(record: JobRecord, endpoints: readonly string[], nowMs: number): boolean {
+    const waitMs = inherited.expiryMs(endpoints) - monotonicClock.nowMs();
+    return nowMs + waitMs + record.criticalPathMs <= record.deadlineMs;
+  }
+
   /** Logs a job that is not marked as resubmitted but may have runs that are not reported yet. */
   function logUnmarkedJob(record: JobRecord): void {
     const unreported = [...pool.controllers()].filter(
@@ -175,45 +206,86 @@
    * that. An endpoint that has left the directory meanwhile may still run a task of the job
    * unreported.
    */
-  function isReconciled({ surveyed, wasApart, reconcileFromMs = Infinity }: JobRecord): boolean {
+  function haveListedReported(record: JobRecord): boolean {
+    const { surveyed, wasApart, reconcileFromMs = Infinity } = record;
     if (surveyed === undefined) return true;
-    if (wasApart === true || !options.isListCurrent()) return false;
-    for (const controller of pool.controllers()) surveyed.add(controller.id);
+    if (wasApart === true || !isInformed(record)) return false;
+    surveyListed(surveyed);
     const hasReported = (id: string) => (pool.find(id)?.lastReportMs() ?? -1) >= reconcileFromMs;
     return surveyed.size > 0 && [...surveyed].every(hasReported);
   }
 
-  /** Whether every endpoint has reported its runs at least once. */
-  function haveAllReported(): boolean {
-    if (pool.size() === 0 || !options.isListCurrent()) return false;
-    return [...pool.controllers()].every((controller) => controller.lastReportMs() !== undefined);
+  /** Whether the endpoints that an earlier dispatcher may have used are known. */
+  function isInformed({ departuresVersion = 0 }: JobRecord): boolean {
+    return options.isListCurrent() && departuresVersion <= options.departuresVersion();
+  }
+
+  /** Whether every endpoint that may have runs of the job has reported its runs at least once. */
+  function haveAllReported(record: JobRecord): boolean {
+    if (pool.size() === 0 || !isInformed(record)) return false;
+    if (inherited.unreported(record.job.id, -Infinity).length > 0) return false;
+    return [...pool.controllers()].every(
+      ({ id, lastReportMs }) => lastReportMs() !== undefined || inherited.isBesideList(id),
+    );
+  }
+
+  /** Returns the endpoints beside the list whose reports or expired leases the job waits for. */
+  function awaitedBesideList({ job, reconcileFromMs = Infinity }: JobRecord): readonly string[] {
+    return inherited.unreported(job.id, reconcileFromMs);
   }
 
   /**
    * Returns endpoints whose reports the job still waits for, including unlisted ones; at most
    * `MAX_NAMED_ENDPOINTS`.
    */
-  function unreportedAmong({ surveyed, reconcileFromMs = Infinity }: JobRecord): string[] {
+  function unreportedAmong(record: JobRecord): string[] {
+    const { surveyed, reconcileFromMs = Infinity } = record;
     const isUnreported = (id: string) => (pool.find(id)?.lastReportMs() ?? -1) < reconcileFromMs;
-    return [...(surveyed ?? [])].filter(isUnreported).slice(0, MAX_NAMED_ENDPOINTS);
+    const listed = [...(surveyed ?? [])].filter(isUnreported);
+    return [...new Set([...listed, ...awaitedBesideList(record)])].slice(0, MAX_NAMED_ENDPOINTS);
+  }
+
+  /**
+   * Lets a job wait for leases if that is all that it waits for and its caller waits for longer.
+   * Returns whether it waits.
+   */
+  function awaitLeases(record: JobRecord, nowMs: number): boolean {
+    const awaited = awaitedBesideList(record);
+    if (awaited.length === 0 || !haveListedReported(record) || !canAwait(record, awaited, nowMs))
+      return false;
+    const waitMs = inherited.expiryMs(awaited) - monotonicClock.nowMs();
+    record.reconcileUntilMs = nowMs + waitMs + EXPIRY_MARGIN_MS;
+    logger.info('Job waits for leases on endpoints that have left the list.', {
+      job: record.job.id,
+      endpoints: awaited.slice(0, MAX_NAMED_ENDPOINTS).join(' '),
+      waitMs: Math.round(waitMs),
+    });
+    return true;
   }
 
   function reconcile(records: Iterable<JobRecord>, nowMs: number): void {
+    inherited.review();
     for (const record of records) {
       if (record.reconcileUntilMs === undefined || record.outcome !== undefined) continue;
       for (const task of record.tasks) claimTask(record, task);
+      // The departing endpoints of the earlier dispatcher may arrive after the job.
+      if (!record.mayHaveRun && inherited.isNamed(record.job.id)) awaitReports(record, nowMs);
       if (!record.mayHaveRun) {
-        if (!haveAllReported() && nowMs < record.reconcileUntilMs) continue;
+        if (!haveAllReported(record) && nowMs < record.reconcileUntilMs) continue;
         record.reconcileUntilMs = undefined;
         options.onReconciled();
         continue;
       }
       if (record.waiting > 0 && record.reconcileUntilMs === Infinity) requestReports(record, nowMs);
-      if (isReconciled(record)) {
+      if (haveListedReported(record) && awaitedBesideList(record).length === 0) {
         record.reconcileUntilMs = undefined;
         logReconciliation(record, nowMs);
         options.onReconciled();
-      } else if (record.waiting > 0 && nowMs > record.reconcileUntilMs) {
+      } else if (
+        record.waiting > 0 &&
+        nowMs > record.reconcileUntilMs &&
+        !awaitLeases(record, nowMs)
+      ) {
         logger.warn('Orphaned runs could not be reconciled.', {
           job: record.job.id,
           claimed: describeRuns(record),
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -1,3 +1,4 @@
+export { departingEndpointSchema, type DepartingEndpoint } from './departingEndpoint.js';
 export { createEndpointClock, type EndpointClock } from './endpointClock.js';
 export { TerminationProofs, type InferredEnd, type TerminationProof } from './terminationProof.js';
 export { EndpointError } from './endpointError.js';
--- a/packages/endpoints/src/leasedEndpoint.ts
+++ b/packages/endpoints/src/leasedEndpoint.ts
@@ -133,8 +133,8 @@
   dataCentre: z.string(),
   isLeaving: z.boolean(),
   /**
-   * Whether the entry has become unreadable. The endpoint then counts as leaving, although it did
-   * not announce that.
+   * Whether the entry has become unreadable or is missing. The endpoint then counts as leaving,
+   * although it did not announce that.
    */
   isSpoiled: z.boolean().optional(),
   capacity: capacitySchema,
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -48,6 +48,7 @@
     resubmissions: number;
     heldOn?: readonly string[];
     lostHandoverAgoMs?: number;
+    departuresVersion?: number;
   }): Promise<JobOutcome>;
   withdraw(job: string, gateway?: string): Withdrawal;
   limitJobs(gateway: string, remainingMs: number): void;
@@ -59,6 +60,8 @@
   readonly leadership: Leadership;
   /** The dispatcher of the shard, if this instance dispatches it. */
   readonly local: LocalDispatcher | undefined;
+  /** Version of the departing endpoints of the shard that this instance knows, if any. */
+  readonly departuresVersion?: number | undefined;
 }
 
 export interface EntryOptions {
@@ -315,6 +318,8 @@
     const remaining = remainingMs(openJob);
     const { incarnation } = view.dispatcher;
     const { resubmissions, heldOn, lostHandover } = openJob;
+    const route = routeOf(openJob);
+    const departuresVersion = route?.departuresVersion;
     const submission = {
       job: {
         ...openJob.job,
@@ -327,8 +332,8 @@
       ...(lostHandover === undefined || lostHandover.incarnation === incarnation
         ? {}
         : { lostHandoverAgoMs: sentMs - lostHandover.sentMs }),
+      ...(departuresVersion === undefined ? {} : { departuresVersion }),
     };
-    const route = routeOf(openJob);
     const local = route === undefined ? undefined : localOf(route);
     if (local !== undefined) {
       openJob.lastView = view;
--- a/packages/instance/__tests__/separatedInstances.spec.ts
+++ b/packages/instance/__tests__/separatedInstances.spec.ts
@@ -6,15 +6,22 @@
 const FIRST_SEED = Number(process.env['CELERYBARROW_SEED'] ?? 1);
 const SCHEDULES = Number(process.env['CELERYBARROW_SCHEDULES'] ?? 60);
 
-async function findOverlaps(kinds?: ReadonlySet<PartitionFaultKind>): Promise<string[]> {
+/** Seeds with which departed endpoints had two runs of a task before dispatchers shared them. */
+const DEPARTURE_SEEDS = [331, 386];
+const SEEDS = Array.from({ length: SCHEDULES }, (_none, index) => FIRST_SEED + index);
+
+async function findOverlaps(
+  kinds?: ReadonlySet<PartitionFaultKind>,
+  seeds: readonly number[] = SEEDS,
+): Promise<string[]> {
   const overlaps: string[] = [];
   let starts = 0;
-  for (let seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed += 1) {
+  for (const seed of seeds) {
     const result = await simulatePartitions(seed, kinds);
     starts += result.starts;
     overlaps.push(...result.overlaps.map((overlap) => `seed ${seed}: ${overlap}`));
   }
-  expect(starts > SCHEDULES).toEqual(true);
+  expect(starts > seeds.length).toEqual(true);
   return overlaps;
 }
 
@@ -27,4 +34,24 @@
     const kinds = new Set<PartitionFaultKind>(['zones', 'kills', 'lapses', 'storeless']);
     expect(await findOverlaps(kinds)).toEqual([]);
   });
+
+  // The entry of a live endpoint lapses while its runs go on, and the next dispatcher finds it in no
+  // list.
+  it('never runs twice at the same time after its endpoint has left the list and its dispatcher is lost', async () => {
+    const kinds = new Set<PartitionFaultKind>(['departures', 'kills']);
+    expect(await findOverlaps(kinds, [...DEPARTURE_SEEDS, ...SEEDS])).toEqual([]);
+  });
+
+  it('never runs twice at the same time after that, whatever else is lost', async () => {
+    const kinds = new Set<PartitionFaultKind>([
+      'departures',
+      'kills',
+      'freezes',
+      'instances',
+      'storeless',
+      'shards',
+      'callers',
+    ]);
+    expect(await findOverlaps(kinds)).toEqual([]);
+  });
 });
--- a/packages/instance/__tests__/simulatedEndpoints.ts
+++ b/packages/instance/__tests__/simulatedEndpoints.ts
@@ -29,6 +29,7 @@
 const RENEWAL_GRACE_MS = 130;
 const SLOTS = 2;
 const POLL_MS = 20;
+const FIRST_PORT = 8_000;
 
 export interface RecordedRun {
   readonly key: string;
@@ -99,11 +100,11 @@
   const endpoints = new Map<string, ReturnType<typeof createEndpoint>>();
   const randomBetween = (min: number, max: number) => min + (max - min) * random.next();
 
-  function createEndpoint(id: string) {
+  function createEndpoint(id: string, address: string) {
     const rate = randomBetween(0.98, 1);
     const capacity = { cores: SLOTS * 1_000, memoryMb: 1_000, accelerators: 0 };
     const base = { service: 's', dataCentre: 'd', isLeaving: false, labels: [] };
-    const entry: EndpointEntry = { id, address: id, ...base, capacity };
+    const entry: EndpointEntry = { id, address, ...base, capacity };
     const faults: CallFaults = { lost: 0, unanswered: 0, late: 0, lateOrders: 0, slow: 0 };
     let isUp = true;
     let bornMs = 1;
@@ -289,7 +290,7 @@
   }
 
   for (let number = 0; number < count; number += 1) {
-    endpoints.set(`e${number}`, createEndpoint(`e${number}`));
+    endpoints.set(`e${number}`, createEndpoint(`e${number}`, `127.0.0.1:${FIRST_PORT + number}`));
   }
 
   /** Returns the endpoints from the point of view of one process. */
--- a/packages/instance/__tests__/simulatedInstance.ts
+++ b/packages/instance/__tests__/simulatedInstance.ts
@@ -1,13 +1,16 @@
 /** The state of a simulated instance for each shard, and the faults of its environment. */
 import type { Dispatcher } from '@celerybarrow/dispatch';
 import type { Entry } from '@celerybarrow/entry';
+import type { ReplicatedDocuments } from '@celerybarrow/leadership';
 import type { View } from '@celerybarrow/protocol';
+import type { DepartureSharing } from '../src/shareDepartures.js';
 import type { SimulatedHost } from './simulatedHost.js';
 
 /** The state of one shard from the point of view of one instance. */
 export interface ShardState {
   view: View | undefined;
   dispatcher: Dispatcher | undefined;
+  dispatchingSinceMs: number;
   /** Whether the dispatcher has read the list of endpoints from the store. */
   isListCurrent: boolean;
   /** When the dispatcher last answered a heartbeat, or the view changed. */
@@ -29,6 +32,8 @@
   readonly host: SimulatedHost;
   readonly entry: Entry;
   readonly shardStates: readonly ShardState[];
+  readonly documents: ReplicatedDocuments;
+  readonly departures: DepartureSharing;
   /** Whether it reaches neither other instances, nor endpoints, nor the store. */
   isIsolated: boolean;
   isStoreUnreachable: boolean;
@@ -44,6 +49,10 @@
   isZoneWithoutStore: boolean;
   /** Endpoints whose entries have expired in the store. */
   readonly lapsed: Set<string>;
+  /** Endpoints that are listed as leaving. */
+  readonly departing: Set<string>;
+  /** Endpoints that have left all lists although they run. */
+  readonly departed: Set<string>;
   /** Endpoints that the lists shared among instances do not contain yet. */
   readonly missingFromSharedLists: Set<string>;
 }
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -8,11 +8,17 @@
 import { createDispatcher, type Dispatcher } from '@celerybarrow/dispatch';
 import { createEntry } from '@celerybarrow/entry';
 import type { EndpointEntry, EndpointNetwork } from '@celerybarrow/endpoints';
-import { fenceOf, isNewer, type Leadership } from '@celerybarrow/leadership';
+import {
+  createReplicatedDocuments,
+  fenceOf,
+  isNewer,
+  type Leadership,
+} from '@celerybarrow/leadership';
 import type { LeasedJob, PeerLink, View } from '@celerybarrow/protocol';
 import type { Random } from '@celerybarrow/shared';
 import { createMetrics, type Logger } from '@celerybarrow/telemetry';
 import { createElapsedClock, type ManualTimer } from '@celerybarrow/timer';
+import { createDepartureSharing } from '../src/shareDepartures.js';
 import type { CallingProcess } from './simulatedEndpoints.js';
 import { createSimulatedHost, type SimulatedHost } from './simulatedHost.js';
 import type { ShardState, SimulatedInstance, SimulatedEnvironment } from './simulatedInstance.js';
@@ -45,6 +51,8 @@
     isolatedZone: undefined,
     isZoneWithoutStore: true,
     lapsed: new Set(),
+    departing: new Set(),
+    departed: new Set(),
     missingFromSharedLists: new Set(),
   };
   const stored: (View | undefined)[] = Array.from({ length: shards }, () => undefined);
@@ -125,6 +133,15 @@
     }
   }
 
+  function listedEntries(shard: number): EndpointEntry[] {
+    return options
+      .entriesOf(shard)
+      .filter(({ id }) => !environment.departed.has(id))
+      .map((entry) =>
+        environment.departing.has(entry.id) ? { ...entry, isLeaving: true } : entry,
+      );
+  }
+
   function startDispatcher(instance: SimulatedInstance, shard: number): Dispatcher {
     const state = shardStateOf(instance, shard);
     const clock = createElapsedClock(instance.host.timer);
@@ -153,18 +170,19 @@
         });
       },
       isListCurrent: () => state.isListCurrent || (state.view?.round ?? 0) > 0,
+      departuresVersion: () => instance.departures.version(shard),
     });
-    const sharedEntries = options
-      .entriesOf(shard)
-      .filter(({ id }) => !environment.missingFromSharedLists.has(id));
+    const sharedEntries = listedEntries(shard).filter(
+      ({ id }) => !environment.missingFromSharedLists.has(id),
+    );
     state.isListCurrent = false;
+    state.dispatchingSinceMs = timer.nowMs();
     dispatcher.setEndpoints(sharedEntries);
+    instance.departures.introduce(shard, dispatcher);
     const readList = () => {
       if (state.dispatcher !== dispatcher || !reachesStore(instance)) return;
       state.isListCurrent = true;
-      dispatcher.setEndpoints(
-        options.entriesOf(shard).filter(({ id }) => !environment.lapsed.has(id)),
-      );
+      dispatcher.setEndpoints(listedEntries(shard).filter(({ id }) => !environment.lapsed.has(id)));
     };
     timer.onAfter(randomBetween(2, 150), () => {
       instance.host.receive(readList);
@@ -258,6 +276,7 @@
     view: View,
   ): void {
     if (!areConnected(instance, dispatcher)) return;
+    sendDocuments(instance, dispatcher, shard);
     const theirView = shardStateOf(dispatcher, shard).view;
     const isStillDispatching = isDispatching(dispatcher, shard);
     if (isStillDispatching) {
@@ -269,6 +288,7 @@
       instance.host.receive(() => {
         const state = shardStateOf(instance, shard);
         receiveView(instance, shard, theirView);
+        fetchDocuments(instance, dispatcher, shard);
         if (!isStillDispatching || state.view !== view) return;
         state.lastContactMs = timer.nowMs();
         state.unansweredSinceMs = undefined;
@@ -278,6 +298,23 @@
     });
   }
 
+  /** Sends the documents that a dispatcher lacks; the request for them takes no time. */
+  function sendDocuments(from: SimulatedInstance, to: SimulatedInstance, shard: number): void {
+    const wanted = to.documents.missing(from.documents.versions(shard));
+    for (const [name, document] of Object.entries(from.documents.select(wanted)))
+      to.documents.offer(name, document, from.name);
+  }
+
+  /** Fetches the documents that a dispatcher announces; the request for them takes no time. */
+  function fetchDocuments(to: SimulatedInstance, from: SimulatedInstance, shard: number): void {
+    const names = to.documents.toFetch(
+      from.documents.announce(to.documents.versions(shard), shard),
+    );
+    for (const [name, document] of Object.entries(from.documents.select(names)))
+      to.documents.offer(name, document, from.name);
+    to.documents.endFetch(names, true);
+  }
+
   function suspect(instance: SimulatedInstance, shard: number): void {
     const state = shardStateOf(instance, shard);
     const nowMs = timer.nowMs();
@@ -331,6 +368,7 @@
     const shardStates = Array.from({ length: shards }, (): ShardState => ({
       view: undefined,
       dispatcher: undefined,
+      dispatchingSinceMs: Infinity,
       isListCurrent: false,
       lastContactMs: timer.nowMs(),
       unansweredSinceMs: undefined,
@@ -362,11 +400,23 @@
         shardStates.map(({ dispatcher }, shard) => ({
           leadership: leadershipOf(shard),
           local: dispatcher,
+          departuresVersion: departures.versionWithEndpoints(shard),
         })),
       timer: host.timer,
       clock: createElapsedClock(host.timer),
       logger: options.logger,
     });
+    const documents = createReplicatedDocuments(host.timer);
+    const departures = createDepartureSharing({
+      documents,
+      timer: host.timer,
+      logger: options.logger,
+      dispatchers: () =>
+        shardStates.flatMap(({ dispatcher, view }, shard) =>
+          dispatcher === undefined ? [] : [{ shard, epoch: view?.epoch ?? 0, dispatcher }],
+        ),
+    });
+    departures.subscribe(shards);
     const conditions = { isIsolated: false, isStoreUnreachable: false, hasOtherList: false };
     const instance: SimulatedInstance = {
       name,
@@ -374,6 +424,8 @@
       host,
       entry,
       shardStates,
+      documents,
+      departures,
       ...conditions,
     };
     running.set(name, instance);
@@ -403,6 +455,13 @@
     running: () => [...running.values()],
     startInstance,
     dispatcherOf: (shard: number) => dispatcherInstanceOf(stored[shard]),
+    /** Whether the dispatcher of each shard has run since the given time, and reaches the store. */
+    haveDispatchedSince: (sinceMs: number) =>
+      stored.every((view, shard) => {
+        const instance = dispatcherInstanceOf(view);
+        if (instance === undefined || !reachesStore(instance)) return false;
+        return shardStateOf(instance, shard).dispatchingSinceMs <= sinceMs;
+      }),
     loseConnections,
     kill(instance: SimulatedInstance, noticedWithinMs: number): void {
       if (!isRunning(instance)) return;
--- a/packages/instance/__tests__/simulatedPartitions.ts
+++ b/packages/instance/__tests__/simulatedPartitions.ts
@@ -17,12 +17,22 @@
 const INSTANCES = ['a0', 'a1', 'b0', 'b1', 'a2'];
 const QUIET_UNTIL_MS = 1_500;
 const FAULTS_UNTIL_MS = 7_000;
-const DURATION_MS = 11_500;
+/** Endpoints that depart are listed as leaving for a while, so shorter runs would end before. */
+const LONG = { maxTaskMs: 3_500, deadlineMs: 5_000, durationMs: 18_000 };
+const USUAL = { maxTaskMs: 1_400, deadlineMs: 1_500, durationMs: 11_500 };
 const JOBS = 14;
-const CALLER_DEADLINE_MS = 1_500;
 const RESUBMIT_DELAY_MS = 1_300;
 /** Minimum time until the store drops the entries of endpoints that cannot reach it. */
 const MIN_LAPSE_MS = 1_700;
+/**
+ * How long a dispatcher lists an endpoint as leaving before it drops it, with the time in which it
+ * reads its list.
+ */
+const MIN_DEPARTURE_MS = 750;
+const MAX_DEPARTURE_MS = 1_500;
+/** An endpoint that is not dropped by then returns. */
+const MAX_LEAVING_MS = 3_000;
+const DEPARTURE_CHECK_MS = 50;
 /** Maximum time until all instances know a new endpoint. */
 const MAX_LIST_SHARING_MS = 1_250;
 
@@ -39,6 +49,7 @@
   'storeless',
   'lapses',
   'joins',
+  'departures',
   'shards',
   'lists',
   'callers',
@@ -64,11 +75,12 @@
     warn: traceEvent,
     error: traceEvent,
   };
+  const lengths = kinds.has('departures') ? LONG : USUAL;
   const shards = kinds.has('shards') && chance(0.4) ? 2 : 1;
   const count = 4 + Math.floor(random.next() * 3);
   const traits = {
     rejectsByOrderLease: chance(0.5),
-    maxTaskMs: randomBetween(100, 1_400),
+    maxTaskMs: randomBetween(100, lengths.maxTaskMs),
     failureProbability: 0.02,
   };
   traceEvent('endpoints', { count, shards, ...traits });
@@ -152,6 +164,7 @@
         environment.missingFromSharedLists.delete(endpoint.entry.id);
       });
     }
+    if (kind === 'departures') void departEndpoint(endpoint.entry.id);
     if (kind === 'calls') {
       const share = randomBetween(0.05, 1);
       const name = pick(['lost', 'unanswered', 'late', 'lateOrders', 'slow'] as const);
@@ -175,6 +188,30 @@
     }
   }
 
+  /**
+   * Lists an endpoint as leaving, then no more, while it runs on; it returns later. The dispatcher drops
+   * the endpoint from the list only after it has listed it as leaving for a while.
+   */
+  async function departEndpoint(id: string): Promise<void> {
+    if (environment.departing.has(id)) return;
+    const sinceMs = timer.nowMs();
+    environment.departing.add(id);
+    traceEvent('endpoint departs', { endpoint: id });
+    await timer.sleep(randomBetween(MIN_DEPARTURE_MS, MAX_DEPARTURE_MS));
+    const isListedAsLeaving = () =>
+      timer.nowMs() - sinceMs > MAX_LEAVING_MS ||
+      fleet.haveDispatchedSince(timer.nowMs() - MIN_DEPARTURE_MS);
+    while (!isListedAsLeaving()) await timer.sleep(DEPARTURE_CHECK_MS);
+    if (timer.nowMs() - sinceMs <= MAX_LEAVING_MS) {
+      environment.departed.add(id);
+      traceEvent('endpoint has left the list', { endpoint: id });
+      await timer.sleep(randomBetween(100, 2_500));
+    }
+    environment.departing.delete(id);
+    environment.departed.delete(id);
+    traceEvent('endpoint has returned', { endpoint: id });
+  }
+
   function injectInstanceFault(kind: PartitionFaultKind): void {
     const target = chance(0.5) ? fleet.dispatcherOf(0) : undefined;
     const instance = target ?? pick(fleet.running());
@@ -233,7 +270,7 @@
     const steps = [{ tasks, demand, estimateMs: 200, after: [] }];
     const base = { team: 't', service: 's', priority: 0, maxAttempts: 2, payload: '' };
     const objective = { objectiveStretch: 1.6, objectiveAllowanceMs: 60 };
-    return { id, ...base, ...objective, steps, ageMs: 0, remainingMs: CALLER_DEADLINE_MS };
+    return { id, ...base, ...objective, steps, ageMs: 0, remainingMs: lengths.deadlineMs };
   }
 
   /** Delivers a cancellation, and retries while the gateway is isolated. */
@@ -257,7 +294,7 @@
       };
       onKill.get(at)?.add(endWait);
       const isImpatient = kinds.has('callers') && chance(0.15);
-      const waitMs = isImpatient ? randomBetween(10, 900) : CALLER_DEADLINE_MS + 100;
+      const waitMs = isImpatient ? randomBetween(10, 900) : lengths.deadlineMs + 100;
       timer.onAfter(waitMs, () => {
         endWait();
         deliverCancellation(at, cancellation);
@@ -301,6 +338,6 @@
   for (let number = 0; number < faults; number += 1) {
     timer.onAfter(randomBetween(100, FAULTS_UNTIL_MS - QUIET_UNTIL_MS), injectFault);
   }
-  await timer.advance(DURATION_MS - QUIET_UNTIL_MS);
+  await timer.advance(lengths.durationMs - QUIET_UNTIL_MS);
   return { overlaps: endpoints.overlaps(), starts: endpoints.starts(), outcomes };
 }
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -27,6 +27,7 @@
 import { createEndpointWatcher } from './watchEndpoints.js';
 import { createEvacuationWatcher } from './watchEvacuations.js';
 import { createRoutingWatcher, type RoutingStatus } from './watchRouting.js';
+import { createDepartureSharing } from './shareDepartures.js';
 import { createPairSharing } from './sharePairs.js';
 import { createShardDispatchers } from './shardDispatchers.js';
 import { warmUp, type LoopbackEndpoints } from './warmUp.js';
@@ -154,16 +155,24 @@
     areEntriesCurrent: endpoints.isCurrent,
     isInterferenceEnabled,
     otherRackFactor: options.otherRackFactor,
-    onStart: (dispatcher) => {
+    onStart: (dispatcher, shard) => {
       pairSharing?.introduce(dispatcher);
+      departures.introduce(shard, dispatcher);
     },
+    departuresVersion: (shard) => departures.version(shard),
+  });
+  const departures = createDepartureSharing({
+    documents,
+    timer,
+    logger: createLogger('departures'),
+    dispatchers: dispatchers.all,
   });
   const pairSharing = isInterferenceEnabled
     ? createPairSharing({
         documents,
         timer,
         logger: createLogger('interference'),
-        dispatchers: dispatchers.all,
+        dispatchers: () => dispatchers.all().map(({ dispatcher }) => dispatcher),
       })
     : undefined;
   const leadership = createFleetLeadership({
@@ -189,6 +198,7 @@
       leadership.shards().map((shardLeadership) => ({
         leadership: shardLeadership,
         local: dispatchers.get(shardLeadership.shard),
+        departuresVersion: departures.versionWithEndpoints(shardLeadership.shard),
       })),
     timer,
     clock,
@@ -228,6 +238,7 @@
   }
 
   leadership.onShards((shards) => {
+    departures.subscribe(shards.length);
     chooser.updateEndpoints(usableEntries(), shards.length);
     startWarmUp();
     for (const shardLeadership of shards) {
@@ -299,6 +310,7 @@
       isStopping = true;
       closing.abort();
       pairSharing?.stop();
+      departures.stop();
       leadership.close();
       endpoints.stop();
       dispatchers.stopAll();
--- a/packages/instance/src/shardDispatchers.ts
+++ b/packages/instance/src/shardDispatchers.ts
@@ -27,14 +27,22 @@
   /** Whether the dispatchers keep tasks apart that slow each other down. */
   readonly isInterferenceEnabled: boolean;
   readonly otherRackFactor: number | undefined;
-  /** Called with a new dispatcher before it gets its endpoints. */
-  readonly onStart: (dispatcher: Dispatcher) => void;
+  /** Called with a new dispatcher that has its listed endpoints. */
+  readonly onStart: (dispatcher: Dispatcher, shard: number) => void;
+  /** Returns the version of the departing endpoints of a shard that this instance knows. */
+  readonly departuresVersion: (shard: number) => number;
+}
+
+export interface RunningDispatcher {
+  readonly shard: number;
+  readonly epoch: number;
+  readonly dispatcher: Dispatcher;
 }
 
 export interface ShardDispatchers {
   /** Returns the running dispatcher of a shard. */
   get(shard: number): Dispatcher | undefined;
-  all(): Dispatcher[];
+  all(): RunningDispatcher[];
   isEmpty(): boolean;
   /** Starts the dispatcher of a shard, unless it is running. */
   start(leadership: Leadership): void;
@@ -46,7 +54,10 @@
 
 export function createShardDispatchers(options: ShardDispatchersOptions): ShardDispatchers {
   const { self, timer, clock, random, metrics } = options;
-  const running = new Map<number, { dispatcher: Dispatcher; stopRenewal: () => void }>();
+  const running = new Map<
+    number,
+    { dispatcher: Dispatcher; leadership: Leadership; stopRenewal: () => void }
+  >();
 
   function entriesOf(shard: number, entries: readonly EndpointEntry[]): readonly EndpointEntry[] {
     const shards = options.shards();
@@ -72,13 +83,14 @@
       // In a round above 0 the store is unreachable, and the last list that the instances read from
       // it is the only one available.
       isListCurrent: () => options.areEntriesCurrent() || (leadership.view()?.round ?? 0) > 0,
+      departuresVersion: () => options.departuresVersion(shard),
     });
     const stopRenewal = timer.onEvery(OWN_GATEWAY_RENEWAL_MS, () => {
       dispatcher.renewGatewayLease(self.instance);
     });
-    running.set(shard, { dispatcher, stopRenewal });
-    options.onStart(dispatcher);
+    running.set(shard, { dispatcher, leadership, stopRenewal });
     dispatcher.setEndpoints(entriesOf(shard, options.entries()));
+    options.onStart(dispatcher, shard);
   }
 
   function stop(shard: number): void {
@@ -91,7 +103,10 @@
 
   return {
     get: (shard) => running.get(shard)?.dispatcher,
-    all: () => [...running.values()].map(({ dispatcher }) => dispatcher),
+    all: () =>
+      [...running].map(([shard, { dispatcher, leadership }]) => {
+        return { shard, epoch: leadership.view()?.epoch ?? 0, dispatcher };
+      }),
     isEmpty: () => running.size === 0,
     start,
     stop,
--- a/packages/leadership/src/index.ts
+++ b/packages/leadership/src/index.ts
@@ -1,5 +1,9 @@
 export { choosePeersToPoll, rankMembers, type RankingOptions } from './candidates.js';
-export { createReplicatedDocuments, type ReplicatedDocuments } from './replicatedDocuments.js';
+export {
+  createReplicatedDocuments,
+  shardDocumentName,
+  type ReplicatedDocuments,
+} from './replicatedDocuments.js';
 export {
   createFleetLeadership,
   type FleetLeadership,
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -219,7 +219,7 @@
 
   async function sendPulse(current: View, link: PeerLink): Promise<void> {
     if (openPulses >= MAX_OPEN_PULSES) return;
-    const versions = documents.versions();
+    const versions = documents.versions(shard);
     const request = { shard, view: current, versions, fetchesDocuments: true };
     const sentMs = clock.nowMs();
     detector.recordHeartbeatSent();
@@ -461,7 +461,7 @@
     if (!(await stored.read()) || view !== current) return;
     const last = stored.view();
     if (last === undefined) return;
-    const request = { shard, view: current, versions: documents.versions() };
+    const request = { shard, view: current, versions: documents.versions(shard) };
     const reply = await links.to(last.dispatcher).request('pulse', request, {
       timeoutMs: REQUEST_TIMEOUT_MS,
       connectWaitMs: REQUEST_TIMEOUT_MS,
@@ -523,8 +523,8 @@
       ...(view !== undefined && isNewer(view, request.view) ? { view } : {}),
       isDispatching: isDispatching(),
       ...(request.fetchesDocuments === true
-        ? { documents: {}, newer: documents.announce(request.versions) }
-        : { documents: documents.newerThan(request.versions) }),
+        ? { documents: {}, newer: documents.announce(request.versions, shard) }
+        : { documents: documents.newerThan(request.versions, shard) }),
       ...(wanted.length === 0 ? {} : { wanted }),
       waiting: isDispatching() ? options.waiting() : {},
     };
--- a/packages/leadership/src/replicatedDocuments.ts
+++ b/packages/leadership/src/replicatedDocuments.ts
@@ -11,6 +11,9 @@
  * The store may refuse the dispatcher while it serves the other instances. A dispatcher therefore
  * requests documents that a gateway has in a newer version. It requests each version from one gateway
  * at a time, because all gateways receive a change at the same moment.
+ *
+ * A document may concern one shard only. It is exchanged with the heartbeats of that shard alone, so
+ * that a heartbeat does not grow with the number of shards.
  */
 import { createHash } from 'node:crypto';
 import type { Announcement, SharedDocument } from '@celerybarrow/protocol';
@@ -23,6 +26,7 @@
 /** Upper bound of the average rate at which an instance fetches versions of one document. */
 const MAX_CHARACTERS_PER_MS = 100;
 const DIGEST_CHARACTERS = 16;
+const SHARD_SEPARATOR = '/';
 
 /**
  * Receives a document and its source: `store`, or the name of an instance. Returns whether the
@@ -33,12 +37,21 @@
 export interface ReplicatedDocuments {
   /** Stores a document if it is newer than the current one of that name and every subscriber accepts it. */
   offer(name: string, document: SharedDocument, source: string): void;
-  /** Returns the version of each document by name. */
-  versions(): Record<string, number>;
-  /** Returns the documents that are newer than the given versions, or absent from them. */
-  newerThan(versions: Readonly<Record<string, number>>): Record<string, SharedDocument>;
+  /** Returns the version of each document by name, without those that concern only another shard. */
+  versions(shard?: number): Record<string, number>;
+  /**
+   * Returns the documents that are newer than the given versions, or absent from them, without those
+   * that concern only another shard.
+   */
+  newerThan(
+    versions: Readonly<Record<string, number>>,
+    shard?: number,
+  ): Record<string, SharedDocument>;
   /** Returns the same documents as `newerThan` without their texts. */
-  announce(versions: Readonly<Record<string, number>>): Record<string, Announcement>;
+  announce(
+    versions: Readonly<Record<string, number>>,
+    shard?: number,
+  ): Record<string, Announcement>;
   /**
    * Returns the names of the announced documents to fetch now, and marks them as requested. Adopts the
    * version of a document whose text is already here.
@@ -129,13 +142,19 @@
       if (isAccepted) documents.set(name, { version, text, digest: digestOf(text) });
       else rejectedTexts.set(name, text);
     },
-    versions: () =>
-      Object.fromEntries([...documents].map(([name, { version }]) => [name, version])),
-    newerThan: (versions) =>
-      filterDocuments((name, version) => version > (versions[name] ?? -1), toSharedDocument),
-    announce: (versions) =>
+    versions: (shard) =>
       filterDocuments(
-        (name, version) => version > (versions[name] ?? -1),
+        (name) => concernsShard(name, shard),
+        ({ version }) => version,
+      ),
+    newerThan: (versions, shard) =>
+      filterDocuments(
+        (name, version) => version > (versions[name] ?? -1) && concernsShard(name, shard),
+        toSharedDocument,
+      ),
+    announce: (versions, shard) =>
+      filterDocuments(
+        (name, version) => version > (versions[name] ?? -1) && concernsShard(name, shard),
         ({ version, digest }) => ({ version, digest }),
       ),
     toFetch(announcements) {
@@ -170,6 +189,17 @@
   };
 }
 
+/** Returns the name of a document that concerns only one shard. */
+export function shardDocumentName(name: string, shard: number): string {
+  return `${name}${SHARD_SEPARATOR}${shard}`;
+}
+
+function concernsShard(name: string, shard: number | undefined): boolean {
+  const separatorAt = name.indexOf(SHARD_SEPARATOR);
+  if (separatorAt < 0 || shard === undefined) return true;
+  return name.slice(separatorAt + SHARD_SEPARATOR.length) === String(shard);
+}
+
 function toSharedDocument({ version, text }: StoredDocument): SharedDocument {
   return { version, text };
 }
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -182,6 +182,11 @@
       heldOn: z.array(z.string()).optional(),
       /** Time since the job was sent to another dispatcher that was lost before it replied. */
       lostHandoverAgoMs: durationMs.optional(),
+      /**
+       * Version of the departing endpoints of the shard that the gateway knows; absent if it knows of
+       * none. A dispatcher with an older version may lack endpoints with runs of the job.
+       */
+      departuresVersion: nonNegativeInt.optional(),
     }),
     reply: jobOutcomeSchema,
   },
