fix(dispatch): give an endpoint that joins no task before others know of it

The next dispatcher lacks the worker, takes its list for complete, and starts the tasks elsewhere: two runs at the same time.

An endpoint that joins a list is named in the departures document of its shard for 5 s, for any job, and gets its first task 350 ms after it joined. Within that time a heartbeat has carried the document. There is no pause on a first list, which nobody else has either.

Simulated only; no run with real processes.

--- a/packages/dispatch/__tests__/departures.spec.ts
+++ b/packages/dispatch/__tests__/departures.spec.ts
@@ -224,4 +224,19 @@
     await advance(LEASE_WAIT_MS);
     expect(dispatcher.departures()).toEqual([]);
   });
+
+  // The next dispatcher may not have read a list with the endpoint when the store is down.
+  it('include an endpoint that has just joined, which gets its first task after that', async () => {
+    const { dispatcher, submit, advance, starts } = createTestDispatcher();
+    await advance(1_000);
+    dispatcher.setEndpoints([entryOf('departed')]);
+    expect(dispatcher.departures().map(({ entry, jobs }) => [entry.id, jobs])).toEqual([
+      ['departed', undefined],
+    ]);
+    submit('j', 0);
+    await advance(300);
+    expect(starts).toEqual([]);
+    await advance(150);
+    expect(starts).toEqual(['j@departed']);
+  });
 });
--- a/packages/dispatch/src/departures.ts
+++ b/packages/dispatch/src/departures.ts
@@ -1,8 +1,10 @@
 /**
- * Finds the endpoints that get no new tasks but may still run some, for the next dispatcher.
+ * Finds the endpoints that the next dispatcher may not know and that may run tasks: those that leave,
+ * and those that have just joined.
  *
  * Fault pattern: the entry of a live endpoint is missing, so it leaves the list while its runs go on,
- * and the dispatcher is lost. The next one would not ask it for runs.
+ * and the dispatcher is lost. The next one would not ask it for runs. An endpoint that has just
+ * joined may run tasks of any job.
  *
  * An endpoint that leaves gets no new tasks, so its jobs only become fewer. A list of departures that
  * is a little old therefore still names every job that may have runs on the endpoints that it has.
@@ -19,6 +21,10 @@
   const departures = new Map(inherited.unresolved().map((row) => [row.entry.id, row]));
   for (const controller of pool.controllers()) {
     const entry = controller.entry();
+    if (pool.hasJoined(entry.id)) {
+      departures.set(entry.id, { entry });
+      continue;
+    }
     if (!entry.isLeaving || controller.isEmpty()) continue;
     const earlier = departures.get(entry.id);
     if (earlier !== undefined && controller.lastReportMs() === undefined) continue;
--- a/packages/dispatch/src/endpointDirectory.ts
+++ b/packages/dispatch/src/endpointDirectory.ts
@@ -14,15 +14,10 @@
  */
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import type { MonotonicClock } from '@celerybarrow/timer';
+import { ANNOUNCEMENT_MS } from './endpointPool.js';
 
 /** Live endpoints restore their entries within 2 s after the store is reachable again. */
 const MISSING_GRACE_MS = 2_500;
-/**
- * How long an endpoint is listed as leaving before it is dropped. Until then the other instances have
- * received its jobs with a heartbeat, which is sent every 220 ms or more often.
- */
-const DEPARTURE_MS = 350;
-
 export interface EndpointDirectory {
   /**
    * Records the entry of an endpoint, or `undefined` if the entry is invalid. An endpoint whose
@@ -57,7 +52,9 @@
     for (const [id, { entry, missingSinceMs, departingSinceMs }] of listed) {
       if (missingSinceMs === undefined || nowMs - missingSinceMs <= MISSING_GRACE_MS) continue;
       const wasListedAsLeaving =
-        departingSinceMs === undefined ? entry.isLeaving : nowMs - departingSinceMs > DEPARTURE_MS;
+        departingSinceMs === undefined
+          ? entry.isLeaving
+          : nowMs - departingSinceMs > ANNOUNCEMENT_MS;
       if (wasListedAsLeaving) listed.delete(id);
       else if (departingSinceMs !== undefined) continue;
       else {
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -4,6 +4,10 @@
  * An endpoint that is no longer listed gets no new tasks. Its controller remains until nothing runs
  * there, because the entry of a live endpoint can be missing. What it knows of starts that may still
  * be carried out is kept for the controller of the next incarnation under the same id.
+ *
+ * Fault pattern: an endpoint joins, gets tasks, and the dispatcher is lost while the store is down. The
+ * list of the next dispatcher does not have the endpoint. An endpoint that joins therefore gets no task
+ * before the other instances know of it.
  */
 import {
   createEndpointController,
@@ -16,6 +20,19 @@
 } from '@celerybarrow/endpoints';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 
+/**
+ * Within this time the other instances receive a short document of a dispatcher, by a heartbeat that is
+ * sent every 220 ms or more often.
+ */
+export const ANNOUNCEMENT_MS = 350;
+/**
+ * A new dispatcher shares nothing for this time, because it may lack the document of the earlier one
+ * for some heartbeats.
+ */
+export const FIRST_ANNOUNCEMENT_MS = 500;
+/** The list of a large fleet is shared within this time. */
+const LIST_SHARING_MS = 5_000;
+
 export interface EndpointPool {
   /** Adds, updates and removes endpoints according to a new list. */
   setEntries(entries: readonly EndpointEntry[]): void;
@@ -28,6 +45,8 @@
   keep(entry: EndpointEntry): void;
   /** Whether the current list has an endpoint of this id at the address that is open here. */
   isListed(endpoint: string): boolean;
+  /** Whether an endpoint is listed for so short a time that the shared list may lack it. */
+  hasJoined(endpoint: string): boolean;
   controllers(): Iterable<EndpointController>;
   find(endpoint: string): EndpointController | undefined;
   size(): number;
@@ -48,6 +67,9 @@
   const retainedStarts = createRetainedStarts();
   const probes = createProbeBudget(options.timer);
   const addresses = new Map<string, string>();
+  const createdMs = options.timer.nowMs();
+  /** When an endpoint was added to a list that had others. */
+  const joinedAtMs = new Map<string, number>();
   let currentEntries: readonly EndpointEntry[] = [];
   /** The address of each listed endpoint, by id. */
   let listedAddresses: ReadonlyMap<string, string> = new Map();
@@ -61,12 +83,29 @@
         controllers.get(entry.id)?.handleConnectionLost();
     });
     const events = options.eventsOf(entry.id);
+    const isAnnounced = () => isAnnouncedAt(entry.id, timer.nowMs());
     const earlierStarts = retainedStarts.take(entry.id, timer.nowMs());
-    const links = { endpoint, fence, timer, clock, events };
+    const links = { endpoint, fence, timer, clock, events, isAnnounced };
     controllers.set(entry.id, createEndpointController({ entry, ...links, earlierStarts, probes }));
     addresses.set(entry.id, entry.address);
   }
 
+  function isAnnouncedAt(id: string, nowMs: number): boolean {
+    const joinedMs = joinedAtMs.get(id);
+    if (joinedMs === undefined) return true;
+    return nowMs >= Math.max(joinedMs, createdMs + FIRST_ANNOUNCEMENT_MS) + ANNOUNCEMENT_MS;
+  }
+
+  /** Records which endpoints the list did not have before. The other instances share a first list. */
+  function recordJoined(entries: readonly EndpointEntry[]): void {
+    const nowMs = options.timer.nowMs();
+    for (const [id, joinedMs] of joinedAtMs)
+      if (nowMs - joinedMs > LIST_SHARING_MS) joinedAtMs.delete(id);
+    if (listedAddresses.size === 0) return;
+    for (const { id, address } of entries)
+      if (listedAddresses.get(id) !== address) joinedAtMs.set(id, nowMs);
+  }
+
   function remove(id: string): void {
     const controller = controllers.get(id);
     if (controller !== undefined) {
@@ -81,6 +120,7 @@
   function setEntries(entries: readonly EndpointEntry[]): void {
     currentEntries = entries;
     hasDrainingEndpoints = false;
+    recordJoined(entries);
     listedAddresses = new Map(entries.map(({ id, address }) => [id, address]));
     for (const controller of [...controllers.values()]) {
       if (listedAddresses.has(controller.id)) continue;
@@ -111,6 +151,8 @@
     },
     isListed: (endpoint) =>
       listedAddresses.has(endpoint) && listedAddresses.get(endpoint) === addresses.get(endpoint),
+    hasJoined: (endpoint) =>
+      options.timer.nowMs() - (joinedAtMs.get(endpoint) ?? -Infinity) <= LIST_SHARING_MS,
     controllers: () => controllers.values(),
     find: (endpoint) => controllers.get(endpoint),
     size: () => controllers.size,
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -6,4 +6,5 @@
   type DispatcherOptions,
   type Submission,
 } from './dispatcher.js';
+export { FIRST_ANNOUNCEMENT_MS } from './endpointPool.js';
 export { createEndpointDirectory, type EndpointDirectory } from './endpointDirectory.js';
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -146,6 +146,8 @@
   readonly earlierStarts?: readonly UnacknowledgedStart[];
   /** Shared by the controllers of a dispatcher. */
   readonly probes: ProbeBudget;
+  /** Whether the other instances know of the endpoint, so that it may get tasks; true by default. */
+  readonly isAnnounced?: () => boolean;
 }
 
 /** Starts and stops the tasks on one endpoint. No other instance does so at the same time. */
@@ -925,6 +927,7 @@
       unanswered < UNRESPONSIVE_AFTER_CALLS &&
       !isSuspected() &&
       isEntryCurrent() &&
+      options.isAnnounced?.() !== false &&
       unacknowledgedStarts.open(timer.nowMs()).length === 0 &&
       !isReplaced &&
       fence() > refusedFence &&
--- a/packages/instance/__tests__/simulatedInstance.ts
+++ b/packages/instance/__tests__/simulatedInstance.ts
@@ -47,6 +47,7 @@
   isolatedZone: string | undefined;
   /** Whether the isolated data centre cannot reach the store either. */
   isZoneWithoutStore: boolean;
+  isStoreDown: boolean;
   /** Endpoints whose entries have expired in the store. */
   readonly lapsed: Set<string>;
   /** Endpoints that are listed as leaving. */
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -50,6 +50,7 @@
   const environment: SimulatedEnvironment = {
     isolatedZone: undefined,
     isZoneWithoutStore: true,
+    isStoreDown: false,
     lapsed: new Set(),
     departing: new Set(),
     departed: new Set(),
@@ -68,6 +69,7 @@
       (environment.isolatedZone === undefined || instance.zone === other.zone));
   const reachesStore = (instance: SimulatedInstance) =>
     !instance.isIsolated &&
+    !environment.isStoreDown &&
     !instance.isStoreUnreachable &&
     !(environment.isZoneWithoutStore && environment.isolatedZone === instance.zone);
   const others = (instance: SimulatedInstance) =>
--- a/packages/instance/__tests__/simulatedPartitions.ts
+++ b/packages/instance/__tests__/simulatedPartitions.ts
@@ -33,6 +33,8 @@
 /** An endpoint that is not dropped by then returns. */
 const MAX_LEAVING_MS = 3_000;
 const DEPARTURE_CHECK_MS = 50;
+/** Longer than the interval at which dispatchers read their lists. */
+const LIST_INTERVAL_MS = 450;
 /** Maximum time until all instances know a new endpoint. */
 const MAX_LIST_SHARING_MS = 1_250;
 
@@ -47,9 +49,11 @@
   'kills',
   'fleetKills',
   'storeless',
+  'storeFailures',
   'lapses',
   'joins',
   'departures',
+  'lossesAfterJoins',
   'shards',
   'lists',
   'callers',
@@ -202,14 +206,37 @@
       timer.nowMs() - sinceMs > MAX_LEAVING_MS ||
       fleet.haveDispatchedSince(timer.nowMs() - MIN_DEPARTURE_MS);
     while (!isListedAsLeaving()) await timer.sleep(DEPARTURE_CHECK_MS);
-    if (timer.nowMs() - sinceMs <= MAX_LEAVING_MS) {
+    const awayMs = timer.nowMs() - sinceMs <= MAX_LEAVING_MS ? randomBetween(100, 2_500) : 0;
+    if (awayMs > 0) {
       environment.departed.add(id);
       traceEvent('endpoint has left the list', { endpoint: id });
-      await timer.sleep(randomBetween(100, 2_500));
+      await timer.sleep(awayMs);
     }
     environment.departing.delete(id);
     environment.departed.delete(id);
+    // A dispatcher has read its list without the endpoint by then.
+    if (awayMs > LIST_INTERVAL_MS) {
+      environment.missingFromSharedLists.add(id);
+      timer.onAfter(randomBetween(0, MAX_LIST_SHARING_MS), () => {
+        environment.missingFromSharedLists.delete(id);
+      });
+    }
     traceEvent('endpoint has returned', { endpoint: id });
+    if (kinds.has('lossesAfterJoins'))
+      timer.onAfter(randomBetween(300, 1_200), loseStoreAndDispatcher);
+  }
+
+  function loseStoreAndDispatcher(): void {
+    failStore(randomBetween(1_000, 3_000));
+    kill(fleet.dispatcherOf(0), randomBetween(1_000, 3_000));
+  }
+
+  function failStore(forMs: number): void {
+    environment.isStoreDown = true;
+    traceEvent('store is down', { forMs });
+    timer.onAfter(forMs, () => {
+      environment.isStoreDown = false;
+    });
   }
 
   function injectInstanceFault(kind: PartitionFaultKind): void {
@@ -244,6 +271,7 @@
         instance.isStoreUnreachable = false;
       });
     }
+    if (kind === 'storeFailures') failStore(forMs);
     if (kind === 'lists' && shards > 1) {
       instance.hasOtherList = true;
       traceEvent('instance has another list of endpoints', details);
--- a/packages/instance/src/shareDepartures.ts
+++ b/packages/instance/src/shareDepartures.ts
@@ -6,7 +6,12 @@
  * shard. It exists once an endpoint with runs has left, and is written again only when an endpoint is
  * added or has become empty.
  */
-import { coversDepartures, describeDepartures, type Dispatcher } from '@celerybarrow/dispatch';
+import {
+  coversDepartures,
+  describeDepartures,
+  FIRST_ANNOUNCEMENT_MS,
+  type Dispatcher,
+} from '@celerybarrow/dispatch';
 import { departingEndpointSchema, type DepartingEndpoint } from '@celerybarrow/endpoints';
 import { shardDocumentName, type ReplicatedDocuments } from '@celerybarrow/leadership';
 import type { Logger } from '@celerybarrow/telemetry';
@@ -14,11 +19,6 @@
 import { parseDocument } from './parseDocument.js';
 
 const CHECK_INTERVAL_MS = 50;
-/**
- * A new dispatcher may lack the document of the earlier one for some heartbeats. If it wrote its own
- * in that time, the other instances would drop the earlier one.
- */
-const FIRST_CHECK_AFTER_MS = 500;
 /** Versions of one epoch; an epoch changes long before it has that many. */
 const VERSIONS_PER_EPOCH = 65_536;
 const OWN_SOURCE = 'dispatcher';
@@ -85,7 +85,7 @@
   }
 
   function offer({ shard, epoch, dispatcher }: RunningSource): void {
-    if (timer.nowMs() - (startedAtMs.get(dispatcher) ?? -Infinity) < FIRST_CHECK_AFTER_MS) return;
+    if (timer.nowMs() - (startedAtMs.get(dispatcher) ?? -Infinity) < FIRST_ANNOUNCEMENT_MS) return;
     const departures = dispatcher.departures();
     const shared = known.get(shard) ?? [];
     if (departures.length === shared.length && coversDepartures(shared, departures)) return;
