fix(entry,dispatch,platform): keep a cancelled job from running after a takeover

The open request of a cancelled job was answered 504, which asks for the same id again; and the ids of cancelled jobs were in the memory of one dispatcher. After its planned stop the next request started the job.

The gateway that acknowledged a cancelling repeats it to each new dispatcher; a dispatcher that is replaced leaves its own list to the gateway of its instance. The 30 s for which a cancelling is remembered begin again with each submission, since a job also ran 30 s after it.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -710,6 +710,19 @@
     expect(started).toEqual([]);
   });
 
+  it('is not started as long as its caller goes on submitting it', async () => {
+    const { dispatcher, started, advance } = await createRunningDispatcher(200, { a: 1 });
+    dispatcher.withdraw('a');
+    for (let passedMs = 0; passedMs < 60_000; passedMs += 20_000) {
+      await advance(20_000);
+      const again = dispatcher.submit({ job: job('a'), gateway: 'g', resubmissions: 0 });
+      await advance(100);
+      expect((await again).isCancelled).toEqual(true);
+    }
+    expect(started).toEqual([]);
+    expect(dispatcher.cancelledJobs()).toEqual(['a']);
+  });
+
   it('is not started when its gateway hands it over after the cancellation', async () => {
     const { dispatcher, started, outcomes, submit, advance } = await createRunningDispatcher(200, {
       a: 1,
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -10,7 +10,7 @@
  * stops sending them, its jobs end before any other instance may start them. All durations are
  * measured by a clock that includes the time during which this machine was suspended.
  */
-import type { Random } from '@celerybarrow/shared';
+import { createCancelledJobs, type Random } from '@celerybarrow/shared';
 import {
   OrderAnswers,
   RunEnds,
@@ -53,7 +53,6 @@
 import { createJobSizeClassifier } from './jobSizes.js';
 import { createOrderWindow, orderBytes } from './orderWindow.js';
 import { createNeighbourLoss } from './neighbourLoss.js';
-import { createCancelledJobs } from './cancelledJobs.js';
 import { createOutcomeCache } from './outcomeCache.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
@@ -74,7 +73,11 @@
  * accepted.
  */
 const MAX_OPEN_TASKS = 40_000;
-const CANCELLED_REASON = 'cancelled';
+const CANCELLED_OUTCOME = {
+  state: JobStates.EXPIRED,
+  reason: 'cancelled',
+  isCancelled: true,
+} as const;
 const MOVED_REASON = 'another instance dispatches';
 /** Gateways hand their jobs over to a new dispatcher within this time. */
 const HANDOVER_MS = 1_000;
@@ -107,6 +110,8 @@
    * ends. Otherwise the job is cancelled, and does not run either if it arrives again.
    */
   withdraw(job: string, gateway?: string): Withdrawal;
+  /** Returns the cancelled jobs that may be submitted again, for the next dispatcher. */
+  cancelledJobs(): string[];
   /**
    * Shortens the deadlines of a gateway's open jobs to `remainingMs`, because the gateway can give
    * no answer after that.
@@ -278,9 +283,11 @@
     const cached = outcomeCache.find(id);
     if (cached !== undefined) return Promise.resolve(cached);
     if (cancelledJobs.has(id)) {
+      // Its caller may go on submitting it, so the time for which it is remembered begins again.
+      cancelledJobs.record(id);
       cancelledJobs.recordFound(id);
       logger.info('Cancelled job is not started.', { job: id, gateway: submission.gateway });
-      return Promise.resolve({ state: JobStates.EXPIRED, reason: CANCELLED_REASON });
+      return Promise.resolve(CANCELLED_OUTCOME);
     }
     const known = jobs.get(id);
     if (known === undefined) return admit(submission);
@@ -779,8 +786,8 @@
     }
     if (!isCancellation && record.gateway !== gateway) return { found: false };
     if (isCancellation) cancelledJobs.recordFound(id);
-    const reason = isCancellation ? CANCELLED_REASON : 'withdrawn by its caller';
-    finish(record, { state: JobStates.EXPIRED, reason });
+    const withdrawn = { state: JobStates.EXPIRED, reason: 'withdrawn by its caller' };
+    finish(record, isCancellation ? CANCELLED_OUTCOME : withdrawn);
     return { found: true, isUncertain: mayBeReplaced };
   }
 
@@ -811,6 +818,7 @@
   return {
     submit,
     withdraw,
+    cancelledJobs: cancelledJobs.all,
     limitJobs,
     isKnown: (id) =>
       isClosed ||
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -51,7 +51,7 @@
     /** How far the local wall clock was set forward. */
     stepMs: number;
     /** Answers requests over a working connection to a dispatcher on another instance. */
-    answer?: (type: string) => Promise<unknown>;
+    answer?: (type: string, body?: unknown) => Promise<unknown>;
   } = {
     view: { epoch: 1, round: 0, dispatcher },
     isLinkLost: false,
@@ -431,4 +431,33 @@
     expect((await outcome).state).toEqual(JobStates.EXPIRED);
     expect(submissions).toEqual([]);
   });
+
+  // Guards against a cancelled job that runs after a planned stop, when its caller submits it again.
+  it('is repeated to the next dispatcher of this instance or of another one', async () => {
+    const { timer, entry, state, withdrawn } = createTestEntry([]);
+    await entry.cancel('j');
+    entry.rememberCancelled(['k']);
+    await entry.repeatCancellations(0);
+    expect(withdrawn).toEqual(['j', 'j', 'k']);
+    const requests: unknown[] = [];
+    state.view = other;
+    state.answer = async (type: string, body?: unknown) => {
+      await timer.sleep(10);
+      requests.push([type, body]);
+      return Result.ok({ isRecorded: requests.length > 1 });
+    };
+    const repetition = entry.repeatCancellations(0);
+    await timer.advance(500);
+    await repetition;
+    const request = ['cancellations', { shard: 0, jobs: ['j', 'k'] }];
+    expect(requests).toEqual([request, request]);
+  });
+
+  it('is not repeated after a caller can no longer submit the job again', async () => {
+    const { timer, entry, withdrawn } = createTestEntry([]);
+    await entry.cancel('j');
+    await timer.advance(31_000);
+    await entry.repeatCancellations(0);
+    expect(withdrawn).toEqual(['j']);
+  });
 });
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,10 +5,14 @@
  * reached, a job that was never handed over is refused, and one that may have run is answered as
  * lost.
  *
+ * A cancelled job must not run when it is submitted again, also after the dispatcher that cancelled it
+ * was replaced. The entry that acknowledged the cancellation therefore repeats it to each new
+ * dispatcher.
+ *
  * Before the instance ends, the entry closes: no job is left without an answer.
  */
 import { Result } from 'true-myth';
-import { ErrorCodes } from '@celerybarrow/shared';
+import { createCancelledJobs, ErrorCodes } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import {
   JobStates,
@@ -38,6 +42,15 @@
 const ANSWER_GRACE_MS = 150;
 /** Time within which a dispatcher usually becomes reachable again. */
 const RETRY_AFTER_MS = 1_000;
+/** Cancellations that are repeated in one message. */
+const REPEATED_PER_MESSAGE = 1_000;
+/** Attempts to repeat them to one dispatcher, which may not be reachable at once. */
+const REPETITION_ATTEMPTS = 10;
+const CANCELLED_OUTCOME: JobOutcome = {
+  state: JobStates.EXPIRED,
+  reason: 'cancelled',
+  isCancelled: true,
+};
 const CLOSING_REASON = 'this instance stops';
 
 /** The part of a dispatcher that the entry of the same instance uses. */
@@ -103,6 +116,10 @@
   submit(job: LeasedJob, signal: AbortSignal): Promise<EntryOutcome>;
   /** Cancels a job. Repeats this while a dispatcher is being replaced. */
   cancel(job: string): Promise<Cancellation>;
+  /** Remembers jobs that a dispatcher on this instance has cancelled. */
+  rememberCancelled(jobs: readonly string[]): void;
+  /** Repeats the remembered cancellations to the present dispatcher of a shard. */
+  repeatCancellations(shard: number): Promise<void>;
   isKnown(job: string): boolean;
   openJobs(): number;
   /**
@@ -149,6 +166,7 @@
   const openJobs = new Map<string, OpenJob>();
   /** Answer the jobs that are still open when the entry has closed. */
   const closers = new Set<() => void>();
+  const cancelledJobs = createCancelledJobs(timer);
   /** On the elapsed clock. */
   let closesAtMs = Infinity;
 
@@ -193,7 +211,7 @@
 
   async function dispatchUntilEnded(openJob: OpenJob): Promise<JobOutcome> {
     for (;;) {
-      if (openJob.isCancelled) return { state: JobStates.EXPIRED, reason: 'cancelled' };
+      if (openJob.isCancelled) return CANCELLED_OUTCOME;
       if (!openJob.signal.aborted && isOverdue(openJob)) return expiredOutcome(openJob);
       const view = await waitForDispatcher(openJob);
       if (openJob.signal.aborted) return { state: JobStates.EXPIRED, reason: 'the caller left' };
@@ -475,8 +493,10 @@
       const replies = await Promise.all(asked.map((route) => cancelAt(route, id)));
       wasOpen ||= replies.some(({ found }) => found);
       const isUncertain = asked.length === 0 || replies.some((reply) => reply.isUncertain === true);
-      if (!isUncertain || replies.some((reply) => reply.found && reply.isUncertain !== true))
+      if (!isUncertain || replies.some((reply) => reply.found && reply.isUncertain !== true)) {
+        cancelledJobs.record(id);
         return wasOpen ? Cancellations.CANCELLED : Cancellations.NO_SUCH_JOB;
+      }
       if (attempt === 1) logger.warn('Cancellation is repeated.', { job: id, wasOpen });
       if (clock.nowMs() >= untilMs) return Cancellations.UNANSWERED;
       await timer.sleep(WITHDRAWAL_RETRY_MS);
@@ -492,6 +512,35 @@
     return isReplaced ? { ...reply.value, isUncertain: true } : reply.value;
   }
 
+  async function repeatCancellations(shard: number): Promise<void> {
+    const view = routes()[shard]?.leadership.view();
+    const jobs = cancelledJobs.all();
+    for (let from = 0; from < jobs.length; from += REPEATED_PER_MESSAGE) {
+      const repeated = jobs.slice(from, from + REPEATED_PER_MESSAGE);
+      for (let attempt = 0; attempt < REPETITION_ATTEMPTS; attempt += 1) {
+        const route = routes()[shard];
+        // A newer dispatcher is told by a call of its own.
+        if (route === undefined || route.leadership.view() !== view) return;
+        if (await tellCancelled(route, repeated)) break;
+        await timer.sleep(WITHDRAWAL_RETRY_MS);
+      }
+    }
+    if (jobs.length === 0) return;
+    logger.info('Cancellations are repeated.', { shard, jobs: jobs.length, epoch: view?.epoch });
+  }
+
+  /** Tells a dispatcher which jobs were cancelled. Resolves to whether it knows them then. */
+  async function tellCancelled(route: Route, jobs: readonly string[]): Promise<boolean> {
+    const local = localOf(route);
+    for (const job of jobs) local?.withdraw(job);
+    if (local !== undefined) return true;
+    const request = { shard: route.leadership.shard, jobs: [...jobs] };
+    const reply = await route.leadership
+      .link()
+      ?.request('cancellations', request, { timeoutMs: UNSENT_WAIT_MS });
+    return reply?.isOk === true && reply.value.isRecorded;
+  }
+
   function closeIn(remaining: number): void {
     closesAtMs = clock.nowMs() + remaining;
     logger.info('Entry closes.', { remainingMs: remaining, openJobs: openJobs.size });
@@ -524,6 +573,10 @@
   return {
     submit,
     cancel,
+    rememberCancelled(jobs) {
+      for (const job of jobs) cancelledJobs.record(job);
+    },
+    repeatCancellations,
     isKnown: (id) => openJobs.has(id),
     openJobs: () => openJobs.size,
     closeIn,
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -227,12 +227,17 @@
   function applyView(shardLeadership: Leadership): void {
     const isNewDispatcher =
       shardLeadership.isDispatching() && dispatchers.get(shardLeadership.shard) === undefined;
+    const { shard } = shardLeadership;
     if (shardLeadership.isDispatching()) dispatchers.start(shardLeadership);
-    else dispatchers.stop(shardLeadership.shard);
+    else {
+      entry.rememberCancelled(dispatchers.get(shard)?.cancelledJobs() ?? []);
+      dispatchers.stop(shard);
+    }
+    void entry.repeatCancellations(shard);
     if (dispatchers.isEmpty()) endpoints.stop();
     else if (isNewDispatcher) endpoints.start();
     log.info(shardLeadership.isDispatching() ? 'Dispatches.' : 'Follows.', {
-      shard: shardLeadership.shard,
+      shard,
       epoch: shardLeadership.view()?.epoch,
     });
   }
@@ -257,6 +262,11 @@
       const notHere = { found: false, isUncertain: true };
       return dispatchers.get(shard)?.withdraw(job, gateway) ?? notHere;
     });
+    server.onRequest('cancellations', ({ shard, jobs }) => {
+      const dispatcher = dispatchers.get(shard);
+      for (const job of jobs) dispatcher?.withdraw(job);
+      return { isRecorded: dispatcher !== undefined };
+    });
     server.onRequest('limitJobs', ({ shard, gateway, remainingMs }) => {
       dispatchers.get(shard)?.limitJobs(gateway, remainingMs);
       return {};
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -78,6 +78,8 @@
   heldOn: z.array(z.string()).optional(),
   /** For a moved job: whether no task was started under this submission. */
   isUntouched: z.boolean().optional(),
+  /** For an expired job: whether it was cancelled. */
+  isCancelled: z.boolean().optional(),
 });
 
 const MAX_NAME_CHARACTERS = 200;
@@ -195,6 +197,12 @@
     ask: z.object({ shard: nonNegativeInt, job: z.string(), gateway: z.string().optional() }),
     reply: withdrawalSchema,
   },
+  /** Repeats cancellations to a dispatcher that may not know them. */
+  cancellations: {
+    ask: z.object({ shard: nonNegativeInt, jobs: z.array(z.string()) }),
+    /** Whether the receiver dispatches the shard and remembers them now. */
+    reply: z.object({ isRecorded: z.boolean() }),
+  },
   /**
    * Sent by a gateway that will end: its open jobs have to end within `remainingMs`, or are refused
    * if nothing of them has run.
--- a/packages/dispatch/src/cancelledJobs.ts
+++ b/packages/shared/src/cancelledJobs.ts
@@ -1,9 +1,9 @@
 /**
  * Remembers which jobs were cancelled. A cancelled job can arrive again: its gateway hands it over
  * after a change of dispatcher, or its caller submits it again after the answer to the first
- * submission. It must not run then.
+ * submission. It must not run then. Dispatchers remember the jobs, and so do the gateways that have
+ * acknowledged a cancellation, for the next dispatcher.
  */
-import type { MonotonicClock } from '@celerybarrow/timer';
 
 /** Longer than a caller waits and submits a job again. */
 const TTL_MS = 30_000;
@@ -15,6 +15,8 @@
   /** Records that the job was open when it was cancelled, or arrived afterwards. */
   recordFound(job: string): void;
   wasFound(job: string): boolean;
+  /** Returns the jobs, the oldest first. */
+  all(): string[];
 }
 
 interface CancelledJob {
@@ -22,7 +24,7 @@
   wasFound: boolean;
 }
 
-export function createCancelledJobs(clock: MonotonicClock): CancelledJobs {
+export function createCancelledJobs(clock: { nowMs(): number }): CancelledJobs {
   /** The oldest first. */
   const cancelled = new Map<string, CancelledJob>();
 
@@ -48,5 +50,6 @@
       if (found !== undefined) found.wasFound = true;
     },
     wasFound: (job) => find(job)?.wasFound ?? false,
+    all: () => [...cancelled.keys()].filter((job) => find(job) !== undefined),
   };
 }
