fix(dispatch): name an endpoint that has moved among the departing ones

A dispatcher goes on using the earlier address of an endpoint until nothing runs there, and gave it new tasks meanwhile. The next dispatcher knows the new address only, so runs at the earlier one were asked for by nobody.

The earlier address now counts as leaving: it gets no new tasks, and is named with its jobs. Those wait for the leases at the next dispatcher.

Evidence: departures.spec.ts "include an endpoint that has moved" fails without the change (the row names any job). Not run with real processes.

--- a/packages/dispatch/__tests__/departures.spec.ts
+++ b/packages/dispatch/__tests__/departures.spec.ts
@@ -157,6 +157,17 @@
     expect(starts).toEqual(['j@listed']);
   });
 
+  it('starts after the leases if the endpoint is listed at another address by now', async () => {
+    const { dispatcher, submit, advance, starts } = createTestDispatcher();
+    const moved = { ...entryOf('listed'), address: 'earlier:1' };
+    dispatcher.inherit([{ entry: moved, jobs: ['j'] }]);
+    submit('j', 1, 5_000);
+    await advance(LEASE_WAIT_MS - HEARTBEAT_MS);
+    expect(starts).toEqual([]);
+    await advance(3 * HEARTBEAT_MS);
+    expect(starts).toEqual(['j@listed']);
+  });
+
   it('is lost at once if its caller does not wait for that long', async () => {
     const { dispatcher, silent, submit, advance, starts, outcomes } = createTestDispatcher();
     silent.add('departed');
@@ -239,4 +250,17 @@
     await advance(150);
     expect(starts).toEqual(['j@departed']);
   });
+
+  // A changed list: its earlier incarnation may still run tasks at the earlier address.
+  it('include an endpoint that has moved to another address, which gets no task at the earlier one', async () => {
+    const { dispatcher, submit, advance, starts } = createTestDispatcher();
+    submit('j', 0);
+    await advance(100);
+    dispatcher.setEndpoints([{ ...entryOf('listed'), address: 'elsewhere:1' }]);
+    submit('k', 0);
+    await advance(100);
+    const entry = { ...entryOf('listed'), isLeaving: true };
+    expect(dispatcher.departures()).toEqual([{ entry, jobs: ['j'] }]);
+    expect(starts).toEqual(['j@listed']);
+  });
 });
--- a/packages/dispatch/src/departures.ts
+++ b/packages/dispatch/src/departures.ts
@@ -21,14 +21,12 @@
   const departures = new Map(inherited.unresolved().map((row) => [row.entry.id, row]));
   for (const controller of pool.controllers()) {
     const entry = controller.entry();
-    if (pool.hasJoined(entry.id)) {
-      departures.set(entry.id, { entry });
-      continue;
-    }
-    if (!entry.isLeaving || controller.isEmpty()) continue;
     const earlier = departures.get(entry.id);
-    if (earlier !== undefined && controller.lastReportMs() === undefined) continue;
-    departures.set(entry.id, { entry, jobs: mergeJobs(jobsOn(controller), earlier) });
+    if (entry.isLeaving) {
+      const isUnknown = earlier !== undefined && controller.lastReportMs() === undefined;
+      if (isUnknown || controller.isEmpty()) continue;
+      departures.set(entry.id, { entry, jobs: mergeJobs(jobsOn(controller), earlier) });
+    } else if (pool.hasJoined(entry.id)) departures.set(entry.id, { entry });
   }
   return [...departures.values()];
 }
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -135,7 +135,10 @@
       else if (known.isEmpty()) {
         remove(entry.id);
         open(entry);
-      } else hasDrainingEndpoints = true;
+      } else {
+        known.update({ ...known.entry(), isLeaving: true });
+        hasDrainingEndpoints = true;
+      }
     }
   }
 
