refactor(dispatch,protocol): one copy of the cancelled outcome and of announcement times

Read by a newcomer, the directory took a time from the endpoint pool, and two packages had the same outcome. Both have one place now.

--- a/packages/dispatch/src/departures.ts
+++ b/packages/dispatch/src/departures.ts
@@ -14,6 +14,9 @@
 import type { EndpointPool } from './endpointPool.js';
 import type { InheritedEndpoints } from './inheritedEndpoints.js';
 
+/** Maximum number of endpoints named in a log line. */
+const MAX_NAMED_ENDPOINTS = 5;
+
 export function findDepartures(
   pool: EndpointPool,
   inherited: InheritedEndpoints,
@@ -65,8 +68,6 @@
   return a.id === b.id && a.address === b.address;
 }
 
-const MAX_NAMED_ENDPOINTS = 5;
-
 /** Returns the log context of a list of departures. */
 export function describeDepartures(departures: readonly DepartingEndpoint[]): LogContext {
   const jobs = new Set(departures.flatMap((row) => row.jobs ?? []));
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -25,6 +25,7 @@
 } from '@celerybarrow/endpoints';
 import type { SharedPair } from '@celerybarrow/interference';
 import {
+  CANCELLED_OUTCOME,
   JobStates,
   type JobOutcome,
   type JobState,
@@ -73,11 +74,6 @@
  * accepted.
  */
 const MAX_OPEN_TASKS = 40_000;
-const CANCELLED_OUTCOME = {
-  state: JobStates.EXPIRED,
-  reason: 'cancelled',
-  isCancelled: true,
-} as const;
 const MOVED_REASON = 'another instance dispatches';
 /** Gateways hand their jobs over to a new dispatcher within this time. */
 const HANDOVER_MS = 1_000;
@@ -123,7 +119,7 @@
   renewGatewayLease(gateway: string): void;
   /** Replaces the list of endpoints. */
   setEndpoints(entries: readonly EndpointEntry[]): void;
-  /** Returns the endpoints that get no new tasks and may still run some. */
+  /** Returns the endpoints with possible runs that the next dispatcher may not know. */
   departures(): readonly DepartingEndpoint[];
   /** Takes the departing endpoints of an earlier dispatcher, and asks them for their runs. */
   inherit(departures: readonly DepartingEndpoint[]): void;
--- a/packages/dispatch/src/endpointDirectory.ts
+++ b/packages/dispatch/src/endpointDirectory.ts
@@ -14,10 +14,11 @@
  */
 import type { EndpointEntry } from '@celerybarrow/endpoints';
 import type { MonotonicClock } from '@celerybarrow/timer';
-import { ANNOUNCEMENT_MS } from './endpointPool.js';
+import { ANNOUNCEMENT_MS } from './announcement.js';
 
 /** Live endpoints restore their entries within 2 s after the store is reachable again. */
 const MISSING_GRACE_MS = 2_500;
+
 export interface EndpointDirectory {
   /**
    * Records the entry of an endpoint, or `undefined` if the entry is invalid. An endpoint whose
--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -19,17 +19,8 @@
   type EndpointControllerEvents,
 } from '@celerybarrow/endpoints';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
+import { ANNOUNCEMENT_MS, FIRST_ANNOUNCEMENT_MS } from './announcement.js';
 
-/**
- * Within this time the other instances receive a short document of a dispatcher, by a heartbeat that is
- * sent every 220 ms or more often.
- */
-export const ANNOUNCEMENT_MS = 350;
-/**
- * A new dispatcher shares nothing for this time, because it may lack the document of the earlier one
- * for some heartbeats.
- */
-export const FIRST_ANNOUNCEMENT_MS = 500;
 /** The list of a large fleet is shared within this time. */
 const LIST_SHARING_MS = 5_000;
 
--- a/packages/dispatch/src/index.ts
+++ b/packages/dispatch/src/index.ts
@@ -1,3 +1,4 @@
+export { FIRST_ANNOUNCEMENT_MS } from './announcement.js';
 export { canRunStep } from './chooseEndpoint.js';
 export { coversDepartures, describeDepartures } from './departures.js';
 export {
@@ -6,5 +7,4 @@
   type DispatcherOptions,
   type Submission,
 } from './dispatcher.js';
-export { FIRST_ANNOUNCEMENT_MS } from './endpointPool.js';
 export { createEndpointDirectory, type EndpointDirectory } from './endpointDirectory.js';
--- a/packages/dispatch/src/reconciliation.ts
+++ b/packages/dispatch/src/reconciliation.ts
@@ -30,7 +30,6 @@
  * new dispatcher refuses no job for lack of capacity before it has passed.
  */
 export const RECONCILIATION_TIMEOUT_MS = 300;
-
 /** Time in which the expiry of the leases is noticed. */
 const EXPIRY_MARGIN_MS = 50;
 
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -15,6 +15,7 @@
 import { createCancelledJobs, ErrorCodes } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import {
+  CANCELLED_OUTCOME,
   JobStates,
   ProtocolError,
   type JobOutcome,
@@ -46,11 +47,6 @@
 const REPEATED_PER_MESSAGE = 1_000;
 /** Attempts to repeat them to one dispatcher, which may not be reachable at once. */
 const REPETITION_ATTEMPTS = 10;
-const CANCELLED_OUTCOME: JobOutcome = {
-  state: JobStates.EXPIRED,
-  reason: 'cancelled',
-  isCancelled: true,
-};
 const CLOSING_REASON = 'this instance stops';
 
 /** The part of a dispatcher that the entry of the same instance uses. */
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -90,6 +90,13 @@
 const MAX_EPOCH = 2 ** 32;
 const MAX_ROUND = 2 ** 20;
 
+/** The outcome of a cancelled job; a caller that submits it again gets the same. */
+export const CANCELLED_OUTCOME = {
+  state: JobStates.EXPIRED,
+  reason: 'cancelled',
+  isCancelled: true,
+} as const;
+
 /** An instance of the fleet. */
 export const fleetMemberSchema = z.object({
   instance: name,
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -46,6 +46,7 @@
 export { createTraffic, type Traffic, type TrafficCount } from './traffic.js';
 export {
   fleetMemberSchema,
+  CANCELLED_OUTCOME,
   JobStates,
   viewSchema,
   type FleetMember,
