refactor(entry): move cancelling and its repetition out of the entry

It keeps the hand-over of jobs; canceller.ts has what cancels them, route.ts how the dispatchers are reached. No behaviour changes; the tests of the entry and fleet.spec.ts pass.

--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -5,14 +5,10 @@
  * reached, a job that was never handed over is refused, and one that may have run is answered as
  * lost.
  *
- * A cancelled job must not run when it is submitted again, also after the dispatcher that cancelled it
- * was replaced. The entry that acknowledged the cancellation therefore repeats it to each new
- * dispatcher.
- *
  * Before the instance ends, the entry closes: no job is left without an answer.
  */
 import { Result } from 'true-myth';
-import { createCancelledJobs, ErrorCodes } from '@celerybarrow/shared';
+import { ErrorCodes } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import {
   CANCELLED_OUTCOME,
@@ -23,9 +19,10 @@
   type View,
   type Withdrawal,
 } from '@celerybarrow/protocol';
-import type { Leadership } from '@celerybarrow/leadership';
 import type { Logger } from '@celerybarrow/telemetry';
+import { createCanceller, type Cancellation } from './canceller.js';
 import { isDeadlineUnreachable } from './deadline.js';
+import type { LocalDispatcher, Route } from './route.js';
 
 /** How long a job that was not handed over yet waits for a dispatcher. */
 const UNSENT_WAIT_MS = 900;
@@ -37,42 +34,12 @@
 const LOOK_UP_TIMEOUT_MS = 200;
 /** Pause before an unanswered withdrawal is repeated. */
 const WITHDRAWAL_RETRY_MS = 100;
-/** Within this time a failed dispatcher is usually replaced and knows its jobs. */
-const CANCEL_TIMEOUT_MS = 3_000;
 /** How long after the caller's deadline the answer of the dispatcher may arrive. */
 const ANSWER_GRACE_MS = 150;
 /** Time within which a dispatcher usually becomes reachable again. */
 const RETRY_AFTER_MS = 1_000;
-/** Cancellations that are repeated in one message. */
-const REPEATED_PER_MESSAGE = 1_000;
-/** Attempts to repeat them to one dispatcher, which may not be reachable at once. */
-const REPETITION_ATTEMPTS = 10;
 const CLOSING_REASON = 'this instance stops';
 
-/** The part of a dispatcher that the entry of the same instance uses. */
-export interface LocalDispatcher {
-  submit(submission: {
-    job: LeasedJob;
-    gateway: string;
-    resubmissions: number;
-    heldOn?: readonly string[];
-    lostHandoverAgoMs?: number;
-    departuresVersion?: number;
-  }): Promise<JobOutcome>;
-  withdraw(job: string, gateway?: string): Withdrawal;
-  limitJobs(gateway: string, remainingMs: number): void;
-  isKnown(job: string): boolean;
-}
-
-/** How this instance reaches the dispatcher of one shard. */
-export interface Route {
-  readonly leadership: Leadership;
-  /** The dispatcher of the shard, if this instance dispatches it. */
-  readonly local: LocalDispatcher | undefined;
-  /** Version of the departing endpoints of the shard that this instance knows, if any. */
-  readonly departuresVersion?: number | undefined;
-}
-
 export interface EntryOptions {
   readonly instance: string;
   /** Returns the shard of a job; undefined before the shards of the fleet are known. */
@@ -97,15 +64,6 @@
   readonly resubmissions: number;
 }
 
-export const Cancellations = {
-  /** The job was open and does not run on. */
-  CANCELLED: 'cancelled',
-  NO_SUCH_JOB: 'no such job',
-  /** Not every dispatcher could be asked in time; the job may run on. */
-  UNANSWERED: 'unanswered',
-} as const;
-export type Cancellation = (typeof Cancellations)[keyof typeof Cancellations];
-
 /** Accepts jobs from callers and has the dispatchers of their shards run them. */
 export interface Entry {
   /** Resolves when the job has ended. Abort the signal when the caller disconnects. */
@@ -162,7 +120,6 @@
   const openJobs = new Map<string, OpenJob>();
   /** Answer the jobs that are still open when the entry has closed. */
   const closers = new Set<() => void>();
-  const cancelledJobs = createCancelledJobs(timer);
   /** On the elapsed clock. */
   let closesAtMs = Infinity;
 
@@ -478,65 +435,6 @@
     });
   }
 
-  /** Cancels a job at the dispatchers of all shards, since the id alone does not give the shard. */
-  async function cancel(id: string): Promise<Cancellation> {
-    const untilMs = Math.min(clock.nowMs() + CANCEL_TIMEOUT_MS, closesAtMs);
-    const openJob = openJobs.get(id);
-    if (openJob !== undefined) openJob.isCancelled = true;
-    let wasOpen = openJob !== undefined;
-    for (let attempt = 1; ; attempt += 1) {
-      const asked = routes();
-      const replies = await Promise.all(asked.map((route) => cancelAt(route, id)));
-      wasOpen ||= replies.some(({ found }) => found);
-      const isUncertain = asked.length === 0 || replies.some((reply) => reply.isUncertain === true);
-      if (!isUncertain || replies.some((reply) => reply.found && reply.isUncertain !== true)) {
-        cancelledJobs.record(id);
-        return wasOpen ? Cancellations.CANCELLED : Cancellations.NO_SUCH_JOB;
-      }
-      if (attempt === 1) logger.warn('Cancellation is repeated.', { job: id, wasOpen });
-      if (clock.nowMs() >= untilMs) return Cancellations.UNANSWERED;
-      await timer.sleep(WITHDRAWAL_RETRY_MS);
-    }
-  }
-
-  /** Cancels a job at one dispatcher. The answer of one that was replaced meanwhile is uncertain. */
-  async function cancelAt(route: Route, id: string): Promise<Withdrawal> {
-    const view = route.leadership.view();
-    const reply = await withdraw(route, id);
-    if (reply.isErr) return { found: false, isUncertain: true };
-    const isReplaced = route.leadership.view() !== view;
-    return isReplaced ? { ...reply.value, isUncertain: true } : reply.value;
-  }
-
-  async function repeatCancellations(shard: number): Promise<void> {
-    const view = routes()[shard]?.leadership.view();
-    const jobs = cancelledJobs.all();
-    for (let from = 0; from < jobs.length; from += REPEATED_PER_MESSAGE) {
-      const repeated = jobs.slice(from, from + REPEATED_PER_MESSAGE);
-      for (let attempt = 0; attempt < REPETITION_ATTEMPTS; attempt += 1) {
-        const route = routes()[shard];
-        // A newer dispatcher is told by a call of its own.
-        if (route === undefined || route.leadership.view() !== view) return;
-        if (await tellCancelled(route, repeated)) break;
-        await timer.sleep(WITHDRAWAL_RETRY_MS);
-      }
-    }
-    if (jobs.length === 0) return;
-    logger.info('Cancellations are repeated.', { shard, jobs: jobs.length, epoch: view?.epoch });
-  }
-
-  /** Tells a dispatcher which jobs were cancelled. Resolves to whether it knows them then. */
-  async function tellCancelled(route: Route, jobs: readonly string[]): Promise<boolean> {
-    const local = localOf(route);
-    for (const job of jobs) local?.withdraw(job);
-    if (local !== undefined) return true;
-    const request = { shard: route.leadership.shard, jobs: [...jobs] };
-    const reply = await route.leadership
-      .link()
-      ?.request('cancellations', request, { timeoutMs: UNSENT_WAIT_MS });
-    return reply?.isOk === true && reply.value.isRecorded;
-  }
-
   function closeIn(remaining: number): void {
     closesAtMs = clock.nowMs() + remaining;
     logger.info('Entry closes.', { remainingMs: remaining, openJobs: openJobs.size });
@@ -566,13 +464,26 @@
     logger.warn('Limit of the open jobs got no answer.', { shard, reason: reply.error.message });
   }
 
+  const canceller = createCanceller({
+    routes,
+    localOf,
+    withdraw,
+    markOpenJob(id) {
+      const openJob = openJobs.get(id);
+      if (openJob !== undefined) openJob.isCancelled = true;
+      return openJob !== undefined;
+    },
+    closesAtMs: () => closesAtMs,
+    timer,
+    clock,
+    logger,
+  });
+
   return {
     submit,
-    cancel,
-    rememberCancelled(jobs) {
-      for (const job of jobs) cancelledJobs.record(job);
-    },
-    repeatCancellations,
+    cancel: canceller.cancel,
+    rememberCancelled: canceller.remember,
+    repeatCancellations: canceller.repeat,
     isKnown: (id) => openJobs.has(id),
     openJobs: () => openJobs.size,
     closeIn,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,10 +1,4 @@
-export {
-  Cancellations,
-  createEntry,
-  type Cancellation,
-  type Entry,
-  type EntryOptions,
-  type LocalDispatcher,
-  type Route,
-} from './entry.js';
+export { Cancellations, type Cancellation } from './canceller.js';
+export { createEntry, type Entry, type EntryOptions } from './entry.js';
+export type { LocalDispatcher, Route } from './route.js';
 export { findQueue, routingSchema, type Queue, type Routing } from './routing.js';
