perf(instance): check departures with the reviews of dispatchers

The check had a timer of 50 ms on every instance, dispatching or not: 20 wake-ups a second each. The check now runs with the review that a dispatcher has every 20 ms anyway, at most every 50 ms; other instances do nothing.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -151,6 +151,8 @@
    * whose gateway knows a newer version waits for that.
    */
   readonly departuresVersion?: () => number;
+  /** Called with each periodic review. */
+  readonly onReview?: () => void;
   /** Whether to learn which tasks slow each other down, and to keep them apart; off by default. */
   readonly isInterferenceEnabled?: boolean | undefined;
   /** Factor on the run time outside the rack that holds the data of a task; 1.5 by default. */
@@ -743,6 +745,7 @@
     }
     const waiting = [...jobs.values()].filter((record) => isWaiting(record, nowMs));
     if (waiting.length > 0) executePlan(waiting, nowMs);
+    options.onReview?.();
   }
 
   function expiredOutcome(record: JobRecord): JobOutcome {
--- a/packages/instance/__tests__/shareDepartures.spec.ts
+++ b/packages/instance/__tests__/shareDepartures.spec.ts
@@ -29,9 +29,10 @@
     },
   };
   const dispatchers = () => [{ shard: 0, epoch, dispatcher }];
-  const sharing = createDepartureSharing({ documents, timer, logger, dispatchers });
+  const sharing = createDepartureSharing({ documents, clock: timer, logger, dispatchers });
   sharing.subscribe(2);
   sharing.introduce(0, dispatcher);
+  timer.onEvery(CHECK_MS, sharing.check);
   return { timer, documents, sharing, state, dispatcher };
 }
 
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -173,6 +173,9 @@
       },
       isListCurrent: () => state.isListCurrent || (state.view?.round ?? 0) > 0,
       departuresVersion: () => instance.departures.version(shard),
+      onReview: () => {
+        instance.departures.check();
+      },
     });
     const sharedEntries = listedEntries(shard).filter(
       ({ id }) => !environment.missingFromSharedLists.has(id),
@@ -411,7 +414,7 @@
     const documents = createReplicatedDocuments(host.timer);
     const departures = createDepartureSharing({
       documents,
-      timer: host.timer,
+      clock: host.timer,
       logger: options.logger,
       dispatchers: () =>
         shardStates.flatMap(({ dispatcher, view }, shard) =>
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -159,11 +159,14 @@
       pairSharing?.introduce(dispatcher);
       departures.introduce(shard, dispatcher);
     },
+    onReview: () => {
+      departures.check();
+    },
     departuresVersion: (shard) => departures.version(shard),
   });
   const departures = createDepartureSharing({
     documents,
-    timer,
+    clock: timer,
     logger: createLogger('departures'),
     dispatchers: dispatchers.all,
   });
@@ -320,7 +323,6 @@
       isStopping = true;
       closing.abort();
       pairSharing?.stop();
-      departures.stop();
       leadership.close();
       endpoints.stop();
       dispatchers.stopAll();
--- a/packages/instance/src/shardDispatchers.ts
+++ b/packages/instance/src/shardDispatchers.ts
@@ -29,6 +29,8 @@
   readonly otherRackFactor: number | undefined;
   /** Called with a new dispatcher that has its listed endpoints. */
   readonly onStart: (dispatcher: Dispatcher, shard: number) => void;
+  /** Called with each periodic review of a dispatcher. */
+  readonly onReview: () => void;
   /** Returns the version of the departing endpoints of a shard that this instance knows. */
   readonly departuresVersion: (shard: number) => number;
 }
@@ -84,6 +86,7 @@
       // it is the only one available.
       isListCurrent: () => options.areEntriesCurrent() || (leadership.view()?.round ?? 0) > 0,
       departuresVersion: () => options.departuresVersion(shard),
+      onReview: options.onReview,
     });
     const stopRenewal = timer.onEvery(OWN_GATEWAY_RENEWAL_MS, () => {
       dispatcher.renewGatewayLease(self.instance);
--- a/packages/instance/src/shareDepartures.ts
+++ b/packages/instance/src/shareDepartures.ts
@@ -15,9 +15,10 @@
 import { departingEndpointSchema, type DepartingEndpoint } from '@celerybarrow/endpoints';
 import { shardDocumentName, type ReplicatedDocuments } from '@celerybarrow/leadership';
 import type { Logger } from '@celerybarrow/telemetry';
-import type { TimerService, Unsubscribe } from '@celerybarrow/timer';
+import type { MonotonicClock } from '@celerybarrow/timer';
 import { parseDocument } from './parseDocument.js';
 
+/** Least interval between two checks. */
 const CHECK_INTERVAL_MS = 50;
 /** Versions of one epoch; an epoch changes long before it has that many. */
 const VERSIONS_PER_EPOCH = 65_536;
@@ -35,7 +36,7 @@
 
 export interface DepartureSharingOptions {
   readonly documents: ReplicatedDocuments;
-  readonly timer: TimerService;
+  readonly clock: MonotonicClock;
   readonly logger: Logger;
   readonly dispatchers: () => readonly RunningSource[];
 }
@@ -49,13 +50,18 @@
   version(shard: number): number;
   /** Returns the same version if the document names endpoints, undefined otherwise. */
   versionWithEndpoints(shard: number): number | undefined;
-  stop: Unsubscribe;
+  /**
+   * Shares what has changed. Dispatchers call it with their reviews, which spares every instance a timer
+   * of its own.
+   */
+  check(): void;
 }
 
 export function createDepartureSharing(options: DepartureSharingOptions): DepartureSharing {
-  const { documents, timer, logger } = options;
+  const { documents, clock, logger } = options;
   const known = new Map<number, readonly DepartingEndpoint[]>();
   const startedAtMs = new WeakMap<DepartureSource, number>();
+  let checkedAtMs = -Infinity;
 
   function subscribe(shards: number): void {
     for (let shard = 0; shard < shards; shard += 1) {
@@ -85,7 +91,7 @@
   }
 
   function offer({ shard, epoch, dispatcher }: RunningSource): void {
-    if (timer.nowMs() - (startedAtMs.get(dispatcher) ?? -Infinity) < FIRST_ANNOUNCEMENT_MS) return;
+    if (clock.nowMs() - (startedAtMs.get(dispatcher) ?? -Infinity) < FIRST_ANNOUNCEMENT_MS) return;
     const departures = dispatcher.departures();
     const shared = known.get(shard) ?? [];
     if (departures.length === shared.length && coversDepartures(shared, departures)) return;
@@ -106,16 +112,19 @@
   return {
     subscribe,
     introduce(shard, dispatcher) {
-      startedAtMs.set(dispatcher, timer.nowMs());
+      startedAtMs.set(dispatcher, clock.nowMs());
       const departures = known.get(shard) ?? [];
       if (departures.length > 0) dispatcher.inherit(departures);
     },
     version: versionOf,
     versionWithEndpoints: (shard) =>
       (known.get(shard) ?? []).length === 0 ? undefined : versionOf(shard),
-    stop: timer.onEvery(CHECK_INTERVAL_MS, () => {
+    check() {
+      const nowMs = clock.nowMs();
+      if (nowMs - checkedAtMs < CHECK_INTERVAL_MS) return;
+      checkedAtMs = nowMs;
       for (const running of options.dispatchers()) offer(running);
-    }),
+    },
   };
 }
 
--- a/packages/instance/src/watchEndpoints.ts
+++ b/packages/instance/src/watchEndpoints.ts
@@ -17,7 +17,7 @@
 /** Pause between polls of the endpoint entries, which change with every heartbeat. */
 const POLL_PAUSE_MS = 400;
 /** Interval for marking and dropping entries that remain missing from the store. */
-const EXPIRY_CHECK_INTERVAL_MS = 100;
+const EXPIRY_CHECK_INTERVAL_MS = 200;
 /** Minimum time between two documents. Each one is sent in full to every instance. */
 const DOCUMENT_INTERVAL_MS = 1_000;
 const ENDPOINTS_DOCUMENT = 'endpoints';
