perf(dispatch): read no clock for endpoints that did not join lately

isUsable is asked for every endpoint in each placement pass; the new check read the clock each time. It now does so only for endpoints that have joined in the last seconds.

--- a/packages/dispatch/src/endpointPool.ts
+++ b/packages/dispatch/src/endpointPool.ts
@@ -74,17 +74,19 @@
         controllers.get(entry.id)?.handleConnectionLost();
     });
     const events = options.eventsOf(entry.id);
-    const isAnnounced = () => isAnnouncedAt(entry.id, timer.nowMs());
+    const isAnnounced = () => isAnnouncedNow(entry.id);
     const earlierStarts = retainedStarts.take(entry.id, timer.nowMs());
     const links = { endpoint, fence, timer, clock, events, isAnnounced };
     controllers.set(entry.id, createEndpointController({ entry, ...links, earlierStarts, probes }));
     addresses.set(entry.id, entry.address);
   }
 
-  function isAnnouncedAt(id: string, nowMs: number): boolean {
+  /** Called for every endpoint in each placement pass, so it reads the clock only if needed. */
+  function isAnnouncedNow(id: string): boolean {
     const joinedMs = joinedAtMs.get(id);
     if (joinedMs === undefined) return true;
-    return nowMs >= Math.max(joinedMs, createdMs + FIRST_ANNOUNCEMENT_MS) + ANNOUNCEMENT_MS;
+    const firstMs = createdMs + FIRST_ANNOUNCEMENT_MS;
+    return options.timer.nowMs() >= Math.max(joinedMs, firstMs) + ANNOUNCEMENT_MS;
   }
 
   /** Records which endpoints the list did not have before. The other instances share a first list. */
@@ -145,8 +147,10 @@
     },
     isListed: (endpoint) =>
       listedAddresses.has(endpoint) && listedAddresses.get(endpoint) === addresses.get(endpoint),
-    hasJoined: (endpoint) =>
-      options.timer.nowMs() - (joinedAtMs.get(endpoint) ?? -Infinity) <= LIST_SHARING_MS,
+    hasJoined(endpoint) {
+      const joinedMs = joinedAtMs.get(endpoint);
+      return joinedMs !== undefined && options.timer.nowMs() - joinedMs <= LIST_SHARING_MS;
+    },
     controllers: () => controllers.values(),
     find: (endpoint) => controllers.get(endpoint),
     size: () => controllers.size,
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -927,11 +927,11 @@
       unanswered < UNRESPONSIVE_AFTER_CALLS &&
       !isSuspected() &&
       isEntryCurrent() &&
-      options.isAnnounced?.() !== false &&
       unacknowledgedStarts.open(timer.nowMs()).length === 0 &&
       !isReplaced &&
       fence() > refusedFence &&
-      clock.nowMs() >= pausedUntilMs,
+      clock.nowMs() >= pausedUntilMs &&
+      options.isAnnounced?.() !== false,
     isUnresponsive: () => unanswered >= UNRESPONSIVE_AFTER_CALLS,
     lastReportMs: () => lastReportMs,
     refresh,
