fix(entry,leadership,dispatch): let every gateway know which jobs were cancelled

What callers saw: a cancelled job that was submitted again after a kill of its dispatcher was started by the next one, and stopped when the repeated cancellation arrived; they were told "cancelled". When the gateway that had acknowledged the cancellation was lost with the dispatcher, the job ran.

Cause: only one gateway and the dispatcher knew of a cancellation, so the order of two messages, the repetition and the job, decided.

Now a gateway names a job as cancelled when it hands it over, if it got that answer before or learned it with the heartbeats, which bring each cancellation once. Gateways pass what they learned to a dispatcher of their own instance only. No job waits.

--- a/packages/dispatch/__tests__/placer.spec.ts
+++ b/packages/dispatch/__tests__/placer.spec.ts
@@ -710,6 +710,26 @@
     expect(started).toEqual([]);
   });
 
+  // Guards against a cancelled job that runs after a takeover until the cancellation is repeated.
+  it('is not started when its gateway names it as cancelled, and its runs end', async () => {
+    const { dispatcher, started, outcomes, submit, advance } = await createRunningDispatcher(200, {
+      a: 1,
+    });
+    const submission = { gateway: 'h', resubmissions: 0, isCancelled: true };
+    const first = dispatcher.submit({ job: job('b'), ...submission });
+    await advance(100);
+    expect((await first).isCancelled).toEqual(true);
+    expect(started).toEqual([]);
+    submit(job('a'));
+    await advance(50);
+    const again = dispatcher.submit({ job: job('a'), ...submission });
+    await advance(100);
+    expect((await again).isCancelled).toEqual(true);
+    expect(outcomes.a?.isCancelled).toEqual(true);
+    expect(dispatcher.cancellationsAfter(0)).toEqual({ jobs: ['b', 'a'], position: 4 });
+    expect(dispatcher.cancellationsAfter(2)).toEqual({ jobs: ['a'], position: 4 });
+  });
+
   it('is not started as long as its caller goes on submitting it', async () => {
     const { dispatcher, started, advance } = await createRunningDispatcher(200, { a: 1 });
     dispatcher.withdraw('a');
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -10,7 +10,7 @@
  * stops sending them, its jobs end before any other instance may start them. All durations are
  * measured by a clock that includes the time during which this machine was suspended.
  */
-import { createCancelledJobs, type Random } from '@celerybarrow/shared';
+import { createCancelledJobs, type Random, type RecordedJobs } from '@celerybarrow/shared';
 import {
   OrderAnswers,
   RunEnds,
@@ -96,6 +96,8 @@
   readonly lostHandoverAgoMs?: number | undefined;
   /** Version of the departing endpoints that the gateway knows; see `DispatcherOptions`. */
   readonly departuresVersion?: number | undefined;
+  /** Whether the gateway knows that the job was cancelled. */
+  readonly isCancelled?: boolean | undefined;
 }
 
 export interface Dispatcher {
@@ -108,6 +110,8 @@
   withdraw(job: string, gateway?: string): Withdrawal;
   /** Returns the cancelled jobs that may be submitted again, for the next dispatcher. */
   cancelledJobs(): string[];
+  /** Returns the first of the jobs that were cancelled after a position, for the gateways. */
+  cancellationsAfter(position: number): RecordedJobs;
   /**
    * Shortens the deadlines of a gateway's open jobs to `remainingMs`, because the gateway can give
    * no answer after that.
@@ -280,6 +284,7 @@
     gatewayLeases.renew(submission.gateway);
     const cached = outcomeCache.find(id);
     if (cached !== undefined) return Promise.resolve(cached);
+    if (submission.isCancelled === true) withdraw(id);
     if (cancelledJobs.has(id)) {
       // Its caller may go on submitting it, so the time for which it is remembered begins again.
       cancelledJobs.record(id);
@@ -818,6 +823,7 @@
     submit,
     withdraw,
     cancelledJobs: cancelledJobs.all,
+    cancellationsAfter: cancelledJobs.recordedAfter,
     limitJobs,
     isKnown: (id) =>
       isClosed ||
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -4,6 +4,7 @@
 import { Result } from 'true-myth';
 import { ErrorCodes, type ErrorCode } from '@celerybarrow/shared';
 import {
+  CANCELLED_OUTCOME,
   JobStates,
   ProtocolError,
   type JobOutcome,
@@ -453,6 +454,32 @@
     expect(requests).toEqual([request, request]);
   });
 
+  // Guards against a cancelled job that reaches the next dispatcher before the repeated cancellation.
+  it('is named when a job is handed over that was cancelled elsewhere', async () => {
+    const { entry, submissions } = createTestEntry([CANCELLED_OUTCOME, CANCELLED_OUTCOME]);
+    await entry.submit(createJob(), new AbortController().signal);
+    await entry.submit(createJob(), new AbortController().signal);
+    expect(submissions.map(({ isCancelled }) => isCancelled)).toEqual([undefined, true]);
+  });
+
+  // Guards against a cancellation that is lost with the instance that acknowledged it.
+  it('is passed to a dispatcher of this instance if it was learned, and not to another one', async () => {
+    const { timer, entry, state, withdrawn } = createTestEntry([]);
+    entry.learnCancelled(['k']);
+    state.view = other;
+    const requests: string[] = [];
+    state.answer = (type: string) => {
+      requests.push(type);
+      return Promise.resolve(Result.ok({ isRecorded: true }));
+    };
+    await entry.repeatCancellations(0);
+    expect(requests).toEqual([]);
+    state.view = own;
+    await entry.repeatCancellations(0);
+    await timer.advance(10);
+    expect(withdrawn).toEqual(['k']);
+  });
+
   it('is not repeated after a caller can no longer submit the job again', async () => {
     const { timer, entry, withdrawn } = createTestEntry([]);
     await entry.cancel('j');
--- a/packages/entry/src/canceller.ts
+++ b/packages/entry/src/canceller.ts
@@ -6,6 +6,9 @@
  *   cancellation is repeated until an answer is certain.
  * - The dispatcher that cancelled a job is replaced, and the caller submits the job again. The entry
  *   that acknowledged the cancellation repeats it to each new dispatcher.
+ * - The job reaches the new dispatcher before that, or this entry is lost together with the dispatcher.
+ *   Every entry learns the cancellations with its heartbeats. It passes them to a dispatcher of its
+ *   own instance, and names them when it hands such a job over.
  */
 import type { Result } from 'true-myth';
 import { createCancelledJobs } from '@celerybarrow/shared';
@@ -38,6 +41,10 @@
   cancel(job: string): Promise<Cancellation>;
   /** Remembers jobs that a dispatcher on this instance has cancelled. */
   remember(jobs: readonly string[]): void;
+  /** Learns jobs that a dispatcher on another instance has cancelled. They are not repeated to others. */
+  learn(jobs: readonly string[]): void;
+  /** Whether the job is known here to be cancelled. */
+  isCancelled(job: string): boolean;
   /** Repeats the remembered cancellations to the present dispatcher of a shard. */
   repeat(shard: number): Promise<void>;
 }
@@ -59,6 +66,7 @@
 export function createCanceller(options: CancellerOptions): Canceller {
   const { routes, localOf, withdraw, timer, clock, logger } = options;
   const cancelledJobs = createCancelledJobs(timer);
+  const learnedJobs = createCancelledJobs(timer);
 
   /** Cancels a job at the dispatchers of all shards, since the id alone does not give the shard. */
   async function cancel(id: string): Promise<Cancellation> {
@@ -89,8 +97,10 @@
   }
 
   async function repeat(shard: number): Promise<void> {
-    const view = routes()[shard]?.leadership.view();
-    const jobs = cancelledJobs.all();
+    const present = routes()[shard];
+    const view = present?.leadership.view();
+    const isLocal = present !== undefined && localOf(present) !== undefined;
+    const jobs = [...cancelledJobs.all(), ...(isLocal ? learnedJobs.all() : [])];
     for (let from = 0; from < jobs.length; from += REPEATED_PER_MESSAGE) {
       const repeated = jobs.slice(from, from + REPEATED_PER_MESSAGE);
       for (let attempt = 0; attempt < REPETITION_ATTEMPTS; attempt += 1) {
@@ -122,6 +132,10 @@
     remember(jobs) {
       for (const job of jobs) cancelledJobs.record(job);
     },
+    learn(jobs) {
+      for (const job of jobs) learnedJobs.record(job);
+    },
+    isCancelled: (job) => cancelledJobs.has(job) || learnedJobs.has(job),
     repeat,
   };
 }
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -72,6 +72,8 @@
   cancel(job: string): Promise<Cancellation>;
   /** Remembers jobs that a dispatcher on this instance has cancelled. */
   rememberCancelled(jobs: readonly string[]): void;
+  /** Learns jobs that a dispatcher on another instance has cancelled. */
+  learnCancelled(jobs: readonly string[]): void;
   /** Repeats the remembered cancellations to the present dispatcher of a shard. */
   repeatCancellations(shard: number): Promise<void>;
   isKnown(job: string): boolean;
@@ -141,6 +143,7 @@
     signal.addEventListener('abort', onCallerLeft, { once: true });
     try {
       const outcome = await dispatchUntilClosed(openJob);
+      if (outcome.isCancelled === true) canceller.learn([job.id]);
       const { shard, resubmissions } = openJob;
       return { ...outcome, shard, epoch: openJob.lastView?.epoch, resubmissions };
     } finally {
@@ -304,6 +307,7 @@
         ? {}
         : { lostHandoverAgoMs: sentMs - lostHandover.sentMs }),
       ...(departuresVersion === undefined ? {} : { departuresVersion }),
+      ...(canceller.isCancelled(openJob.job.id) ? { isCancelled: true } : {}),
     };
     const local = route === undefined ? undefined : localOf(route);
     if (local !== undefined) {
@@ -483,6 +487,7 @@
     submit,
     cancel: canceller.cancel,
     rememberCancelled: canceller.remember,
+    learnCancelled: canceller.learn,
     repeatCancellations: canceller.repeat,
     isKnown: (id) => openJobs.has(id),
     openJobs: () => openJobs.size,
--- a/packages/entry/src/route.ts
+++ b/packages/entry/src/route.ts
@@ -11,6 +11,7 @@
     heldOn?: readonly string[];
     lostHandoverAgoMs?: number;
     departuresVersion?: number;
+    isCancelled?: boolean;
   }): Promise<JobOutcome>;
   withdraw(job: string, gateway?: string): Withdrawal;
   limitJobs(gateway: string, remainingMs: number): void;
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -192,6 +192,11 @@
     logger: createLogger('leadership'),
     waiting: (shard) => dispatchers.get(shard)?.waiting() ?? {},
     onHeartbeat: (shard, gateway) => dispatchers.get(shard)?.renewGatewayLease(gateway),
+    cancellationsAfter: (shard, position) =>
+      dispatchers.get(shard)?.cancellationsAfter(position) ?? { jobs: [], position },
+    onCancellations: (jobs) => {
+      entry.learnCancelled(jobs);
+    },
   });
   const entry = createEntry({
     instance: self.instance,
--- a/packages/leadership/__tests__/busyFleet.ts
+++ b/packages/leadership/__tests__/busyFleet.ts
@@ -130,6 +130,8 @@
       ranking: () => ({ precedingShards: 0, countDispatchedShards: () => 0 }),
       waiting: () => ({}),
       onHeartbeat: ignore,
+      cancellationsAfter: (position) => ({ jobs: [], position }),
+      onCancellations: ignore,
     });
     const host: Host = { leadership, busyUntilMs: 0 };
     leadership.onView(({ dispatcher }) => {
--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -42,6 +42,8 @@
   readonly isStoreUnavailable?: boolean;
   /** Number of heartbeats that the dispatcher answers before it stops responding. */
   readonly answeredHeartbeats?: number;
+  /** Further parts of the replies to heartbeats. */
+  readonly reply?: Partial<Reply<'pulse'>>;
 }
 
 /** Starts instance `a`, whose connection to the dispatcher is still being opened, or is refused. */
@@ -53,6 +55,8 @@
   const members = createMembers(timer, logger);
   const store = createFakeStore();
   const requestTypes: string[] = [];
+  const positions: (number | undefined)[] = [];
+  const cancellations: string[] = [];
   const { dispatcher, isRefused = false, opinions = [] } = options;
 
   function openLink(to: FleetMember): PeerLink {
@@ -64,7 +68,7 @@
       isGone: () => isRefused,
       request: async <T extends RequestType>(
         type: T,
-        _request: RequestBody<T>,
+        request: RequestBody<T>,
         { connectWaitMs, timeoutMs }: RequestOptions,
       ): Promise<Result<Reply<T>, ProtocolError>> => {
         requestTypes.push(type);
@@ -76,7 +80,9 @@
         }
         const heartbeats = requestTypes.filter((requestType) => requestType === 'pulse').length;
         if (type === 'pulse' && heartbeats <= (options.answeredHeartbeats ?? 0)) {
-          const reply = { isDispatching: true, documents: {}, waiting: {} };
+          const { cancellationsAfter } = request as RequestBody<'pulse'>;
+          positions.push(cancellationsAfter);
+          const reply = { isDispatching: true, documents: {}, waiting: {}, ...options.reply };
           return Result.ok(reply as unknown as Reply<T>);
         }
         await timer.sleep(
@@ -104,6 +110,8 @@
     ranking: () => ({ precedingShards: 0, countDispatchedShards: () => 0 }),
     waiting: () => ({}),
     onHeartbeat: ignore,
+    cancellationsAfter: (position) => ({ jobs: ['j'].slice(position), position: 1 }),
+    onCancellations: (jobs) => cancellations.push(...jobs),
   });
   members.addIfAbsent(member('c'));
   const view: View = { epoch: 3, round: 0, dispatcher };
@@ -112,7 +120,7 @@
   leadership.applyStoredEntry({ key, value: JSON.stringify(view), revision: 1 });
   store.isUnavailable = options.isStoreUnavailable ?? false;
   leadership.start();
-  return { timer, requestTypes, leadership, wallClockStep };
+  return { timer, requestTypes, positions, cancellations, leadership, wallClockStep };
 }
 
 describe('a new dispatcher', () => {
@@ -151,6 +159,44 @@
   });
 });
 
+// Guards against a cancelled job that runs at the next dispatcher, which does not know of it yet.
+describe('the heartbeats', () => {
+  it('bring a gateway each cancellation once, and all of them again under a new view', async () => {
+    const { timer, positions, cancellations, leadership } = await startLeadership({
+      dispatcher: member('b'),
+      answeredHeartbeats: 5,
+      reply: { cancellations: { jobs: ['j'], position: 7 } },
+    });
+    await timer.advance(10);
+    expect(cancellations).toEqual(['j']);
+    await timer.advance(HEARTBEAT.intervalMs);
+    const view: View = { epoch: 4, round: 0, dispatcher: member('b') };
+    leadership.applyStoredEntry({
+      key: dispatcherKey(0),
+      value: JSON.stringify(view),
+      revision: 2,
+    });
+    await timer.advance(HEARTBEAT.intervalMs);
+    leadership.close();
+    expect(positions).toEqual([0, 7, 0]);
+  });
+
+  it('get the cancellations after their position from a dispatcher', async () => {
+    const { leadership } = await startLeadership({ dispatcher: member('a') });
+    const pulse = { shard: 0, versions: {}, view: { epoch: 3, round: 0, dispatcher: member('a') } };
+    const greeting = { version: 2, instance: 'c', incarnation: 'c', dataCentre: 'd' };
+    const replies = [0, 1, undefined].map((cancellationsAfter) =>
+      leadership.handlePulse({ ...pulse, cancellationsAfter }, greeting),
+    );
+    leadership.close();
+    expect(replies.map(({ cancellations }) => cancellations)).toEqual([
+      { jobs: ['j'], position: 1 },
+      undefined,
+      undefined,
+    ]);
+  });
+});
+
 describe('a partitioned dispatcher', () => {
   // Jobs handed over after the partition began were lost, because the gateway could not tell whether
   // they had arrived.
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -3,7 +3,7 @@
  * dispatcher of each shard. All shards share the peer connections, the registration of this instance
  * and the store watch. Each shard has its own dispatcher and fencing token.
  */
-import type { Random } from '@celerybarrow/shared';
+import type { Random, RecordedJobs } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import type { FleetMember, Greeting, PeerServer, Traffic } from '@celerybarrow/protocol';
 import { followPrefix, type Entry, type Store } from '@celerybarrow/store';
@@ -62,6 +62,10 @@
   readonly waiting: (shard: number) => Record<string, number>;
   /** Called when a gateway's heartbeat reaches this instance as the dispatcher of a shard. */
   readonly onHeartbeat: (shard: number, gateway: string) => void;
+  /** Returns jobs of a shard cancelled after a position; used while this instance dispatches it. */
+  readonly cancellationsAfter: (shard: number, position: number) => RecordedJobs;
+  /** Called with jobs that a dispatcher on another instance has cancelled. */
+  readonly onCancellations: (jobs: readonly string[]) => void;
 }
 
 export interface FleetLeadership {
@@ -159,6 +163,7 @@
       onHeartbeat: (gateway) => {
         options.onHeartbeat(shard, gateway);
       },
+      cancellationsAfter: (position) => options.cancellationsAfter(shard, position),
     });
   }
 
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -3,7 +3,7 @@
  * written to the store by compare-and-swap, and every instance receives it through a watch. Heartbeats
  * to the dispatcher detect its loss sooner than a lease would, and work without the store.
  */
-import { describeError } from '@celerybarrow/shared';
+import { describeError, type RecordedJobs } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import {
   type RequestBody,
@@ -75,6 +75,10 @@
   readonly waiting: () => Record<string, number>;
   /** Called for each heartbeat of a gateway. */
   readonly onHeartbeat: (gateway: string) => void;
+  /** Returns jobs cancelled after a position; used while this instance dispatches. */
+  readonly cancellationsAfter: (position: number) => RecordedJobs;
+  /** Called with jobs that the dispatcher has cancelled. */
+  readonly onCancellations: (jobs: readonly string[]) => void;
 }
 
 export interface Leadership {
@@ -149,6 +153,8 @@
   /** The view whose dispatcher was suspected last, until that dispatcher replies. */
   let lastSuspected: View | undefined;
   let reportedWaiting: Record<string, number> = {};
+  /** The position after the cancellations that the present dispatcher has reported. */
+  let cancellationsPosition = 0;
 
   function isDispatching(): boolean {
     return view?.dispatcher.incarnation === self.incarnation;
@@ -162,6 +168,7 @@
   function adoptView(next: View, source: string): void {
     if (closing.signal.aborted || !isNewer(next, view)) return;
     view = next;
+    cancellationsPosition = 0;
     detector.reset();
     standingBySinceMs = undefined;
     members.addIfAbsent(next.dispatcher);
@@ -220,7 +227,13 @@
   async function sendPulse(current: View, link: PeerLink): Promise<void> {
     if (openPulses >= MAX_OPEN_PULSES) return;
     const versions = documents.versions(shard);
-    const request = { shard, view: current, versions, fetchesDocuments: true };
+    const request = {
+      shard,
+      view: current,
+      versions,
+      fetchesDocuments: true,
+      cancellationsAfter: cancellationsPosition,
+    };
     const sentMs = clock.nowMs();
     detector.recordHeartbeatSent();
     const connectWaitMs = link.failedAttempts() > 0 ? 0 : CONNECT_WAIT_MS;
@@ -299,6 +312,14 @@
     detector.recordContact(sentMs);
     wasFenced = false;
     reportedWaiting = reply.waiting;
+    applyCancellations(reply);
+  }
+
+  function applyCancellations({ cancellations }: Reply<'pulse'>): void {
+    if (cancellations === undefined) return;
+    // Replies can overtake each other.
+    cancellationsPosition = Math.max(cancellationsPosition, cancellations.position);
+    options.onCancellations(cancellations.jobs);
   }
 
   /**
@@ -518,6 +539,7 @@
       if (isNewer(request.view, current)) void raiseFence('a peer knows another dispatcher');
     } else if (isNewer(request.view, current)) adoptView(request.view, 'another instance');
     const wanted = documents.missing(request.versions);
+    const cancellations = findCancellations(request);
     return {
       // Most heartbeats name the current view already. Parsing it again would be most of their cost.
       ...(view !== undefined && isNewer(view, request.view) ? { view } : {}),
@@ -527,9 +549,16 @@
         : { documents: documents.newerThan(request.versions, shard) }),
       ...(wanted.length === 0 ? {} : { wanted }),
       waiting: isDispatching() ? options.waiting() : {},
+      ...(cancellations === undefined ? {} : { cancellations }),
     };
   }
 
+  function findCancellations(request: RequestBody<'pulse'>): RecordedJobs | undefined {
+    if (request.cancellationsAfter === undefined || !isDispatching()) return undefined;
+    const recorded = options.cancellationsAfter(request.cancellationsAfter);
+    return recorded.position === request.cancellationsAfter ? undefined : recorded;
+  }
+
   function handleOpinion(request: RequestBody<'opinion'>): Opinion {
     const isSameView =
       request.view !== undefined && view !== undefined && !isNewer(view, request.view);
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -134,6 +134,8 @@
   versions: z.record(nonNegativeInt),
   /** Whether the sender fetches the documents that are announced to it; absent means false. */
   fetchesDocuments: z.boolean().optional(),
+  /** How many cancellations of the dispatcher the sender knows; absent if it takes none. */
+  cancellationsAfter: nonNegativeInt.optional(),
 });
 
 export const pulseReplySchema = z.object({
@@ -150,6 +152,8 @@
   wanted: z.array(z.string()).optional(),
   /** Number of jobs without a started task, by team. */
   waiting: z.record(nonNegativeInt),
+  /** Jobs cancelled after the requested position, and the position after them. */
+  cancellations: z.object({ jobs: z.array(z.string()), position: nonNegativeInt }).optional(),
 });
 
 /** What an instance knows of a dispatcher that the requester suspects to have failed. */
@@ -196,6 +200,8 @@
        * none. A dispatcher with an older version may lack endpoints with runs of the job.
        */
       departuresVersion: nonNegativeInt.optional(),
+      /** Whether the gateway knows that the job was cancelled; absent means false. */
+      isCancelled: z.boolean().optional(),
     }),
     reply: jobOutcomeSchema,
   },
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,6 +1,6 @@
 export { formatAddress, isDialable, parseAddress, type Address } from './address.js';
 export { bindListener } from './bindListener.js';
-export { createCancelledJobs, type CancelledJobs } from './cancelledJobs.js';
+export { createCancelledJobs, type CancelledJobs, type RecordedJobs } from './cancelledJobs.js';
 export { createDeferred, type Deferred } from './deferred.js';
 export { ErrorCodes, errorMessages, type ErrorCode } from './errorCodes.js';
 export { createUuidV7, readCreationTime } from './jobId.js';
