fix(dispatch,endpoints): stop a run whose earlier start may be carried out elsewhere

Cause: an endpoint leaves a start unanswered, answers its stop and loses power. Its next incarnation knows neither the stop nor a fencing token and carries the start out before any call reaches it. The answered stop was taken as proof for good, although it holds for one incarnation only.

Now the runs of such tasks elsewhere are stopped once that endpoint leaves calls unanswered, and the tasks wait until it answers, or until the start is too old. No other task waits.

--- a/packages/dispatch/__tests__/lateStart.spec.ts
+++ b/packages/dispatch/__tests__/lateStart.spec.ts
@@ -52,6 +52,8 @@
   };
   const fake = {
     isHoldingStarts: false,
+    /** Whether it has no power, so that calls to it get no answer. */
+    isDark: false,
     bornMs: 1,
     starts: [] as StartOrder[],
     stopsAtMs: [] as number[],
@@ -65,25 +67,30 @@
         running.set(taskKey(task), { task, run, percent: 1 });
     },
   };
+  const silence = async () => {
+    await timer.sleep(100);
+    return Result.err(new EndpointError(ErrorCodes.ENDPOINT_SILENT));
+  };
   const endpoint: LeasedEndpoint = {
     async start(order) {
       fake.starts.push(order);
       await timer.sleep(1);
       if (fake.isHoldingStarts) {
-        await timer.sleep(100);
-        return Result.err(new EndpointError(ErrorCodes.ENDPOINT_SILENT));
+        return silence();
       }
       running.set(taskKey(order.task), { task: order.task, run: order.run, percent: 1 });
       return Result.ok(OrderAnswers.ACCEPTED);
     },
     async stop({ task }) {
       await timer.sleep(1);
+      if (fake.isDark) return silence();
       fake.stopsAtMs.push(timer.nowMs());
       const listed = running.get(taskKey(task));
       if (listed !== undefined) end(listed, RunEnds.STOPPED);
       return Result.ok(OrderAnswers.ACCEPTED);
     },
     async renew({ waitMs, endsSeen = 0 }) {
+      if (fake.isDark) return silence();
       const { bornMs } = fake;
       for (let waited = 0; waited <= waitMs && bornMs === fake.bornMs; waited += 5) {
         if (ended.some(({ number }) => number > endsSeen)) break;
@@ -103,7 +110,7 @@
 }
 
 /** Submits a job of one task whose first start, on endpoint `a`, stays unacknowledged. */
-async function submitWithUnacknowledgedStart() {
+async function submitWithUnacknowledgedStart(remainingMs = job.remainingMs) {
   const timer = createManualTimer();
   const a = createFake(timer);
   const b = createFake(timer);
@@ -129,7 +136,7 @@
   await advance(1_000);
   const outcomes: JobOutcome[] = [];
   void dispatcher
-    .submit({ job, gateway: 'g', resubmissions: 0 })
+    .submit({ job: { ...job, remainingMs }, gateway: 'g', resubmissions: 0 })
     .then((outcome) => outcomes.push(outcome));
   await advance(50);
   expect(a.fake.starts.length).toEqual(1);
@@ -165,6 +172,40 @@
     expect(metrics.counters()['late-start/stopped']).toEqual(1);
   });
 
+  // Guards against a second run of a task on an endpoint that lost power after it had answered the stop:
+  // its next incarnation carries the start out before any stop can reach it.
+  it('never runs beside a run elsewhere if its endpoint was dark', async () => {
+    const { a, b, dispatcher, leaving, outcomes, advance, metrics } =
+      await submitWithUnacknowledgedStart(5_000);
+    dispatcher.setEndpoints([leaving, entryOf('b')]);
+    await advance(100);
+    expect(b.running.size).toEqual(1);
+    a.isDark = true;
+    await advance(800);
+    expect(b.running.size).toEqual(0);
+    expect(metrics.counters()['late-start/stopped-elsewhere']).toEqual(1);
+    a.isDark = false;
+    a.restartWithLateStart();
+    await advance(300);
+    expect(a.running.size + b.running.size).toEqual(1);
+    for (const fake of [a, b]) for (const run of fake.running.values()) fake.end(run, RunEnds.DONE);
+    await advance(50);
+    expect(outcomes.map(({ state }) => state)).toEqual([JobStates.COMPLETED]);
+  });
+
+  it('no longer holds its task back once the endpoint answers the stop again', async () => {
+    const { a, b, dispatcher, leaving, advance } = await submitWithUnacknowledgedStart(5_000);
+    dispatcher.setEndpoints([leaving, entryOf('b')]);
+    await advance(100);
+    a.isDark = true;
+    await advance(800);
+    expect(b.running.size).toEqual(0);
+    a.isDark = false;
+    await advance(200);
+    expect(a.running.size).toEqual(0);
+    expect([...b.running.values()].map(({ run }) => run)).toEqual([3]);
+  });
+
   // Guards against a caller who waits while the only run of a task is stopped.
   it('is claimed as the run of its task if the task has no other run', async () => {
     const { a, outcomes, advance, metrics } = await submitWithUnacknowledgedStart();
--- a/packages/dispatch/__tests__/nextIncarnation.spec.ts
+++ b/packages/dispatch/__tests__/nextIncarnation.spec.ts
@@ -79,6 +79,7 @@
     onReport: () => undefined,
     onLog: () => undefined,
     onInferredEnd: () => undefined,
+    onPossibleRestart: () => undefined,
     onOrphanedRun: () => undefined,
   };
   const pool = createEndpointPool({
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -57,6 +57,7 @@
 import { createOutcomeCache } from './outcomeCache.js';
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
+import { createLateStarts } from './lateStarts.js';
 import type { PlannedStart } from './placeTasks.js';
 import { describeRelocations } from './quieterEndpoint.js';
 import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
@@ -226,6 +227,9 @@
         duplicateRuns.check(endpoint, listing);
         if (listing.run.isLate) claimLateRun(listing.run);
       },
+      onPossibleRestart: (starts) => {
+        lateStarts.suspect(endpoint, starts);
+      },
     }),
     onRemoved: (endpoint) => {
       runTimes.forget(endpoint);
@@ -247,6 +251,14 @@
     neighbourLoss,
     otherRackFactor: options.otherRackFactor,
   });
+  const lateStarts = createLateStarts({
+    pool,
+    clock: timer,
+    logger,
+    metrics,
+    find: (key) => byTask.get(key),
+    stop: stopTask,
+  });
   const inherited = createInheritedEndpoints(pool, timer);
   const reconciliation = createReconciliation({
     pool,
@@ -414,7 +426,7 @@
     const nowMs = clock.nowMs();
     if (nowMs - createdMs < RECONCILIATION_TIMEOUT_MS)
       reconciliation.reconcile(jobs.values(), nowMs);
-    const waiting = [...jobs.values()].filter((record) => isWaiting(record, nowMs));
+    const waiting = [...jobs.values()].filter((record) => mayStartTasks(record, nowMs));
     if (waiting.length > 0 && placer.hasFreeCapacity(waiting, nowMs)) executePlan(waiting, nowMs);
   }
 
@@ -485,6 +497,10 @@
     });
   }
 
+  function mayStartTasks(record: JobRecord, nowMs: number): boolean {
+    return isWaiting(record, nowMs) && !lateStarts.isHeld(record);
+  }
+
   function isWaiting(record: JobRecord, nowMs: number): boolean {
     return (
       record.outcome === undefined &&
@@ -748,7 +764,7 @@
         finish(record, { state: JobStates.LOST, reason: 'its gateway is silent' });
       }
     }
-    const waiting = [...jobs.values()].filter((record) => isWaiting(record, nowMs));
+    const waiting = [...jobs.values()].filter((record) => mayStartTasks(record, nowMs));
     if (waiting.length > 0) executePlan(waiting, nowMs);
     options.onReview?.();
   }
--- a/packages/endpoints/__tests__/endpointController.spec.ts
+++ b/packages/endpoints/__tests__/endpointController.spec.ts
@@ -65,6 +65,7 @@
       onLog: (message) => logs.push(message),
       onInferredEnd: (_run, proof) => proofs.push(proof),
       onOrphanedRun: (listing) => listings.push(listing),
+      onPossibleRestart: () => undefined,
     },
   });
   openControllers.push(controller);
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -122,6 +122,11 @@
    * that is not claimed by the end of this call is stopped.
    */
   onOrphanedRun(listing: OrphanedRunListing): void;
+  /**
+   * The endpoint does not answer and may have restarted, so that it may carry out starts whose stops it
+   * has answered. Called with each further call that it does not answer.
+   */
+  onPossibleRestart(starts: readonly UnacknowledgedStart[]): void;
 }
 
 export type LogDetails = Readonly<Record<string, string | number | undefined>>;
@@ -173,6 +178,8 @@
   isEmpty(): boolean;
   /** Returns the starts that the endpoint may still carry out, also after a restart. */
   unacknowledgedStarts(): readonly UnacknowledgedStart[];
+  /** Whether the endpoint may carry out this start, or a next incarnation may that has begun unnoticed. */
+  mayCarryOut(key: string, run: number): boolean;
   start(request: RunRequest): Run;
   /** Returns the number of start orders that were sent and have neither an answer nor a timeout. */
   startsInFlight(): number;
@@ -378,6 +385,10 @@
   function countUnansweredCall(reason: string): void {
     unanswered += 1;
     restartProbe.begin();
+    if (mayHaveRestarted()) {
+      const starts = startsToProbe();
+      if (starts.length > 0) events.onPossibleRestart(starts);
+    }
     if (unanswered !== UNRESPONSIVE_AFTER_CALLS) return;
     events.onLog('Endpoint is unresponsive.', { endpoint: entry.id, reason, runs: runs.size });
     events.onChange();
@@ -813,6 +824,11 @@
     return (lastReportMs ?? 0) < suspectedSinceMs;
   }
 
+  /** Whether the endpoint has not answered for so long, or after a lost connection, that it may have restarted. */
+  function mayHaveRestarted(): boolean {
+    return unanswered >= UNRESPONSIVE_AFTER_CALLS || (unanswered > 0 && isSuspected());
+  }
+
   /**
    * Whether the entry describes the incarnation that answers. An endpoint may restart with other
    * labels or another capacity, and its entry and its reports arrive in any order.
@@ -951,6 +967,13 @@
     orphanedRuns: () => orphanedRuns.all(),
     isEmpty,
     unacknowledgedStarts: () => unacknowledgedStarts.all(timer.nowMs()),
+    mayCarryOut(key, run) {
+      const nowMs = timer.nowMs();
+      const starts = mayHaveRestarted()
+        ? unacknowledgedStarts.all(nowMs)
+        : unacknowledgedStarts.open(nowMs);
+      return starts.some((unresolved) => unresolved.key === key && unresolved.run === run);
+    },
     start,
     startsInFlight: () => startsInFlight,
     stop,
--- a/packages/endpoints/src/index.ts
+++ b/packages/endpoints/src/index.ts
@@ -24,7 +24,7 @@
 } from './leasedEndpoint.js';
 export { createProbeBudget, type ProbeBudget } from './probeBudget.js';
 export { createRetainedStarts, type RetainedStarts } from './retainedStarts.js';
-export { type UnacknowledgedStart } from './unacknowledgedStarts.js';
+export { MAX_ORDER_DELAY_MS, type UnacknowledgedStart } from './unacknowledgedStarts.js';
 export { RunStates, type Listing, type Run, type RunRequest, type RunState } from './run.js';
 export {
   createEndpointController,
--- a/packages/instance/__tests__/concurrentRuns.spec.ts
+++ b/packages/instance/__tests__/concurrentRuns.spec.ts
@@ -7,6 +7,8 @@
 const SCHEDULES = Number(process.env['CELERYBARROW_SCHEDULES'] ?? 400);
 /** The kinds of faults to inject; all of them by default. */
 const NAMED_KINDS = process.env['CELERYBARROW_KINDS']?.split(',') ?? FaultKinds;
+/** Seeds in which a task ran twice before this was prevented. */
+const SEEDS_OF_LATE_STARTS = [3_809, 8_433, 29_290];
 
 describe('a task', () => {
   it('never runs on two endpoints at the same time, whatever is lost', async () => {
@@ -21,4 +23,15 @@
     expect(starts > SCHEDULES).toEqual(true);
     expect(overlaps).toEqual([]);
   });
+
+  // Guards against a start that an endpoint carries out in its next incarnation, which does not know that
+  // its stop was answered, while the task runs elsewhere.
+  it('never runs beside an earlier start of it that a restarted endpoint carries out', async () => {
+    const overlaps: string[] = [];
+    for (const seed of SEEDS_OF_LATE_STARTS) {
+      const result = await simulateFleet(seed, new Set(['calls', 'crashes'] as const));
+      overlaps.push(...result.overlaps.map((overlap) => `seed ${seed}: ${overlap}`));
+    }
+    expect(overlaps).toEqual([]);
+  });
 });
