fix(ingress): let callers send the rest of a body that is refused as too large

What callers saw: sometimes a broken connection (EPIPE) in place of the 413.

Cause: the rest of a refused body was read and discarded only up to 256 KB, which is the usual limit of accepted bodies, so a body over that limit never was. The connection was closed while its caller still sent.

--- a/packages/ingress/__tests__/guardedListener.spec.ts
+++ b/packages/ingress/__tests__/guardedListener.spec.ts
@@ -102,6 +102,27 @@
     }
   });
 
+  // Guards against a caller whose request ends with a write error in place of the response, because the
+  // connection is closed while it still sends the body.
+  it('lets a caller send the rest of a refused body and read the response', async () => {
+    const { port } = await startListener(readAndAnswer);
+    const { socket, waitFor } = openClient(port);
+    const errors: string[] = [];
+    socket.on('error', ({ message }) => errors.push(message));
+    // A caller that is busy with sending does not read meanwhile.
+    socket.pause();
+    const part = 'x'.repeat(30_000);
+    socket.write(post(part, 30 * part.length));
+    for (let sent = 1; sent < 30; sent += 1) {
+      await delay(5);
+      socket.write(part);
+    }
+    socket.resume();
+    expect(await waitFor(1)).toEqual(['413']);
+    if (!socket.closed) await once(socket, 'close');
+    expect(errors).toEqual([]);
+  });
+
   // Guards against a full budget that keeps new callers out until the old bodies time out.
   it('refuses the body that stands still for one that arrives', async () => {
     const { port } = await startListener(readAndAnswer, { readingBytes: 60_000 });
--- a/packages/ingress/src/exchange.ts
+++ b/packages/ingress/src/exchange.ts
@@ -15,8 +15,11 @@
 const ITEM_BYTES = 256;
 const ELEMENT_BYTES = 16;
 const MIN_ELEMENT_BYTES = 2;
-/** Bytes of a refused body that are read and discarded, so that its sender reads the response. */
-const LINGER_BYTES = 262_144;
+/**
+ * Bytes of a refused body that are read and discarded, so that its sender reads the response. Several
+ * times a body of the usual limit; the sender of a longer one may lose the response.
+ */
+const LINGER_BYTES = 1_048_576;
 /** Chunks of a body after which the connection waits for a turn before it is read further. */
 const CHUNKS_PER_TURN = 1_024;
 /** Bodies that wait for such a turn. More of them would take the processor time of the others. */
