refactor(dispatch): keep suspected starts by job

A job without any costs one look-up in a placement pass, however many tasks it has, and starts of ended jobs no longer slow every pass.

--- a/packages/dispatch/src/lateStarts.ts
+++ b/packages/dispatch/src/lateStarts.ts
@@ -30,6 +30,7 @@
 }
 
 interface SuspectedStart {
+  readonly key: string;
   readonly endpoint: string;
   readonly run: number;
   readonly expiryMs: number;
@@ -37,7 +38,7 @@
 
 export function createLateStarts(options: LateStartsOptions): LateStarts {
   const { pool, clock, logger, metrics } = options;
-  /** By task. */
+  /** By job, so that a job without any costs one look-up in a placement pass. */
   const suspected = new Map<string, SuspectedStart[]>();
 
   function suspect(endpoint: string, starts: readonly UnacknowledgedStart[]): void {
@@ -51,10 +52,14 @@
     }
   }
 
-  function add(endpoint: string, { key, run, sentMs }: UnacknowledgedStart): void {
-    const known = suspected.get(key) ?? [];
-    if (known.some((start) => start.endpoint === endpoint && start.run === run)) return;
-    suspected.set(key, [...known, { endpoint, run, expiryMs: sentMs + MAX_ORDER_DELAY_MS }]);
+  function add(endpoint: string, { key, task, run, sentMs }: UnacknowledgedStart): void {
+    const known = suspected.get(task.job) ?? [];
+    const isKnown = known.some(
+      (start) => start.key === key && start.run === run && start.endpoint === endpoint,
+    );
+    if (isKnown) return;
+    const expiryMs = sentMs + MAX_ORDER_DELAY_MS;
+    suspected.set(task.job, [...known, { key, endpoint, run, expiryMs }]);
   }
 
   function stopElsewhere(endpoint: string, task: TaskRecord): void {
@@ -69,21 +74,21 @@
     options.stop(task);
   }
 
-  function mayBeCarriedOut(key: string, { endpoint, run, expiryMs }: SuspectedStart): boolean {
+  function mayBeCarriedOut({ key, endpoint, run, expiryMs }: SuspectedStart): boolean {
     if (clock.nowMs() >= expiryMs) return false;
     // Without a controller, nothing has stopped the start since the endpoint was suspected.
     return pool.find(endpoint)?.mayCarryOut(key, run) !== false;
   }
 
-  function isTaskHeld(key: string): boolean {
-    const left = (suspected.get(key) ?? []).filter((start) => mayBeCarriedOut(key, start));
-    if (left.length > 0) suspected.set(key, left);
-    else suspected.delete(key);
-    return left.length > 0;
+  function isWaiting({ key }: SuspectedStart): boolean {
+    const task = options.find(key)?.task;
+    return task !== undefined && task.run === undefined && !task.isDone;
   }
 
+  /** Drops the starts of jobs that have ended, of which no pass asks any more. */
   function removeEnded(): void {
-    for (const key of suspected.keys()) if (options.find(key) === undefined) suspected.delete(key);
+    for (const [job, starts] of suspected)
+      if (starts.every(({ key }) => options.find(key) === undefined)) suspected.delete(job);
   }
 
   return {
@@ -91,8 +96,13 @@
       removeEnded();
       suspect(endpoint, starts);
     },
-    isHeld: (record) =>
-      suspected.size > 0 &&
-      record.tasks.some(({ key, run, isDone }) => run === undefined && !isDone && isTaskHeld(key)),
+    isHeld({ job }) {
+      const starts = suspected.get(job.id);
+      if (starts === undefined) return false;
+      const left = starts.filter(mayBeCarriedOut);
+      if (left.length > 0) suspected.set(job.id, left);
+      else suspected.delete(job.id);
+      return left.some(isWaiting);
+    },
   };
 }
--- a/packages/endpoints/src/endpointController.ts
+++ b/packages/endpoints/src/endpointController.ts
@@ -178,7 +178,7 @@
   isEmpty(): boolean;
   /** Returns the starts that the endpoint may still carry out, also after a restart. */
   unacknowledgedStarts(): readonly UnacknowledgedStart[];
-  /** Whether the endpoint may carry out this start, or a next incarnation may that has begun unnoticed. */
+  /** Whether the endpoint, or a next incarnation that may have begun, may carry out this start. */
   mayCarryOut(key: string, run: number): boolean;
   start(request: RunRequest): Run;
   /** Returns the number of start orders that were sent and have neither an answer nor a timeout. */
