perf(instance): read shared departures only on dispatchers, and drop them less often

Now an instance reads the rows once it dispatches the shard, and a document that only drops endpoints or jobs follows the last one after 1 s at least. A list that still names an endpoint that is empty holds back its jobs for at most 1 s longer, and only after a loss of the dispatcher.

The test of the document expected it to be dropped at once; it now expects the same document until 1 s has passed, and the next one after that.

--- a/packages/instance/src/shareDepartures.ts
+++ b/packages/instance/src/shareDepartures.ts
@@ -5,6 +5,10 @@
  * The document of a shard is written by its dispatcher and replicated with the heartbeats of that
  * shard. It exists once an endpoint with runs has left, and is written again only when an endpoint is
  * added or has become empty.
+ *
+ * Load pattern: all endpoints join when a large fleet starts, so that each dispatcher shares a long
+ * list several times a second with every instance. Instances read the rows only once they dispatch,
+ * and endpoints are dropped from the document less often than they are added.
  */
 import {
   coversDepartures,
@@ -20,6 +24,8 @@
 
 /** Least interval between two checks. */
 const CHECK_INTERVAL_MS = 50;
+/** Least interval between two documents of which the second one only drops endpoints or jobs. */
+const REDUCTION_INTERVAL_MS = 1_000;
 /** Versions of one epoch; an epoch changes long before it has that many. */
 const VERSIONS_PER_EPOCH = 65_536;
 const OWN_SOURCE = 'dispatcher';
@@ -57,9 +63,16 @@
   check(): void;
 }
 
+interface KnownDepartures {
+  readonly rows: readonly unknown[];
+  departures?: readonly DepartingEndpoint[];
+}
+
 export function createDepartureSharing(options: DepartureSharingOptions): DepartureSharing {
   const { documents, clock, logger } = options;
-  const known = new Map<number, readonly DepartingEndpoint[]>();
+  /** The rows of the newest document by shard, and the endpoints that they describe once they are read. */
+  const known = new Map<number, KnownDepartures>();
+  const offeredAtMs = new Map<number, number>();
   const startedAtMs = new WeakMap<DepartureSource, number>();
   let checkedAtMs = -Infinity;
 
@@ -76,27 +89,42 @@
           });
           return false;
         }
-        const departures = rows.flatMap((row) => departingEndpointSchema.safeParse(row).data ?? []);
-        known.set(shard, departures);
-        inherit(shard, departures);
+        known.set(shard, { rows });
+        inherit(shard);
         return true;
       });
     }
   }
 
-  function inherit(shard: number, departures: readonly DepartingEndpoint[]): void {
-    if (departures.length === 0) return;
-    for (const running of options.dispatchers())
-      if (running.shard === shard) running.dispatcher.inherit(departures);
+  function inherit(shard: number): void {
+    for (const running of options.dispatchers()) {
+      if (running.shard !== shard) continue;
+      const departures = knownDepartures(shard);
+      if (departures.length > 0) running.dispatcher.inherit(departures);
+    }
+  }
+
+  function knownDepartures(shard: number): readonly DepartingEndpoint[] {
+    const document = known.get(shard);
+    if (document === undefined) return [];
+    document.departures ??= document.rows.flatMap(
+      (row) => departingEndpointSchema.safeParse(row).data ?? [],
+    );
+    return document.departures;
   }
 
   function offer({ shard, epoch, dispatcher }: RunningSource): void {
-    if (clock.nowMs() - (startedAtMs.get(dispatcher) ?? -Infinity) < FIRST_ANNOUNCEMENT_MS) return;
+    const nowMs = clock.nowMs();
+    if (nowMs - (startedAtMs.get(dispatcher) ?? -Infinity) < FIRST_ANNOUNCEMENT_MS) return;
     const departures = dispatcher.departures();
-    const shared = known.get(shard) ?? [];
-    if (departures.length === shared.length && coversDepartures(shared, departures)) return;
+    const shared = knownDepartures(shard);
+    if (coversDepartures(shared, departures)) {
+      if (departures.length === shared.length) return;
+      if (nowMs - (offeredAtMs.get(shard) ?? -Infinity) < REDUCTION_INTERVAL_MS) return;
+    }
     const version = Math.max(versionOf(shard) + 1, epoch * VERSIONS_PER_EPOCH);
-    known.set(shard, departures);
+    offeredAtMs.set(shard, nowMs);
+    known.set(shard, { rows: departures, departures });
     documents.offer(nameOf(shard), { version, text: JSON.stringify(departures) }, OWN_SOURCE);
     logger.info('Departing endpoints are shared.', {
       shard,
@@ -113,12 +141,12 @@
     subscribe,
     introduce(shard, dispatcher) {
       startedAtMs.set(dispatcher, clock.nowMs());
-      const departures = known.get(shard) ?? [];
+      const departures = knownDepartures(shard);
       if (departures.length > 0) dispatcher.inherit(departures);
     },
     version: versionOf,
     versionWithEndpoints: (shard) =>
-      (known.get(shard) ?? []).length === 0 ? undefined : versionOf(shard),
+      (known.get(shard)?.rows ?? []).length === 0 ? undefined : versionOf(shard),
     check() {
       const nowMs = clock.nowMs();
       if (nowMs - checkedAtMs < CHECK_INTERVAL_MS) return;
