--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -14,6 +14,8 @@
 import { createMetrics, type LogContext, type Logger } from '@celerybarrow/telemetry';
 import { JobStates, type LeasedJob } from '@celerybarrow/protocol';
 import { createDispatcher, type Dispatcher } from '../src/index.js';
+import { outcomeName } from '../src/describeOutcome.js';
+import { recordLength } from '../src/jobLength.js';
 import { createJobRecord } from '../src/jobRecord.js';
 import { createJobSizeClassifier, JobSizes } from '../src/jobSizes.js';
 import { createDuplicateRunDetector } from '../src/duplicateRunDetector.js';
@@ -280,6 +282,34 @@
     expect(metrics.counters()['outcome-by-size/t/unknown/refused']).toEqual(1);
   });
 
+  it('tells a job that is too long for its caller from one that was missed', async () => {
+    const { running, submit, advance, timer, metrics, find } = createRunningDispatcher(['a']);
+    await advance(400);
+    submit(job('long', { remainingMs: 1_500 }));
+    await advance(50);
+    const startedMs = timer.nowMs();
+    const task = { job: 'long', step: 0, index: 0 };
+    for (let passed = 0; passed < 1_500; passed += 50) {
+      const percent = Math.floor((timer.nowMs() - startedMs) / 30);
+      running.set('a', [{ task, run: 1, percent }]);
+      await advance(50);
+    }
+    const { state, allowedMs, longestTaskMs } = find('Job has ended.')?.context ?? {};
+    expect([state, allowedMs]).toEqual([JobStates.EXPIRED, 1_500]);
+    expect(Number(longestTaskMs) > 2_500).toEqual(true);
+    expect(metrics.counters()['outcome-by-size/t/unknown/expired-too-long']).toEqual(1);
+  });
+
+  it('tells a job that was started too late as missed', () => {
+    const origin = { arrivedMs: 0, criticalPathMs: 100, firstRun: 1, mayHaveRun: false };
+    const record = createJobRecord(job('j'), 'g', origin, () => undefined);
+    const expired = { state: JobStates.EXPIRED, reason: '' };
+    expect(outcomeName(record, expired)).toEqual('expired-unknown');
+    for (const task of record.tasks) recordLength(record, task, 1_400, 200);
+    expect(outcomeName(record, expired)).toEqual('expired-missed');
+    expect(outcomeName(record, { ...expired, isCancelled: true })).toEqual('expired');
+  });
+
   it('contains the end of a run after its job was answered', async () => {
     const { running, submit, advance, lines } = createRunningDispatcher(['a']);
     await advance(400);
--- a/packages/dispatch/src/describeOutcome.ts
+++ b/packages/dispatch/src/describeOutcome.ts
@@ -1,16 +1,52 @@
-/** Log context of a job that has ended: its size, its starts and its last estimate. */
+/**
+ * Log context and counter of a job that has ended: its size, its starts, its last estimate, and whether
+ * a job that was not served was too long for its caller.
+ */
+import { JobStates, type JobOutcome } from '@celerybarrow/protocol';
 import type { LogContext } from '@celerybarrow/telemetry';
+import { longestTaskMs } from './jobLength.js';
 import type { JobRecord } from './jobRecord.js';
 import type { FreeCapacity } from './placer.js';
 
-export function describeWork({ job, size, work, firstStartMs, lastStartMs, arrivedMs }: JobRecord) {
+/** Why a job expired, as far as its runs have shown. */
+export const ExpiryCauses = {
+  /** Its longest task takes longer than the job had, so that no order of starts could serve it. */
+  TOO_LONG: 'too-long',
+  MISSED: 'missed',
+  /** No run has shown the length of a task. */
+  UNKNOWN: 'unknown',
+} as const;
+export type ExpiryCause = (typeof ExpiryCauses)[keyof typeof ExpiryCauses];
+
+export function expiryCauseOf(record: JobRecord): ExpiryCause {
+  const longestMs = longestTaskMs(record);
+  if (longestMs === undefined) return ExpiryCauses.UNKNOWN;
+  return longestMs > allowedMsOf(record) ? ExpiryCauses.TOO_LONG : ExpiryCauses.MISSED;
+}
+
+/** Returns the name of an outcome in the counters: its state, and for an expired job the cause. */
+export function outcomeName(record: JobRecord, { state, isCancelled }: JobOutcome): string {
+  const hasExpired = state === JobStates.EXPIRED && isCancelled !== true;
+  return hasExpired ? `${state}-${expiryCauseOf(record)}` : state;
+}
+
+function allowedMsOf({ deadlineMs, arrivedMs }: JobRecord): number {
+  return deadlineMs - arrivedMs;
+}
+
+export function describeWork(record: JobRecord) {
+  const { job, size, work, firstStartMs, lastStartMs, arrivedMs, tasks } = record;
   const afterArrival = (ms: number | undefined) =>
     ms === undefined ? undefined : Math.round(ms - arrivedMs);
   return {
     priority: job.priority,
     size,
     coreMs: Math.round(work / 1_000),
+    allowedMs: Math.round(allowedMsOf(record)),
     longestMs: Math.round(Math.max(...job.steps.map((step) => step.estimateMs))),
+    longestTaskMs: roundedOrNone(longestTaskMs(record)),
+    restarts: tasks.reduce((sum, task) => sum + task.restarts, 0),
+    failures: tasks.reduce((sum, task) => sum + task.failures, 0),
     firstStartMs: afterArrival(firstStartMs),
     lastStartMs: afterArrival(lastStartMs),
   };
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -39,7 +39,7 @@
 import { createEndpointPool } from './endpointPool.js';
 import { describeDepartures, findDepartures } from './departures.js';
 import { createInheritedEndpoints } from './inheritedEndpoints.js';
-import { describeUnserved, describeWork } from './describeOutcome.js';
+import { describeUnserved, describeWork, outcomeName } from './describeOutcome.js';
 import { createEndpointHealth } from './endpointHealth.js';
 import { createGatewayLeases } from './gatewayLeases.js';
 import {
@@ -704,7 +704,7 @@
           }),
     });
     metrics.increment(`outcome/${outcome.state}`);
-    metrics.increment(`outcome-by-size/${team}/${record.size}/${outcome.state}`);
+    metrics.increment(`outcome-by-size/${team}/${record.size}/${outcomeName(record, outcome)}`);
     if (outcome.state === JobStates.COMPLETED && nowMs > record.objectiveMs)
       metrics.increment(`late/${team}`);
     metrics.time('job', team, nowMs - record.arrivedMs);
--- a/packages/dispatch/src/jobLength.ts
+++ b/packages/dispatch/src/jobLength.ts
@@ -8,10 +8,13 @@
  */
 import type { JobRecord, TaskRecord } from './jobRecord.js';
 
-/** Relative run time of one run. */
+/** Run time of one run. */
 export interface LengthSample {
+  readonly task: string;
   readonly step: number;
   readonly endpoint: string | undefined;
+  /** Actual or projected run time. */
+  readonly totalMs: number;
   /** Actual or projected run time, divided by the expected run time. */
   readonly factor: number;
 }
@@ -24,9 +27,21 @@
   expectedMs: number,
 ): void {
   if (!Number.isFinite(totalMs)) return;
-  const { ref, endpoint } = task;
+  const { key, ref, endpoint } = task;
   const factor = totalMs / Math.max(1, expectedMs);
-  record.lengthSamples.set(`${task.key}@${endpoint ?? ''}`, { step: ref.step, endpoint, factor });
+  const sample = { task: key, step: ref.step, endpoint, totalMs, factor };
+  record.lengthSamples.set(`${key}@${endpoint ?? ''}`, sample);
+}
+
+/**
+ * Returns the run time of the job's longest task, by the fastest run of each; undefined if no run has
+ * shown its length.
+ */
+export function longestTaskMs({ lengthSamples }: JobRecord): number | undefined {
+  const fastestMs = new Map<string, number>();
+  for (const { task, totalMs } of lengthSamples.values())
+    fastestMs.set(task, Math.min(totalMs, fastestMs.get(task) ?? Infinity));
+  return fastestMs.size === 0 ? undefined : Math.max(...fastestMs.values());
 }
 
 /**
