--- a/packages/instance/__tests__/chooseShard.spec.ts
+++ b/packages/instance/__tests__/chooseShard.spec.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { EndpointEntry } from '@celerybarrow/endpoints';
-import type { LeasedJob } from '@celerybarrow/protocol';
+import { MAX_ALLOWED_MS, type LeasedJob } from '@celerybarrow/protocol';
 import { createShardChooser } from '../src/chooseShard.js';
 
 const SHARDS = 4;
@@ -106,9 +106,13 @@
     expect(earlier.length).toEqual(0);
   });
 
-  it('are dropped when no run from that time can be left', () => {
-    const { time, chooser } = createChooserWithChangedList();
-    time.nowMs += 20_000;
+  it('are kept while a run from that time can be left, and dropped after that', () => {
+    const { time, chooser, before, after } = createChooserWithChangedList();
+    const moved = before.filter((shard, number) => shard !== after[number]);
+    // The longest job is submitted again 1.3 s after its end, while a start may come 12 s late.
+    time.nowMs += MAX_ALLOWED_MS + 13_300;
+    expect(ids.flatMap((id) => chooser.earlierShards(job(id)))).toEqual(moved);
+    time.nowMs += 4_000;
     expect(ids.flatMap((id) => chooser.earlierShards(job(id)))).toEqual([]);
   });
 });
--- a/packages/instance/src/chooseShard.ts
+++ b/packages/instance/src/chooseShard.ts
@@ -17,14 +17,13 @@
   shardOfJob,
   type ShardHash,
 } from '@celerybarrow/leadership';
-import type { LeasedJob } from '@celerybarrow/protocol';
+import { MAX_ALLOWED_MS, type LeasedJob } from '@celerybarrow/protocol';
 import type { TimerService } from '@celerybarrow/timer';
 
-/**
- * How long a replaced endpoint list is kept. Must exceed the 12 s in which a caller waits, submits
- * again, and an endpoint may still carry out an unacknowledged order.
- */
-const REPLACED_LIST_RETENTION_MS = 16_000;
+/** Time in which a caller submits again and an endpoint may still carry out an unacknowledged order. */
+const RESUBMISSION_MS = 14_500;
+/** How long a replaced endpoint list is kept: as long as a run may be left that dates from it. */
+const REPLACED_LIST_RETENTION_MS = MAX_ALLOWED_MS + RESUBMISSION_MS;
 
 export interface ShardChooser {
   /** Replaces the list of all endpoints of the fleet. */
--- a/packages/protocol/src/allowedTime.ts
+++ b/packages/protocol/src/allowedTime.ts
@@ -12,6 +12,12 @@
   readonly queueTimeoutMs: number;
 }
 
+/**
+ * Longest time that a job may take, whatever its caller states: it bounds how long the records of a job
+ * are kept. Tasks are sub-second ones, and the longest jobs take 10 s.
+ */
+export const MAX_ALLOWED_MS = 30_000;
+
 /** Returns the time in which a job has to end, from the arrival of its request. */
 export function allowedTimeMs({ callerWaitsMs, queueTimeoutMs }: TimeLimits): number {
   return Math.min(callerWaitsMs ?? queueTimeoutMs, queueTimeoutMs);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,4 @@
-export { allowedTimeMs, type TimeLimits } from './allowedTime.js';
+export { allowedTimeMs, MAX_ALLOWED_MS, type TimeLimits } from './allowedTime.js';
 export {
   createFrameDecoder,
   decodeFrames,
--- a/packages/shared/src/cancelledJobs.ts
+++ b/packages/shared/src/cancelledJobs.ts
@@ -5,8 +5,8 @@
  * dispatcher.
  */
 
-/** Longer than a caller waits and submits a job again. */
-const TTL_MS = 30_000;
+/** Longer than a caller waits and submits a job again, also one that waits for longer than a job may take. */
+const TTL_MS = 60_000;
 const MAX_JOBS = 20_000;
 /** Jobs that are returned together after a position. */
 const MAX_RETURNED_JOBS = 1_000;
