--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -324,6 +324,24 @@
     expect(requestTypes).toEqual(['dispatch', 'withdraw', 'withdraw']);
   });
 
+  // Seed 1187 of separatedInstances.spec.ts: the job ran on, and a second time for the next submission.
+  it('is withdrawn again when the dispatcher receives the first withdrawal before the job', async () => {
+    const { timer, entry, state } = createTestEntry([]);
+    state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+    const requestTypes: string[] = [];
+    state.answer = async (type) => {
+      requestTypes.push(type);
+      if (type === 'dispatch') await timer.sleep(1e9);
+      return Result.ok({ found: requestTypes.length > 2 });
+    };
+    const leaving = new AbortController();
+    void entry.submit(createJob(), leaving.signal);
+    await timer.advance(50);
+    leaving.abort();
+    await timer.advance(500);
+    expect(requestTypes).toEqual(['dispatch', 'withdraw', 'withdraw']);
+  });
+
   it('is not withdrawn for an earlier caller after the same id is submitted again', async () => {
     const { timer, entry, state } = createTestEntry([]);
     state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -402,8 +402,9 @@
       const newest = openJobs.get(openJob.job.id) ?? openJob;
       if (route === undefined || newest !== openJob) return;
       const reply = await withdraw(route, openJob.job.id, instance);
-      if (reply.isOk) return;
-      if (attempt === 1) logUnansweredWithdrawal(openJob, route, reply.error);
+      // A dispatcher that does not have the job may still receive it.
+      if (reply.isOk && (reply.value.found || !openJob.isAwaitingReply)) return;
+      if (reply.isErr && attempt === 1) logUnansweredWithdrawal(openJob, route, reply.error);
       await timer.sleep(WITHDRAWAL_RETRY_MS);
     }
   }
