--- a/packages/instance/__tests__/simulatedEndpoints.ts
+++ b/packages/instance/__tests__/simulatedEndpoints.ts
@@ -4,7 +4,7 @@
  * unacknowledged order may be carried out seconds later. Every run is recorded with its start and end.
  */
 import { Result } from 'true-myth';
-import { ErrorCodes, type Random } from '@celerybarrow/shared';
+import { createRandom, ErrorCodes, type Random } from '@celerybarrow/shared';
 import type { ManualTimer } from '@celerybarrow/timer';
 import {
   EndpointError,
@@ -95,20 +95,21 @@
   random: Random,
   traits: EndpointTraits,
   trace: (line: string) => void,
+  joining = 0,
 ) {
   const records: RecordedRun[] = [];
   const endpoints = new Map<string, ReturnType<typeof createEndpoint>>();
   const randomBetween = (min: number, max: number) => min + (max - min) * random.next();
 
-  function createEndpoint(id: string, address: string) {
-    const rate = randomBetween(0.98, 1);
+  function createEndpoint(id: string, address: string, traitsRandom: Random) {
+    const rate = 0.98 + 0.02 * traitsRandom.next();
     const capacity = { cores: SLOTS * 1_000, memoryMb: 1_000, accelerators: 0 };
     const base = { service: 's', dataCentre: 'd', isLeaving: false, labels: [] };
     const entry: EndpointEntry = { id, address, ...base, capacity };
     const faults: CallFaults = { lost: 0, unanswered: 0, late: 0, lateOrders: 0, slow: 0 };
     let isUp = true;
     let bornMs = 1;
-    let startedAtMs = timer.nowMs() - randomBetween(0, 100_000);
+    let startedAtMs = timer.nowMs() - 100_000 * traitsRandom.next();
     let fence = 0;
     let leaseEndMs = 0;
     let endCount = 0;
@@ -289,10 +290,18 @@
     return { control, endDueRuns, start, stop, renew, order, call };
   }
 
-  for (let number = 0; number < count; number += 1) {
-    endpoints.set(`e${number}`, createEndpoint(`e${number}`, `127.0.0.1:${FIRST_PORT + number}`));
+  function addEndpoints(added: number, traitsRandom: Random): void {
+    for (let left = added; left > 0; left -= 1) {
+      const number = endpoints.size;
+      const address = `127.0.0.1:${FIRST_PORT + number}`;
+      endpoints.set(`e${number}`, createEndpoint(`e${number}`, address, traitsRandom));
+    }
   }
 
+  addEndpoints(count, random);
+  // Their traits have numbers of their own, so that a seed plays the same with and without them.
+  addEndpoints(joining, createRandom(count));
+
   /** Returns the endpoints from the point of view of one process. */
   function networkOf(from: CallingProcess): EndpointNetwork {
     return {
--- a/packages/instance/__tests__/simulatedInstance.ts
+++ b/packages/instance/__tests__/simulatedInstance.ts
@@ -54,6 +54,10 @@
   readonly departing: Set<string>;
   /** Endpoints that have left all lists although they run. */
   readonly departed: Set<string>;
+  /** Endpoints that have not joined yet, so that no list contains them. */
+  readonly unlisted: Set<string>;
+  /** Departed endpoints that a dispatcher has dropped from its list. */
+  readonly dropped: Set<string>;
   /** Endpoints that the lists shared among instances do not contain yet. */
   readonly missingFromSharedLists: Set<string>;
 }
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -54,6 +54,8 @@
     lapsed: new Set(),
     departing: new Set(),
     departed: new Set(),
+    unlisted: new Set(),
+    dropped: new Set(),
     missingFromSharedLists: new Set(),
   };
   const stored: (View | undefined)[] = Array.from({ length: shards }, () => undefined);
@@ -138,7 +140,7 @@
   function listedEntries(shard: number): EndpointEntry[] {
     return options
       .entriesOf(shard)
-      .filter(({ id }) => !environment.departed.has(id))
+      .filter(({ id }) => !environment.departed.has(id) && !environment.unlisted.has(id))
       .map((entry) =>
         environment.departing.has(entry.id) ? { ...entry, isLeaving: true } : entry,
       );
@@ -187,6 +189,7 @@
     const readList = () => {
       if (state.dispatcher !== dispatcher || !reachesStore(instance)) return;
       state.isListCurrent = true;
+      for (const id of environment.departed) environment.dropped.add(id);
       dispatcher.setEndpoints(listedEntries(shard).filter(({ id }) => !environment.lapsed.has(id)));
     };
     timer.onAfter(randomBetween(2, 150), () => {
--- a/packages/instance/__tests__/simulatedPartitions.ts
+++ b/packages/instance/__tests__/simulatedPartitions.ts
@@ -21,6 +21,8 @@
 const LONG = { maxTaskMs: 3_500, deadlineMs: 5_000, durationMs: 18_000 };
 const USUAL = { maxTaskMs: 1_400, deadlineMs: 1_500, durationMs: 11_500 };
 const JOBS = 14;
+/** Endpoints that may join in a simulation with joins. */
+const JOINING_ENDPOINTS = 4;
 const RESUBMIT_DELAY_MS = 1_300;
 /** Minimum time until the store drops the entries of endpoints that cannot reach it. */
 const MIN_LAPSE_MS = 1_700;
@@ -88,7 +90,8 @@
     failureProbability: 0.02,
   };
   traceEvent('endpoints', { count, shards, ...traits });
-  const endpoints = createSimulatedEndpoints(count, timer, random, traits, trace);
+  const joining = kinds.has('joins') ? JOINING_ENDPOINTS : 0;
+  const endpoints = createSimulatedEndpoints(count, timer, random, traits, trace, joining);
   const numberOf = (id: string) => Number(id.slice(1));
   const zoneOf = (id: string) => ZONES[numberOf(id) % ZONES.length] as string;
   const all = endpoints.all.map(({ entry }) => entry);
@@ -104,6 +107,7 @@
     traceEvent,
   });
   const { environment } = fleet;
+  for (const { id } of all.slice(count)) environment.unlisted.add(id);
   const outcomes: Record<string, number> = {};
   /** Callbacks that end the waits of callers when their gateway is killed. */
   const onKill = new Map<SimulatedInstance, Set<() => void>>();
@@ -160,14 +164,9 @@
   }
 
   function injectEndpointFault(kind: PartitionFaultKind): void {
-    const endpoint = pick(endpoints.all);
-    if (kind === 'joins') {
-      environment.missingFromSharedLists.add(endpoint.entry.id);
-      traceEvent('endpoint joined', { endpoint: endpoint.entry.id });
-      timer.onAfter(randomBetween(0, MAX_LIST_SHARING_MS), () => {
-        environment.missingFromSharedLists.delete(endpoint.entry.id);
-      });
-    }
+    const listed = endpoints.all.filter(({ entry }) => !environment.unlisted.has(entry.id));
+    const endpoint = pick(listed);
+    if (kind === 'joins') joinEndpoint();
     if (kind === 'departures') void departEndpoint(endpoint.entry.id);
     if (kind === 'calls') {
       const share = randomBetween(0.05, 1);
@@ -192,6 +191,18 @@
     }
   }
 
+  /** Lists an endpoint that no list has had. It is missing in the shared lists for a while. */
+  function joinEndpoint(): void {
+    const [id] = environment.unlisted;
+    if (id === undefined) return;
+    environment.unlisted.delete(id);
+    environment.missingFromSharedLists.add(id);
+    traceEvent('endpoint joined', { endpoint: id });
+    timer.onAfter(randomBetween(0, MAX_LIST_SHARING_MS), () => {
+      environment.missingFromSharedLists.delete(id);
+    });
+  }
+
   /**
    * Lists an endpoint as leaving, then no more, while it runs on; it returns later. The dispatcher drops
    * the endpoint from the list only after it has listed it as leaving for a while.
@@ -214,8 +225,9 @@
     }
     environment.departing.delete(id);
     environment.departed.delete(id);
-    // A dispatcher has read its list without the endpoint by then.
-    if (awayMs > LIST_INTERVAL_MS) {
+    // While the store is down, dispatchers keep the endpoint, and so do the shared lists.
+    const wasDropped = environment.dropped.delete(id);
+    if (awayMs > LIST_INTERVAL_MS && wasDropped) {
       environment.missingFromSharedLists.add(id);
       timer.onAfter(randomBetween(0, MAX_LIST_SHARING_MS), () => {
         environment.missingFromSharedLists.delete(id);
