--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -92,7 +92,8 @@
   /** Endpoints on which an earlier dispatcher left runs of the job. */
   readonly heldOn?: readonly string[] | undefined;
   /**
-   * Time since the job was submitted to another dispatcher, which was lost without handing it over.
+   * Time since another dispatcher, which was lost without handing the job over, last may have started
+   * tasks of it.
    */
   readonly lostHandoverAgoMs?: number | undefined;
   /** Version of the departing endpoints that the gateway knows; see `DispatcherOptions`. */
--- a/packages/dispatch/src/reconciliation.ts
+++ b/packages/dispatch/src/reconciliation.ts
@@ -11,8 +11,8 @@
  * - A job that may have runs on an endpoint that has left the list waits for the report of that
  *   endpoint as well. If there is none, the job waits until the leases there have expired, or is lost
  *   if its caller does not wait for that long. Other jobs do not wait for such an endpoint.
- * - A job is also lost if another dispatcher received it after this one was created, and was then
- *   lost itself. That dispatcher was disconnected together with its data centre, and may have used
+ * - A job is also lost if another dispatcher had it after this one was created, and was then lost
+ *   itself. That dispatcher was disconnected together with its data centre, and may have used
  *   endpoints that have since left the list here.
  * - Any other job may have been submitted before at another instance. It waits for the first
  *   reports of all endpoints, for at most the same time, and then starts. If the earlier dispatcher
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -49,6 +49,8 @@
     error: ErrorCode;
     /** Answers of the local dispatcher to the next withdrawals; found by default. */
     readonly withdrawals: Withdrawal[];
+    /** When dispatchers last answered a heartbeat. */
+    readonly contacts: Map<string, number>;
     /** How far the local wall clock was set forward. */
     stepMs: number;
     /** Answers requests over a working connection to a dispatcher on another instance. */
@@ -58,6 +60,7 @@
     isLinkLost: false,
     error: ErrorCodes.PEER_SILENT,
     withdrawals: [],
+    contacts: new Map(),
     stepMs: 0,
   };
   /** A connection to another instance on which every request fails. */
@@ -72,6 +75,7 @@
     view: () => state.view,
     isDispatching: () => state.view?.dispatcher.instance === 'a',
     isDispatcherReachable: () => state.view !== undefined,
+    lastContactMs: (incarnation: string) => state.contacts.get(incarnation),
     link: () => {
       const { answer } = state;
       if (answer !== undefined) return { request: answer } as unknown as PeerLink;
@@ -265,6 +269,25 @@
     expect((submissions[0]?.lostHandoverAgoMs ?? 0) >= 10).toEqual(true);
   });
 
+  // Seed 2033 of separatedInstances.spec.ts: a job of 5 s, cut off with its dispatcher, which started a
+  // task after the other data centre had a dispatcher of its own.
+  it('tells the next dispatcher how long ago the lost one was in contact', async () => {
+    const { timer, entry, state, submissions } = createTestEntry([]);
+    const lost = { ...dispatcher, instance: 'b', incarnation: 'b-1' };
+    state.view = { epoch: 1, round: 0, dispatcher: lost };
+    state.answer = async () => {
+      await timer.sleep(1_000);
+      return Result.err(new ProtocolError(ErrorCodes.PEER_SILENT));
+    };
+    void entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(900);
+    state.contacts.set('b-1', timer.nowMs());
+    state.view = { epoch: 2, round: 0, dispatcher };
+    await timer.advance(150);
+    const agoMs = submissions[0]?.lostHandoverAgoMs ?? Infinity;
+    expect(agoMs <= 150).toEqual(true);
+  });
+
   it('does not overstate the time since that handover when the wall clock is set forward', async () => {
     const { timer, entry, state, submissions } = createTestEntry([]);
     const lost = { ...dispatcher, instance: 'b', incarnation: 'b-1' };
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -102,12 +102,17 @@
    * that dispatcher knows may run it.
    */
   isLostWhileDisconnected: boolean;
-  /** The last dispatcher that had the job and gave no answer, and when the job was sent to it. */
-  lostHandover?: { readonly incarnation: string; readonly sentMs: number };
+  lostHandover?: LostHandover;
   /** Endpoints on which earlier dispatchers left runs of the job. */
   readonly heldOn: Set<string>;
 }
 
+/** The last dispatcher that had a job and gave no answer, and when the job was sent to it. */
+interface LostHandover {
+  readonly incarnation: string;
+  readonly sentMs: number;
+}
+
 /**
  * Results of an attempt that call for another one: `TOUCHED` if the attempt may have started the
  * job, `UNTOUCHED` if it cannot have.
@@ -305,7 +310,7 @@
       heldOn: [...heldOn],
       ...(lostHandover === undefined || lostHandover.incarnation === incarnation
         ? {}
-        : { lostHandoverAgoMs: sentMs - lostHandover.sentMs }),
+        : { lostHandoverAgoMs: sentMs - lastActiveMs(openJob, lostHandover) }),
       ...(departuresVersion === undefined ? {} : { departuresVersion }),
       ...(canceller.isCancelled(openJob.job.id) ? { isCancelled: true } : {}),
     };
@@ -334,6 +339,11 @@
     return Retry.TOUCHED;
   }
 
+  /** Returns until when a dispatcher that gave no answer may have started tasks of the job. */
+  function lastActiveMs(openJob: OpenJob, { incarnation, sentMs }: LostHandover): number {
+    return Math.max(sentMs, routeOf(openJob)?.leadership.lastContactMs(incarnation) ?? -Infinity);
+  }
+
   function handleOutcome(openJob: OpenJob, outcome: JobOutcome): Attempt {
     if (outcome.state !== JobStates.MOVED) return outcome;
     for (const endpoint of outcome.heldOn ?? []) openJob.heldOn.add(endpoint);
--- a/packages/instance/__tests__/resubmittedShard.spec.ts
+++ b/packages/instance/__tests__/resubmittedShard.spec.ts
@@ -63,7 +63,12 @@
         weight: 1,
       };
       const view = { epoch: 1, round: 0, dispatcher: member };
-      const leadership = { shard, view: () => view, isDispatching: () => true };
+      const leadership = {
+        shard,
+        view: () => view,
+        isDispatching: () => true,
+        lastContactMs: () => undefined,
+      };
       const fence = () => 1;
       const common = { timer, clock, random, logger, metrics: createMetrics() };
       const network = endpoints.network;
--- a/packages/instance/__tests__/simulatedFleet.ts
+++ b/packages/instance/__tests__/simulatedFleet.ts
@@ -158,6 +158,7 @@
       view: () => views[number]?.view,
       isDispatching: () => false,
       isDispatcherReachable: () => views[number]?.isUnreachable === false,
+      lastContactMs: () => undefined,
       link: () => createLink(views[number] ?? current),
     } as unknown as Leadership;
     timer.onEvery(HEARTBEAT_INTERVAL_MS, () => {
--- a/packages/instance/__tests__/simulatedInstance.ts
+++ b/packages/instance/__tests__/simulatedInstance.ts
@@ -15,6 +15,8 @@
   isListCurrent: boolean;
   /** When the dispatcher last answered a heartbeat, or the view changed. */
   lastContactMs: number;
+  /** When dispatchers last answered a heartbeat, by incarnation. */
+  readonly contacts: Map<string, number>;
   /** When the first heartbeat without an answer was due. */
   unansweredSinceMs: number | undefined;
   /** Since when this instance suspects that the dispatcher has failed. */
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -284,6 +284,7 @@
     view: View,
   ): void {
     if (!areConnected(instance, dispatcher)) return;
+    const sentMs = timer.nowMs();
     sendDocuments(instance, dispatcher, shard);
     const theirView = shardStateOf(dispatcher, shard).view;
     const isStillDispatching = isDispatching(dispatcher, shard);
@@ -299,6 +300,7 @@
         fetchDocuments(instance, dispatcher, shard);
         if (!isStillDispatching || state.view !== view) return;
         state.lastContactMs = timer.nowMs();
+        state.contacts.set(view.dispatcher.incarnation, sentMs);
         state.unansweredSinceMs = undefined;
         state.suspectedSinceMs = undefined;
         state.wasFenced = false;
@@ -379,6 +381,7 @@
       dispatchingSinceMs: Infinity,
       isListCurrent: false,
       lastContactMs: timer.nowMs(),
+      contacts: new Map(),
       unansweredSinceMs: undefined,
       suspectedSinceMs: undefined,
       epochRaisedMs: -Infinity,
@@ -399,6 +402,8 @@
             timer.nowMs() - unansweredSinceMs < HEARTBEAT_OVERDUE_MS
           );
         },
+        lastContactMs: (incarnation: string) =>
+          shardStateOf(instance, shard).contacts.get(incarnation),
         link: () => linkOf(instance, shard),
       }) as unknown as Leadership;
     const entry = createEntry({
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -24,6 +24,7 @@
 } from './candidates.js';
 import type { ReplicatedDocuments } from './replicatedDocuments.js';
 import { createFailureDetector, type HeartbeatTiming } from './failureDetector.js';
+import { createRecentContacts } from './recentContacts.js';
 import type { Members } from './members.js';
 import type { Patience } from './patience.js';
 import type { PeerLinks } from './peerLinks.js';
@@ -98,6 +99,11 @@
    * heartbeat reply is not overdue.
    */
   isDispatcherReachable(): boolean;
+  /**
+   * Returns when the newest heartbeat was sent that a dispatcher has answered, on the monotonic clock;
+   * undefined if it has answered none, or was replaced long ago.
+   */
+  lastContactMs(incarnation: string): number | undefined;
   /** Reports that an endpoint obeys a higher fencing token than that of the current view. */
   handleFenced(): void;
   /** Returns the number of unstarted jobs by team, as last reported by the dispatcher. */
@@ -124,6 +130,7 @@
   const subscribers = new Set<(view: View) => void>();
   let view: View | undefined;
   const detector = createFailureDetector(clock, timer, heartbeat, patience);
+  const contacts = createRecentContacts();
   const stored = createStoredView({
     ...options,
     logger,
@@ -235,6 +242,7 @@
       cancellationsAfter: cancellationsPosition,
     };
     const sentMs = clock.nowMs();
+    const sentMonotonicMs = timer.nowMs();
     detector.recordHeartbeatSent();
     const connectWaitMs = link.failedAttempts() > 0 ? 0 : CONNECT_WAIT_MS;
     openPulses += 1;
@@ -244,6 +252,7 @@
         openPulses -= 1;
       });
     if (reply.isErr || closing.signal.aborted) return;
+    if (reply.value.isDispatching) contacts.record(current.dispatcher.incarnation, sentMonotonicMs);
     if (lastSuspected === current) {
       lastSuspected = undefined;
       patience.recordFalseSuspicion();
@@ -625,6 +634,7 @@
       subscribers.add(subscriber);
     },
     link: () => (view === undefined || isDispatching() ? undefined : links.to(view.dispatcher)),
+    lastContactMs: contacts.lastMs,
     handleFenced() {
       if (view !== undefined && view.round > 0) recordFencedWhileDisconnected(view);
       void raiseFence('an endpoint obeys another dispatcher');
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -193,7 +193,10 @@
       resubmissions: nonNegativeInt,
       /** Endpoints with runs of the job that an earlier dispatcher started. */
       heldOn: z.array(z.string()).optional(),
-      /** Time since the job was sent to another dispatcher that was lost before it replied. */
+      /**
+       * Time since another dispatcher, which was lost before it replied, last may have started tasks of
+       * the job: since it received the job, or since it last answered a heartbeat.
+       */
       lostHandoverAgoMs: durationMs.optional(),
       /**
        * Version of the departing endpoints of the shard that the gateway knows; absent if it knows of
