--- a/packages/instance/__tests__/simulatedInstance.ts
+++ b/packages/instance/__tests__/simulatedInstance.ts
@@ -11,6 +11,8 @@
   view: View | undefined;
   dispatcher: Dispatcher | undefined;
   dispatchingSinceMs: number;
+  /** When the dispatcher first read each endpoint as leaving. */
+  readonly readAsLeavingMs: Map<string, number>;
   /** Whether the dispatcher has read the list of endpoints from the store. */
   isListCurrent: boolean;
   /** When the dispatcher last answered a heartbeat, or the view changed. */
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -184,12 +184,16 @@
     );
     state.isListCurrent = false;
     state.dispatchingSinceMs = timer.nowMs();
+    state.readAsLeavingMs.clear();
     dispatcher.setEndpoints(sharedEntries);
     instance.departures.introduce(shard, dispatcher);
     const readList = () => {
       if (state.dispatcher !== dispatcher || !reachesStore(instance)) return;
       state.isListCurrent = true;
       for (const id of environment.departed) environment.dropped.add(id);
+      for (const { id, isLeaving } of listedEntries(shard))
+        if (isLeaving && !state.readAsLeavingMs.has(id))
+          state.readAsLeavingMs.set(id, timer.nowMs());
       dispatcher.setEndpoints(listedEntries(shard).filter(({ id }) => !environment.lapsed.has(id)));
     };
     timer.onAfter(randomBetween(2, 150), () => {
@@ -379,6 +383,7 @@
       view: undefined,
       dispatcher: undefined,
       dispatchingSinceMs: Infinity,
+      readAsLeavingMs: new Map(),
       isListCurrent: false,
       lastContactMs: timer.nowMs(),
       contacts: new Map(),
@@ -468,13 +473,23 @@
     running: () => [...running.values()],
     startInstance,
     dispatcherOf: (shard: number) => dispatcherInstanceOf(stored[shard]),
-    /** Whether the dispatcher of each shard has run since the given time, and reaches the store. */
-    haveDispatchedSince: (sinceMs: number) =>
+    /**
+     * Whether the dispatcher of each shard has run since the given time and reaches the store, and that of
+     * the endpoint's shard has read it as leaving since then.
+     */
+    haveReadAsLeavingSince: (id: string, sinceMs: number) =>
       stored.every((view, shard) => {
         const instance = dispatcherInstanceOf(view);
         if (instance === undefined || !reachesStore(instance)) return false;
-        return shardStateOf(instance, shard).dispatchingSinceMs <= sinceMs;
+        const { dispatchingSinceMs, readAsLeavingMs } = shardStateOf(instance, shard);
+        if (dispatchingSinceMs > sinceMs) return false;
+        const isOfShard = options.entriesOf(shard).some((entry) => entry.id === id);
+        return !isOfShard || (readAsLeavingMs.get(id) ?? Infinity) <= sinceMs;
       }),
+    forgetLeaving(id: string): void {
+      for (const { shardStates } of running.values())
+        for (const { readAsLeavingMs } of shardStates) readAsLeavingMs.delete(id);
+    },
     loseConnections,
     kill(instance: SimulatedInstance, noticedWithinMs: number): void {
       if (!isRunning(instance)) return;
--- a/packages/instance/__tests__/simulatedPartitions.ts
+++ b/packages/instance/__tests__/simulatedPartitions.ts
@@ -34,6 +34,8 @@
 const MAX_DEPARTURE_MS = 1_500;
 /** An endpoint that is not dropped by then returns. */
 const MAX_LEAVING_MS = 3_000;
+/** How long a dispatcher has read an endpoint as leaving before it drops it. */
+const LEAVING_MS = 350;
 const DEPARTURE_CHECK_MS = 50;
 /** Longer than the interval at which dispatchers read their lists. */
 const LIST_INTERVAL_MS = 450;
@@ -215,7 +217,7 @@
     await timer.sleep(randomBetween(MIN_DEPARTURE_MS, MAX_DEPARTURE_MS));
     const isListedAsLeaving = () =>
       timer.nowMs() - sinceMs > MAX_LEAVING_MS ||
-      fleet.haveDispatchedSince(timer.nowMs() - MIN_DEPARTURE_MS);
+      fleet.haveReadAsLeavingSince(id, timer.nowMs() - LEAVING_MS);
     while (!isListedAsLeaving()) await timer.sleep(DEPARTURE_CHECK_MS);
     const awayMs = timer.nowMs() - sinceMs <= MAX_LEAVING_MS ? randomBetween(100, 2_500) : 0;
     if (awayMs > 0) {
@@ -225,6 +227,7 @@
     }
     environment.departing.delete(id);
     environment.departed.delete(id);
+    fleet.forgetLeaving(id);
     // While the store is down, dispatchers keep the endpoint, and so do the shared lists.
     const wasDropped = environment.dropped.delete(id);
     if (awayMs > LIST_INTERVAL_MS && wasDropped) {
