--- a/packages/dispatch/__tests__/longJobYield.spec.ts
+++ b/packages/dispatch/__tests__/longJobYield.spec.ts
@@ -1,5 +1,9 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { RunStates, type Run, type RunState } from '@celerybarrow/endpoints';
+import type { LeasedJob } from '@celerybarrow/protocol';
+import { createJobRecord } from '../src/jobRecord.js';
+import { findLongJobs } from '../src/longJobs.js';
 import { createLongJobYield, type LongJob } from '../src/longJobYield.js';
 
 interface NamedJob {
@@ -69,3 +73,32 @@
     expect(ended).toEqual(['a', 'b']);
   });
 });
+
+describe('the room that a long job holds', () => {
+  const DEMAND = { cores: 4, memoryMb: 1, accelerators: 0 };
+
+  function createRecord(states: RunState[]) {
+    const job: LeasedJob = {
+      ...{ id: 'j', team: 't', service: 's', priority: 1, maxAttempts: 2, payload: '' },
+      ...{ objectiveStretch: 1.6, objectiveAllowanceMs: 60, ageMs: 0, remainingMs: 5_000 },
+      steps: [{ tasks: states.length, demand: DEMAND, estimateMs: 200, after: [] }],
+    };
+    const origin = { arrivedMs: 0, criticalPathMs: 100, firstRun: 1, mayHaveRun: false };
+    const record = createJobRecord(job, 'g', origin, () => undefined);
+    states.forEach((state, index) => {
+      const task = record.tasks[index];
+      if (task !== undefined) task.run = { state, demand: DEMAND, sentMs: 0, number: index } as Run;
+    });
+    return record;
+  }
+
+  it('is that of its runs that go on, not of those that are in doubt or stalled', () => {
+    const { RUNNING, IN_DOUBT } = RunStates;
+    const record = createRecord([RUNNING, IN_DOUBT, RUNNING]);
+    const [found] = findLongJobs([record], 100, {
+      isLong: () => true,
+      expectedEndInMs: ({ number }) => (number === 2 ? Infinity : 300),
+    });
+    expect([found?.cores, found?.workDone, found?.workLeft]).toEqual([4, 400, 1_200]);
+  });
+});
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -498,8 +498,8 @@
   /** Returns the long jobs that run; finds them once for each placement pass. */
   function longJobs(): readonly LongJob<JobRecord>[] {
     longJobsOfPass ??= findLongJobs(jobs.values(), clock.nowMs(), {
-      placer,
       isLong: runLengths.isLong,
+      expectedEndInMs: placer.expectedEndInMs,
     });
     return longJobsOfPass.filter(({ job }) => job.outcome === undefined);
   }
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -78,8 +78,8 @@
   freeCapacity(record: JobRecord): FreeCapacity;
   /** Returns the core-milliseconds of the tasks of a job that have not started, in thousandths. */
   workLeft(record: JobRecord): number;
-  /** Returns the core-milliseconds that the runs of a job have left by their progress, in thousandths. */
-  runningWorkLeft(record: JobRecord, nowMs: number): number;
+  /** Returns the time until a run is expected to end by its progress; infinite if that is unknown. */
+  expectedEndInMs(run: Run, nowMs: number): number;
   /** Returns the core-milliseconds of a whole job, in thousandths. */
   totalWork(job: LeasedJob): number;
   /** Returns the expected time of the critical path of steps on an endpoint of usual speed. */
@@ -335,10 +335,7 @@
     plan,
     isStartLimited: (controller) => controller.startsInFlight() >= MAX_STARTS_IN_FLIGHT,
     workLeft: workLeftOf,
-    runningWorkLeft: ({ tasks }, nowMs) =>
-      tasks.reduce((sum, { run }) => {
-        return run === undefined ? sum : sum + run.demand.cores * expectedEndInMs(run, nowMs);
-      }, 0),
+    expectedEndInMs,
     totalWork: (job) =>
       job.steps.reduce((sum, { tasks, demand }, step) => {
         return sum + tasks * demand.cores * baseMs(job, step);
