--- a/packages/scenarios/src/fleet.ts
+++ b/packages/scenarios/src/fleet.ts
@@ -4,7 +4,7 @@
  * addresses: a link can identify the sender of a connection, and concurrent scenarios never share
  * ports.
  */
-import { spawn, type ChildProcess } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
 import { createWriteStream } from 'node:fs';
 import { once } from 'node:events';
 import { join } from 'node:path';
@@ -18,6 +18,7 @@
   type PlatformStandin,
 } from '@celerybarrow/standins';
 import { isHealthy, waitUntil } from './conditions.js';
+import { startDetached } from './detachedProcess.js';
 import { startEndpoint, type FleetEndpoint } from './fleetEndpoint.js';
 import { createLogTail } from './logTail.js';
 import type { Scenario } from './scenarioSchema.js';
@@ -198,9 +199,11 @@
       'drain-grace-ms': '300',
     };
     const argv = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, value]);
-    const started = spawn(process.execPath, [DAEMON, ...argv, ...(options.extraFlags ?? [])], {
-      stdio: ['ignore', 'inherit', isStderrPiped ? 'pipe' : 'ignore'],
-    });
+    const started = startDetached(
+      process.execPath,
+      [DAEMON, ...argv, ...(options.extraFlags ?? [])],
+      ['ignore', 'inherit', isStderrPiped ? 'pipe' : 'ignore'],
+    );
     if (started.stderr !== null) logTail.follow(started.stderr);
     if (options.logFolder !== undefined) {
       started.stderr?.pipe(
