--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -197,6 +197,7 @@
   let areJobsHeldByLink = false;
   /** Whether endpoints were left out of the last pass until their open starts are answered. */
   let wereStartsLimited = false;
+  /** The long jobs that run, once a placement pass has looked for them. */
   let longJobsOfPass: readonly LongJob<JobRecord>[] | undefined;
   let hasEvacuatedEndpoints = false;
   /** Whether a job can start nowhere because of an evacuation, by the current list of endpoints. */
@@ -458,6 +459,8 @@
       return false;
     };
     for (const planned of placer.plan(waiting, nowMs, mayStart)) {
+      // A long job may have ended in this pass, to make room for a job before it in the queue.
+      if (planned.record.outcome !== undefined) continue;
       const linkWaitMs = linkWaitsMs.get(planned.record);
       const starts = planned.starts.filter((start) => startTask(planned.record, start));
       if (starts.length > 0) logPlacement({ ...planned, starts }, nowMs);
