--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -270,15 +270,16 @@
     await advance(100);
     submit(job('refused', { remainingMs: 100 }));
     await advance(200);
-    const line = lines.find(
-      ({ sentence, context }) => sentence === 'Job has ended.' && context['job'] === 'refused',
-    );
-    const { state, started, done, coreMs, freeEndpoints, usableEndpoints, priority } =
-      line?.context ?? {};
+    const contextOf = (title: string) =>
+      lines.find(({ sentence, context }) => sentence === title && context['job'] === 'refused')
+        ?.context;
+    const { state, coreMs, priority } = contextOf('Job has ended.') ?? {};
+    const unserved = contextOf('Job was not served.');
+    const { started, done, freeEndpoints, usableEndpoints } = unserved ?? {};
     expect([state, started, done, priority]).toEqual([JobStates.REFUSED, 0, 0, 1]);
     expect([coreMs, freeEndpoints, usableEndpoints]).toEqual([200, 0, 1]);
-    expect(typeof line?.context['expectedWaitMs']).toEqual('number');
-    expect(typeof line?.context['aheadCoreMs']).toEqual('number');
+    expect(typeof unserved?.['expectedWaitMs']).toEqual('number');
+    expect(typeof unserved?.['aheadCoreMs']).toEqual('number');
     expect(metrics.counters()['outcome-by-size/t/unknown/refused']).toEqual(1);
   });
 
--- a/packages/dispatch/src/describeOutcome.ts
+++ b/packages/dispatch/src/describeOutcome.ts
@@ -1,11 +1,11 @@
 /**
- * Log context and counter of a job that has ended: its size, its starts, its last estimate, and whether
+ * Log contexts and counter of a job that has ended: its size, its starts, its last estimate, and whether
  * a job that was not served was too long for its caller.
  */
 import { JobStates, type JobOutcome } from '@celerybarrow/protocol';
 import type { LogContext } from '@celerybarrow/telemetry';
 import { longestTaskMs } from './jobLength.js';
-import type { JobRecord } from './jobRecord.js';
+import { describeRuns, type JobRecord } from './jobRecord.js';
 import type { FreeCapacity } from './placer.js';
 
 /** Why a job expired, as far as its runs have shown. */
@@ -34,11 +34,20 @@
   return deadlineMs - arrivedMs;
 }
 
-export function describeWork(record: JobRecord) {
+/** Returns the log context of a job that has ended, whatever its outcome. */
+export function describeEnd(record: JobRecord, outcome: JobOutcome, nowMs: number): LogContext {
   const { job, size, work, firstStartMs, lastStartMs, arrivedMs, tasks } = record;
   const afterArrival = (ms: number | undefined) =>
     ms === undefined ? undefined : Math.round(ms - arrivedMs);
   return {
+    job: job.id,
+    team: job.team,
+    state: outcome.state,
+    reason: outcome.reason,
+    tookMs: Math.round(nowMs - arrivedMs),
+    slackMs: Math.round(record.objectiveMs - nowMs),
+    tasks: tasks.length,
+    gateway: record.gateway,
     priority: job.priority,
     size,
     coreMs: Math.round(work / 1_000),
@@ -53,12 +62,14 @@
 }
 
 /**
- * Returns the log context that explains an unserved job: its last estimate and the free capacity.
+ * Returns the log context that explains an unserved job: its last estimate and the free capacity. It is
+ * a line of its own, since both contexts together exceed the length of a log line.
  */
 export function describeUnserved(record: JobRecord, free: FreeCapacity, nowMs: number): LogContext {
   const { tasks, lastEstimate, lengthSamples } = record;
   const factors = [...lengthSamples.values()].map((sample) => sample.factor);
   return {
+    job: record.job.id,
     started: tasks.filter((task) => task.isDone || task.endpoint !== undefined).length,
     done: tasks.filter((task) => task.isDone).length,
     expectedWaitMs: roundedOrNone(lastEstimate?.waitMs),
@@ -72,6 +83,7 @@
     freeSlowness: free.slowness === undefined ? undefined : Number(free.slowness.toFixed(2)),
     usableEndpoints: free.usable,
     listedEndpoints: free.listed,
+    runs: describeRuns(record),
   };
 }
 
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -39,7 +39,7 @@
 import { createEndpointPool } from './endpointPool.js';
 import { describeDepartures, findDepartures } from './departures.js';
 import { createInheritedEndpoints } from './inheritedEndpoints.js';
-import { describeUnserved, describeWork, outcomeName } from './describeOutcome.js';
+import { describeEnd, describeUnserved, outcomeName } from './describeOutcome.js';
 import { createEndpointHealth } from './endpointHealth.js';
 import { createGatewayLeases } from './gatewayLeases.js';
 import {
@@ -712,23 +712,11 @@
     record.answer(outcome);
     const nowMs = clock.nowMs();
     const { id, team } = record.job;
-    logger.info('Job has ended.', {
-      job: id,
-      team,
-      state: outcome.state,
-      reason: outcome.reason,
-      tookMs: Math.round(nowMs - record.arrivedMs),
-      slackMs: Math.round(record.objectiveMs - nowMs),
-      tasks: record.tasks.length,
-      gateway: record.gateway,
-      ...describeWork(record),
-      ...(outcome.state === JobStates.COMPLETED
-        ? {}
-        : {
-            ...describeUnserved(record, placer.freeCapacity(record), nowMs),
-            runs: describeRuns(record),
-          }),
-    });
+    logger.info('Job has ended.', describeEnd(record, outcome, nowMs));
+    if (outcome.state !== JobStates.COMPLETED) {
+      const free = placer.freeCapacity(record);
+      logger.info('Job was not served.', describeUnserved(record, free, nowMs));
+    }
     metrics.increment(`outcome/${outcome.state}`);
     metrics.increment(`outcome-by-size/${team}/${record.size}/${outcomeName(record, outcome)}`);
     if (outcome.state === JobStates.COMPLETED && nowMs > record.objectiveMs)
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -162,17 +162,20 @@
   return [...new Set(endpoints)].filter((endpoint) => endpoint !== undefined);
 }
 
+/** Maximum number of runs that a log line names; a job can have thousands. */
+const MAX_NAMED_RUNS = 4;
+
 /**
  * Describes the runs of a job that have not terminated, for the log; undefined if there are none.
  */
 export function describeRuns({ tasks }: JobRecord): string | undefined {
   const open = tasks.filter(({ run }) => run !== undefined);
   if (open.length === 0) return undefined;
-  return open
-    .map((task) => {
-      const isStopping = task.run?.state === RunStates.STOPPING;
-      const label = `${task.ref.step}/${task.ref.index}@${task.endpoint ?? ''}${runSuffix(task)}`;
-      return isStopping ? `${label} stopping` : label;
-    })
-    .join(' ');
+  const named = open.slice(0, MAX_NAMED_RUNS).map((task) => {
+    const isStopping = task.run?.state === RunStates.STOPPING;
+    const label = `${task.ref.step}/${task.ref.index}@${task.endpoint ?? ''}${runSuffix(task)}`;
+    return isStopping ? `${label} stopping` : label;
+  });
+  const unnamed = open.length - named.length;
+  return [...named, ...(unnamed > 0 ? [`+${unnamed}`] : [])].join(' ');
 }
