--- a/packages/dispatch/__tests__/loadedPool.ts
+++ b/packages/dispatch/__tests__/loadedPool.ts
@@ -43,8 +43,8 @@
   readonly deadlineMs?: number;
   /** Time that a job has, if it depends on the job. */
   readonly deadlineMsOf?: (job: SimulatedJob) => number;
-  /** Time in which a job has to start; as long as it has by default. */
-  readonly startTimeoutMs?: number;
+  /** Longest expected wait with which a job is not refused; as long as it has by default. */
+  readonly maxWaitMs?: number;
   readonly fault?: EndpointFault;
   /** Tasks that slow each other down, which excludes a fault; none by default. */
   readonly noise?: Noise;
@@ -191,7 +191,7 @@
   { id, tasks, estimateMs }: SimulatedJob,
   kind: JobKind,
   remainingMs: number,
-  startTimeoutMs: number | undefined,
+  maxWaitMs: number | undefined,
 ): LeasedJob {
   const demand = { cores: CORES_PER_TASK, memoryMb: 64, accelerators: 0 };
   return {
@@ -206,7 +206,7 @@
     steps: [{ tasks, demand, estimateMs, after: [] }],
     ageMs: 0,
     remainingMs,
-    startTimeoutMs,
+    maxWaitMs,
   };
 }
 
@@ -279,7 +279,7 @@
     }
     const remainingMs = load.deadlineMsOf?.(simulatedJob) ?? deadlineMs;
     endsMs = Math.max(endsMs, submittedMs - openedMs + remainingMs);
-    const job = jobOf(simulatedJob, kind, remainingMs, load.startTimeoutMs);
+    const job = jobOf(simulatedJob, kind, remainingMs, load.maxWaitMs);
     void dispatcher.submit({ job, gateway: 'g', resubmissions: 0 }).then((outcome) => {
       simulatedJob.outcome = outcome;
       simulatedJob.endedMs = timer.nowMs();
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -491,12 +491,12 @@
     }
     const hasFreeCapacity =
       (planned.hasFreeCapacity && !isHeldByLink) || nowMs - createdMs < RECONCILIATION_TIMEOUT_MS;
-    const { deadlineMs, arrivedMs, startByMs } = record;
+    const { deadlineMs, arrivedMs, maxWaitMs } = record;
     const job = {
       nowMs,
       deadlineMs,
       arrivedMs,
-      startByMs,
+      maxWaitMs,
       waitMs,
       runMs,
       makespanMs,
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -30,8 +30,8 @@
   leasedSinceMs: number;
   readonly arrivedMs: number;
   deadlineMs: number;
-  /** When the job has to start at the latest. */
-  readonly startByMs: number;
+  /** Longest expected wait for its start with which the job is not refused. */
+  readonly maxWaitMs: number;
   readonly objectiveMs: number;
   /**
    * Expected time of the critical path of steps, from the estimates and earlier runs of the team.
@@ -113,7 +113,8 @@
     leasedSinceMs: options.arrivedMs,
     arrivedMs: options.arrivedMs,
     deadlineMs,
-    startByMs: job.startTimeoutMs === undefined ? deadlineMs : createdMs + job.startTimeoutMs,
+    // A job that may have run can't be refused truthfully, so it waits for as long as its caller.
+    maxWaitMs: options.mayHaveRun ? job.remainingMs : (job.maxWaitMs ?? job.remainingMs),
     objectiveMs:
       createdMs + job.objectiveStretch * options.criticalPathMs + job.objectiveAllowanceMs,
     criticalPathMs: options.criticalPathMs,
--- a/packages/dispatch/src/placer.ts
+++ b/packages/dispatch/src/placer.ts
@@ -243,12 +243,12 @@
       const waitMs = Math.max(waitWithinPriorityMs, waitBehindAllMs);
       // A job that can no longer meet its objective, or would be refused, accepts any endpoint on
       // which it still ends before its deadline.
-      const { arrivedMs, deadlineMs, startByMs } = record;
+      const { arrivedMs, deadlineMs, maxWaitMs } = record;
       const job = {
         nowMs,
         arrivedMs,
         deadlineMs,
-        startByMs,
+        maxWaitMs,
         waitMs,
         runMs: fastestRunMs,
         makespanMs,
--- a/packages/dispatch/src/refusal.ts
+++ b/packages/dispatch/src/refusal.ts
@@ -8,15 +8,15 @@
  * never refused.
  *
  * Load pattern: callers wait for several seconds. A queue that is as long as they wait would serve most
- * jobs late, and lets work of less use hold the endpoints. A job is refused as well if it is not
- * expected to start within the timeout of its queue.
+ * jobs late, and lets work of less use hold the endpoints. A job is refused as well if it is expected
+ * to wait for longer than the timeout of its queue.
  */
 import type { Random } from '@celerybarrow/shared';
 
 /**
- * Share of the time to a limit that an expected start or end may use; the rest covers estimate errors.
+ * Share of the time to the deadline that an expected end may use; the rest covers estimate errors.
  */
-const USABLE_SHARE = 0.95;
+const USABLE_DEADLINE_SHARE = 0.95;
 const MIN_RETRY_MS = 1_000;
 /** Spreads the retries of refused callers over this share of the drain time to avoid a burst. */
 const RETRY_SPREAD = 0.5;
@@ -35,19 +35,18 @@
   readonly nowMs: number;
   readonly deadlineMs: number;
   readonly arrivedMs: number;
-  /** When the job has to start at the latest. */
-  readonly startByMs: number;
+  /** Longest expected wait for its start with which it is not refused. */
+  readonly maxWaitMs: number;
   /** Whether there is free capacity for it now. */
   readonly hasFreeCapacity: boolean;
 }
 
-/** Whether the job is expected to start or end too late and has to be refused. */
+/** Whether the job is expected to wait too long or to end too late, and has to be refused. */
 export function isRefused(job: WaitingJob): boolean {
   if (job.hasFreeCapacity) return false;
-  const { nowMs, arrivedMs, deadlineMs, startByMs, waitMs } = job;
-  const isBeyond = (expectedMs: number, limitMs: number) =>
-    expectedMs > arrivedMs + (limitMs - arrivedMs) * USABLE_SHARE;
-  return isBeyond(nowMs + expectedEndInMs(job), deadlineMs) || isBeyond(nowMs + waitMs, startByMs);
+  const { nowMs, arrivedMs, deadlineMs, waitMs, maxWaitMs } = job;
+  const usableMs = (deadlineMs - arrivedMs) * USABLE_DEADLINE_SHARE;
+  return waitMs > maxWaitMs || nowMs + expectedEndInMs(job) > arrivedMs + usableMs;
 }
 
 /**
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -53,10 +53,10 @@
   /** Time left until the caller stops waiting. */
   remainingMs: durationMs,
   /**
-   * Time in which the job has to start, from when the gateway read the caller's request. Without it,
-   * the job may wait for as long as its caller does.
+   * Longest wait for free capacity with which the job is not refused. Without it, the job may wait for
+   * as long as its caller does.
    */
-  startTimeoutMs: durationMs.positive().optional(),
+  maxWaitMs: durationMs.positive().optional(),
 });
 
 export const JobStates = {
