--- a/packages/dispatch/src/describeOutcome.ts
+++ b/packages/dispatch/src/describeOutcome.ts
@@ -8,6 +8,9 @@
 import { describeRuns, type JobRecord } from './jobRecord.js';
 import type { FreeCapacity } from './placer.js';
 
+/** Maximum number of runs that a log line names; a job can have thousands. */
+const MAX_NAMED_RUNS = 4;
+
 /** Why a job expired, as far as its runs have shown. */
 export const ExpiryCauses = {
   /** Its longest task takes longer than the job had, so that no order of starts could serve it. */
@@ -83,7 +86,7 @@
     freeSlowness: free.slowness === undefined ? undefined : Number(free.slowness.toFixed(2)),
     usableEndpoints: free.usable,
     listedEndpoints: free.listed,
-    runs: describeRuns(record),
+    runs: describeRuns(record, MAX_NAMED_RUNS),
   };
 }
 
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -103,7 +103,6 @@
   answer: (outcome: JobOutcome) => void,
 ): JobRecord {
   const createdMs = options.arrivedMs - job.ageMs;
-  const deadlineMs = options.arrivedMs + job.remainingMs;
   const tasks = job.steps.flatMap((step, number) =>
     tasksOf(job.id, step, number, options.firstRun),
   );
@@ -112,7 +111,7 @@
     gateway,
     leasedSinceMs: options.arrivedMs,
     arrivedMs: options.arrivedMs,
-    deadlineMs,
+    deadlineMs: options.arrivedMs + job.remainingMs,
     // A job that may have run can't be refused truthfully, so it waits for as long as its caller.
     maxWaitMs: options.mayHaveRun ? job.remainingMs : (job.maxWaitMs ?? job.remainingMs),
     objectiveMs:
@@ -167,16 +166,14 @@
   return [...new Set(endpoints)].filter((endpoint) => endpoint !== undefined);
 }
 
-/** Maximum number of runs that a log line names; a job can have thousands. */
-const MAX_NAMED_RUNS = 4;
-
 /**
- * Describes the runs of a job that have not terminated, for the log; undefined if there are none.
+ * Describes the runs of a job that have not terminated, for the log; undefined if there are none. Only
+ * the first `limit` runs are named, and the others are counted.
  */
-export function describeRuns({ tasks }: JobRecord): string | undefined {
+export function describeRuns({ tasks }: JobRecord, limit = Infinity): string | undefined {
   const open = tasks.filter(({ run }) => run !== undefined);
   if (open.length === 0) return undefined;
-  const named = open.slice(0, MAX_NAMED_RUNS).map((task) => {
+  const named = open.slice(0, limit).map((task) => {
     const isStopping = task.run?.state === RunStates.STOPPING;
     const label = `${task.ref.step}/${task.ref.index}@${task.endpoint ?? ''}${runSuffix(task)}`;
     return isStopping ? `${label} stopping` : label;
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -56,7 +56,7 @@
    * Longest wait for free capacity with which the job is not refused. Without it, the job may wait for
    * as long as its caller does.
    */
-  maxWaitMs: durationMs.positive().optional(),
+  maxWaitMs: durationMs.nonnegative().optional(),
 });
 
 export const JobStates = {
