test(instance): simulate short cuts, one-way cuts and late messages with the real time limits

The simulation could not show it: it had the heartbeat timeout of several shards (460 ms) for one shard as well (330 ms), cut both ways for 300 to 4,500 ms, lost what was on its way, and left no task waiting.

- The heartbeat timing comes from leadership, whose two constants are now exported; no logic is changed.
The first reply has its own limit.
- New kinds: shortCuts, oneWayCuts, lateMessages (connections stay open in a cut, and its messages arrive after it in order) and waitingTasks.
They draw from random numbers of their own.
The earlier kinds are listed as LongFaultKinds, and the earlier test of any fault keeps those.
A job that is answered as lost after its caller has left counts as `lostUnseen`.

--- a/packages/instance/__tests__/simulatedEndpoints.ts
+++ b/packages/instance/__tests__/simulatedEndpoints.ts
@@ -74,6 +74,8 @@
 /** A process that calls endpoints. */
 export interface CallingProcess {
   reaches(endpoint: string): boolean;
+  /** Whether the answers of the endpoint arrive; as `reaches` if absent. */
+  hears?(endpoint: string): boolean;
   /** Runs a timeout by the timer of the process. */
   onTimeout(delayMs: number, subscriber: () => void): void;
   /** Delivers an answer when the process is able to read it. */
@@ -240,6 +242,8 @@
           resolve(Result.err(new EndpointError(ErrorCodes.ENDPOINT_SILENT)));
         };
         const isUnreachable = () => control.isUnreachable || !from.reaches(id);
+        const isUnheard = () =>
+          control.isUnreachable || !(from.hears === undefined ? from.reaches(id) : from.hears(id));
         from.onTimeout(timeoutMs, timeOut);
         if (isLost) return;
         timer.onAfter(requestMs, () => {
@@ -248,13 +252,13 @@
           if (!isUp) return;
           const bornBefore = bornMs;
           void Promise.resolve(execute()).then((value) => {
-            if (isLate || isAnswerLost || isUnreachable()) return;
+            if (isLate || isAnswerLost || isUnheard()) return;
             if (!isUp || bornBefore !== bornMs) {
               from.receive(timeOut);
               return;
             }
             timer.onAfter(replyMs, () => {
-              if (!isUnreachable()) {
+              if (!isUnheard()) {
                 from.receive(() => {
                   resolve(Result.ok(value));
                 });
--- a/packages/instance/__tests__/simulatedInstance.ts
+++ b/packages/instance/__tests__/simulatedInstance.ts
@@ -4,6 +4,7 @@
 import type { ReplicatedDocuments } from '@celerybarrow/leadership';
 import type { View } from '@celerybarrow/protocol';
 import type { DepartureSharing } from '../src/shareDepartures.js';
+import type { OneWayCut } from './simulatedCuts.js';
 import type { SimulatedHost } from './simulatedHost.js';
 
 /** The state of one shard from the point of view of one instance. */
@@ -17,6 +18,8 @@
   isListCurrent: boolean;
   /** When the dispatcher last answered a heartbeat, or the view changed. */
   lastContactMs: number;
+  /** Whether the dispatcher has answered a heartbeat under the view. */
+  hasContact: boolean;
   /** When dispatchers last answered a heartbeat, by incarnation. */
   readonly contacts: Map<string, number>;
   /** When the first heartbeat without an answer was due. */
@@ -30,6 +33,14 @@
   wasFenced: boolean;
 }
 
+/** The request that a gateway sends to its dispatcher, as it was when it was sent. */
+export interface Heartbeat {
+  readonly gateway: string;
+  readonly view: View;
+  /** Versions of the documents that the gateway has. */
+  readonly versions: Readonly<Record<string, number>>;
+}
+
 export interface SimulatedInstance {
   readonly name: string;
   readonly zone: string;
@@ -49,6 +60,7 @@
 export interface SimulatedEnvironment {
   /** The data centre that is isolated from the other one. */
   isolatedZone: string | undefined;
+  oneWayCut: OneWayCut | undefined;
   /** Whether the isolated data centre cannot reach the store either. */
   isZoneWithoutStore: boolean;
   isStoreDown: boolean;
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -12,6 +12,8 @@
   createReplicatedDocuments,
   fenceOf,
   isNewer,
+  MANY_SHARDS_HEARTBEAT,
+  ONE_SHARD_HEARTBEAT,
   type Leadership,
 } from '@celerybarrow/leadership';
 import type { LeasedJob, PeerLink, View } from '@celerybarrow/protocol';
@@ -20,13 +22,20 @@
 import { createElapsedClock, type ManualTimer } from '@celerybarrow/timer';
 import { createDepartureSharing } from '../src/shareDepartures.js';
 import type { CallingProcess } from './simulatedEndpoints.js';
+import { createSimulatedConnections } from './simulatedConnections.js';
+import { isCut, isInside } from './simulatedCuts.js';
 import { createSimulatedHost, type SimulatedHost } from './simulatedHost.js';
-import type { ShardState, SimulatedInstance, SimulatedEnvironment } from './simulatedInstance.js';
+import type {
+  Heartbeat,
+  ShardState,
+  SimulatedInstance,
+  SimulatedEnvironment,
+} from './simulatedInstance.js';
 import { createSimulatedLink } from './simulatedLink.js';
 
-const HEARTBEAT_INTERVAL_MS = 220;
-const HEARTBEAT_TIMEOUT_MS = 460;
 const HEARTBEAT_OVERDUE_MS = 100;
+/** A heartbeat without a reply is pending for this time. */
+const HEARTBEAT_REQUEST_TIMEOUT_MS = 3_000;
 const ISOLATED_TAKEOVER_MS = 1_200;
 const EPOCH_RAISE_INTERVAL_MS = 300;
 const MISSING_DISPATCHER_MS = 1_500;
@@ -35,6 +44,10 @@
   readonly timer: ManualTimer;
   readonly random: Random;
   readonly logger: Logger;
+  /** Random numbers for what a fleet without late messages has as well. */
+  readonly connectionRandom: Random;
+  /** Whether connections stay open in a cut, and messages sent in it arrive after it. */
+  readonly holdsMessages: boolean;
   readonly shards: number;
   readonly networkOf: (from: CallingProcess) => EndpointNetwork;
   /** Returns all endpoints of a shard. */
@@ -49,6 +62,7 @@
   const chance = (probability: number) => random.next() < probability;
   const environment: SimulatedEnvironment = {
     isolatedZone: undefined,
+    oneWayCut: undefined,
     isZoneWithoutStore: true,
     isStoreDown: false,
     lapsed: new Set(),
@@ -62,17 +76,27 @@
   const running = new Map<string, SimulatedInstance>();
   const onConnectionLoss = new Set<() => void>();
   let startCount = 0;
+  const heartbeat = shards > 1 ? MANY_SHARDS_HEARTBEAT : ONE_SHARD_HEARTBEAT;
 
   const isRunning = (instance: SimulatedInstance) => running.get(instance.name) === instance;
+  const canSend = (from: SimulatedInstance, to: SimulatedInstance) =>
+    from === to ||
+    (!from.isIsolated &&
+      !to.isIsolated &&
+      (environment.isolatedZone === undefined || from.zone === to.zone) &&
+      !isCut(environment.oneWayCut, from, to));
   const areConnected = (instance: SimulatedInstance, other: SimulatedInstance) =>
-    instance === other ||
-    (!instance.isIsolated &&
-      !other.isIsolated &&
-      (environment.isolatedZone === undefined || instance.zone === other.zone));
+    canSend(instance, other) && canSend(other, instance);
+  const connections = createSimulatedConnections({ ...options, canSend, isRunning });
+  const isCutOffStore = (instance: SimulatedInstance) => {
+    const { oneWayCut } = environment;
+    return oneWayCut?.isWithoutStore === true && isInside(oneWayCut, instance);
+  };
   const reachesStore = (instance: SimulatedInstance) =>
     !instance.isIsolated &&
     !environment.isStoreDown &&
     !instance.isStoreUnreachable &&
+    !isCutOffStore(instance) &&
     !(environment.isZoneWithoutStore && environment.isolatedZone === instance.zone);
   const others = (instance: SimulatedInstance) =>
     [...running.values()].filter((other) => other !== instance);
@@ -109,6 +133,7 @@
     if (view === undefined || !isRunning(instance) || !isNewer(view, state.view)) return;
     state.view = view;
     state.lastContactMs = timer.nowMs();
+    state.hasContact = false;
     state.unansweredSinceMs = undefined;
     state.suspectedSinceMs = undefined;
     const { epoch, round, dispatcher } = view;
@@ -146,15 +171,25 @@
       );
   }
 
+  /** Whether messages to an endpoint, or those from it, are cut. */
+  function isEndpointCut(instance: SimulatedInstance, id: string, isToEndpoint: boolean): boolean {
+    const { isolatedZone, oneWayCut } = environment;
+    const zone = options.zoneOf(id);
+    if (instance.isIsolated || (isolatedZone !== undefined && zone !== instance.zone)) return true;
+    if (oneWayCut?.coversEndpoints !== true) return false;
+    const endpoint = { name: id, zone };
+    return isToEndpoint
+      ? isCut(oneWayCut, instance, endpoint)
+      : isCut(oneWayCut, endpoint, instance);
+  }
+
   function startDispatcher(instance: SimulatedInstance, shard: number): Dispatcher {
     const state = shardStateOf(instance, shard);
     const clock = createElapsedClock(instance.host.timer);
     const dispatcher = createDispatcher({
       network: options.networkOf({
-        reaches: (id) =>
-          isRunning(instance) &&
-          !instance.isIsolated &&
-          (environment.isolatedZone === undefined || options.zoneOf(id) === instance.zone),
+        reaches: (id) => isRunning(instance) && !isEndpointCut(instance, id, true),
+        hears: (id) => isRunning(instance) && !isEndpointCut(instance, id, false),
         onTimeout: (delayMs, subscriber) => instance.host.timer.onTimeout(delayMs, subscriber),
         receive: (read) => {
           instance.host.receive(read);
@@ -271,39 +306,37 @@
       return;
     }
     state.unansweredSinceMs ??= timer.nowMs();
-    if (areConnected(instance, dispatcher)) {
-      timer.onAfter(randomBetween(0.3, 3), () => {
-        dispatcher.host.receive(() => {
-          handleHeartbeat(instance, dispatcher, shard, view);
-        });
-      });
-    }
-    if (timer.nowMs() - state.lastContactMs > HEARTBEAT_TIMEOUT_MS) suspect(instance, shard);
+    sendHeartbeat(instance, dispatcher, shard, view);
+    const timeoutMs = state.hasContact ? heartbeat.timeoutMs : heartbeat.firstReplyTimeoutMs;
+    if (timer.nowMs() - state.lastContactMs > timeoutMs) suspect(instance, shard);
   }
 
-  function handleHeartbeat(
+  function sendHeartbeat(
     instance: SimulatedInstance,
     dispatcher: SimulatedInstance,
     shard: number,
     view: View,
   ): void {
-    if (!areConnected(instance, dispatcher)) return;
+    const connection = connections.between(instance, dispatcher);
+    if (connection === undefined) return;
     const sentMs = timer.nowMs();
-    sendDocuments(instance, dispatcher, shard);
-    const theirView = shardStateOf(dispatcher, shard).view;
-    const isStillDispatching = isDispatching(dispatcher, shard);
-    if (isStillDispatching) {
-      shardStateOf(dispatcher, shard).dispatcher?.renewGatewayLease(instance.name);
-      if (isNewer(view, theirView)) raiseEpoch(dispatcher, shard);
-    } else receiveView(dispatcher, shard, view);
-    timer.onAfter(randomBetween(0.3, 3), () => {
-      if (!areConnected(instance, dispatcher)) return;
-      instance.host.receive(() => {
+    const sent: Heartbeat = {
+      gateway: instance.name,
+      view,
+      versions: { ...instance.documents.versions(shard) },
+    };
+    const endPending = connection.addPending(() => undefined);
+    instance.host.timer.onTimeout(HEARTBEAT_REQUEST_TIMEOUT_MS, endPending);
+    connection.sendRequest(() => {
+      const reply = handleHeartbeat(instance, dispatcher, shard, sent);
+      connection.sendReply(() => {
+        endPending();
         const state = shardStateOf(instance, shard);
-        receiveView(instance, shard, theirView);
+        receiveView(instance, shard, reply.view);
         fetchDocuments(instance, dispatcher, shard);
-        if (!isStillDispatching || state.view !== view) return;
+        if (!reply.isDispatching || state.view !== view) return;
         state.lastContactMs = timer.nowMs();
+        state.hasContact = true;
         state.contacts.set(view.dispatcher.incarnation, sentMs);
         state.unansweredSinceMs = undefined;
         state.suspectedSinceMs = undefined;
@@ -312,15 +345,33 @@
     });
   }
 
+  function handleHeartbeat(
+    sender: SimulatedInstance,
+    dispatcher: SimulatedInstance,
+    shard: number,
+    sent: Heartbeat,
+  ) {
+    sendDocuments(sender, dispatcher, sent);
+    const state = shardStateOf(dispatcher, shard);
+    const reply = { view: state.view, isDispatching: isDispatching(dispatcher, shard) };
+    if (reply.isDispatching) {
+      state.dispatcher?.renewGatewayLease(sent.gateway);
+      if (isNewer(sent.view, state.view)) raiseEpoch(dispatcher, shard);
+    } else receiveView(dispatcher, shard, sent.view);
+    return reply;
+  }
+
   /** Sends the documents that a dispatcher lacks; the request for them takes no time. */
-  function sendDocuments(from: SimulatedInstance, to: SimulatedInstance, shard: number): void {
-    const wanted = to.documents.missing(from.documents.versions(shard));
+  function sendDocuments(from: SimulatedInstance, to: SimulatedInstance, sent: Heartbeat): void {
+    if (!areConnected(from, to)) return;
+    const wanted = to.documents.missing(sent.versions);
     for (const [name, document] of Object.entries(from.documents.select(wanted)))
       to.documents.offer(name, document, from.name);
   }
 
   /** Fetches the documents that a dispatcher announces; the request for them takes no time. */
   function fetchDocuments(to: SimulatedInstance, from: SimulatedInstance, shard: number): void {
+    if (!areConnected(from, to)) return;
     const names = to.documents.toFetch(
       from.documents.announce(to.documents.versions(shard), shard),
     );
@@ -340,7 +391,7 @@
     const inContact = reachable.filter((other) => {
       const theirState = shardStateOf(other, shard);
       return (
-        theirState.view === state.view && nowMs - theirState.lastContactMs < HEARTBEAT_TIMEOUT_MS
+        theirState.view === state.view && nowMs - theirState.lastContactMs < heartbeat.timeoutMs
       );
     });
     if (inContact.length > reachable.length - inContact.length + 1) return;
@@ -362,19 +413,22 @@
 
   function linkOf(instance: SimulatedInstance, shard: number): PeerLink | undefined {
     const dispatcher = dispatcherInstanceOf(shardStateOf(instance, shard).view);
-    const isOpen = () =>
-      dispatcher !== undefined && isRunning(dispatcher) && areConnected(instance, dispatcher);
     return createSimulatedLink({
-      timer,
-      random,
       shard,
       from: instance,
       to: dispatcher,
-      isOpen,
+      connections,
       onConnectionLoss,
+      isLost: () =>
+        dispatcher === undefined || !isRunning(dispatcher) || isLost(instance, dispatcher),
     });
   }
 
+  /** A connection that holds its messages is closed by its keepalive only. */
+  function isLost(instance: SimulatedInstance, dispatcher: SimulatedInstance): boolean {
+    return !options.holdsMessages && !areConnected(instance, dispatcher);
+  }
+
   function startInstance(name: string, zone: string): SimulatedInstance {
     const host = createSimulatedHost(timer);
     startCount += 1;
@@ -386,6 +440,7 @@
       readAsLeavingMs: new Map(),
       isListCurrent: false,
       lastContactMs: timer.nowMs(),
+      hasContact: false,
       contacts: new Map(),
       unansweredSinceMs: undefined,
       suspectedSinceMs: undefined,
@@ -401,7 +456,8 @@
         isDispatcherReachable() {
           const { view, unansweredSinceMs } = shardStateOf(instance, shard);
           const dispatcher = dispatcherInstanceOf(view);
-          if (dispatcher === undefined || !areConnected(instance, dispatcher)) return false;
+          if (dispatcher === undefined || connections.between(instance, dispatcher) === undefined)
+            return false;
           return (
             unansweredSinceMs === undefined ||
             timer.nowMs() - unansweredSinceMs < HEARTBEAT_OVERDUE_MS
@@ -448,8 +504,8 @@
     };
     running.set(name, instance);
     shardStates.forEach((_state, shard) => {
-      timer.onAfter(randomBetween(0, HEARTBEAT_INTERVAL_MS), () => {
-        host.timer.onEvery(HEARTBEAT_INTERVAL_MS, () => {
+      timer.onAfter(randomBetween(0, heartbeat.intervalMs), () => {
+        host.timer.onEvery(heartbeat.intervalMs, () => {
           if (isRunning(instance)) checkLeadership(instance, shard);
         });
       });
@@ -491,6 +547,7 @@
         for (const { readAsLeavingMs } of shardStates) readAsLeavingMs.delete(id);
     },
     loseConnections,
+    releaseMessages: connections.releaseMessages,
     kill(instance: SimulatedInstance, noticedWithinMs: number): void {
       if (!isRunning(instance)) return;
       running.delete(instance.name);
--- a/packages/instance/__tests__/simulatedLink.ts
+++ b/packages/instance/__tests__/simulatedLink.ts
@@ -1,39 +1,25 @@
-/**
- * Simulates the connection of an instance to a dispatcher in virtual time. Messages that arrive while
- * the two are disconnected are lost.
- */
+/** Simulates the requests of an instance to a dispatcher, over a simulated connection. */
 import { Result } from 'true-myth';
 import { JobStates, ProtocolError, type PeerLink } from '@celerybarrow/protocol';
-import { ErrorCodes, type ErrorCode, type Random } from '@celerybarrow/shared';
-import type { ManualTimer } from '@celerybarrow/timer';
+import { ErrorCodes, type ErrorCode } from '@celerybarrow/shared';
+import type { SimulatedConnections } from './simulatedConnections.js';
 import type { SimulatedInstance } from './simulatedInstance.js';
 
-const MIN_LATENCY_MS = 0.3;
-const MAX_LATENCY_MS = 3;
-
 export interface SimulatedLinkOptions {
-  readonly timer: ManualTimer;
-  readonly random: Random;
   readonly shard: number;
   readonly from: SimulatedInstance;
   readonly to: SimulatedInstance | undefined;
-  readonly isOpen: () => boolean;
+  readonly connections: SimulatedConnections;
   /** Callbacks that fail the requests of connections that are no longer open. */
   readonly onConnectionLoss: Set<() => void>;
+  /** Whether a connection to the dispatcher was lost. */
+  readonly isLost: () => boolean;
 }
 
 type RequestBody = Readonly<Record<string, unknown>>;
 
 export function createSimulatedLink(options: SimulatedLinkOptions): PeerLink {
-  const { timer, random, shard, from, to, isOpen, onConnectionLoss } = options;
-
-  /** Delivers a message after the network latency, unless the connection is closed by then. */
-  function transmit(host: SimulatedInstance['host'], read: () => void): void {
-    const latencyMs = MIN_LATENCY_MS + (MAX_LATENCY_MS - MIN_LATENCY_MS) * random.next();
-    timer.onAfter(latencyMs, () => {
-      if (isOpen()) host.receive(read);
-    });
-  }
+  const { shard, from, to, connections, onConnectionLoss, isLost } = options;
 
   async function answer(at: SimulatedInstance, type: string, body: RequestBody): Promise<unknown> {
     const dispatcher = at.shardStates[shard]?.dispatcher;
@@ -46,28 +32,37 @@
   }
 
   function request(type: string, body: RequestBody, wait: { timeoutMs: number }): Promise<unknown> {
+    // A message that is delivered late says what was true when it was sent.
+    const sentBody = structuredClone(body);
     return new Promise((resolve) => {
       const fail = (code: ErrorCode) => {
         resolve(Result.err(new ProtocolError(code)));
       };
-      if (to === undefined || !isOpen()) {
+      const connection = to === undefined ? undefined : connections.between(from, to);
+      if (to === undefined || connection === undefined) {
         fail(ErrorCodes.PEER_UNREACHABLE);
         return;
       }
+      const endPending = () => {
+        onConnectionLoss.delete(failIfLost);
+        removePending();
+      };
       const timeOut = () => {
         from.host.receive(() => {
+          endPending();
           fail(ErrorCodes.PEER_SILENT);
         });
       };
       from.host.timer.onTimeout(wait.timeoutMs, timeOut);
-      const failIfClosed = () => {
-        if (!isOpen()) timeOut();
+      const failIfLost = () => {
+        if (isLost()) timeOut();
       };
-      onConnectionLoss.add(failIfClosed);
-      transmit(to.host, () => {
-        void answer(to, type, body).then((value) => {
-          transmit(from.host, () => {
-            onConnectionLoss.delete(failIfClosed);
+      onConnectionLoss.add(failIfLost);
+      const removePending = connection.addPending(timeOut);
+      connection.sendRequest(() => {
+        void answer(to, type, sentBody).then((value) => {
+          connection.sendReply(() => {
+            endPending();
             resolve(Result.ok(value));
           });
         });
--- a/packages/instance/__tests__/simulatedPartitions.ts
+++ b/packages/instance/__tests__/simulatedPartitions.ts
@@ -8,6 +8,7 @@
 import { createRandom } from '@celerybarrow/shared';
 import type { Logger } from '@celerybarrow/telemetry';
 import { createManualTimer } from '@celerybarrow/timer';
+import { CutFaultKinds, drawBurst, drawCutMs, drawOneWayCut, isModifier } from './simulatedCuts.js';
 import { createSimulatedEndpoints } from './simulatedEndpoints.js';
 import type { SimulationResult } from './simulatedFleet.js';
 import type { SimulatedInstance } from './simulatedInstance.js';
@@ -17,12 +18,23 @@
 const INSTANCES = ['a0', 'a1', 'b0', 'b1', 'a2'];
 const QUIET_UNTIL_MS = 1_500;
 const FAULTS_UNTIL_MS = 7_000;
+/** Time within which the connections that a cut breaks are closed. */
+const CUT_NOTICE_MS = 1_500;
+const SHORT_CUT_NOTICE_MS = 600;
+/** Within this time after a burst of jobs, a short cut begins. */
+const MAX_CUT_DELAY_MS = 150;
 /** Endpoints that depart are listed as leaving for a while, so shorter runs would end before. */
 const LONG = { maxTaskMs: 3_500, deadlineMs: 5_000, durationMs: 18_000 };
 const USUAL = { maxTaskMs: 1_400, deadlineMs: 1_500, durationMs: 11_500 };
 const JOBS = 14;
+/** More than the endpoints can run at the same time. */
+const WAITING_JOBS = 40;
 /** Endpoints that may join in a simulation with joins. */
 const JOINING_ENDPOINTS = 4;
+const CUT_SEED_OFFSET = 1_000_000_000;
+const CONNECTION_SEED_OFFSET = 2_000_000_000;
+/** Counts jobs that were answered as lost when their callers had left. */
+const LOST_UNSEEN = 'lostUnseen';
 const RESUBMIT_DELAY_MS = 1_300;
 /** Minimum time until the store drops the entries of endpoints that cannot reach it. */
 const MIN_LAPSE_MS = 1_700;
@@ -42,7 +54,8 @@
 /** Maximum time until all instances know a new endpoint. */
 const MAX_LIST_SHARING_MS = 1_250;
 
-export const PartitionFaultKinds = [
+/** Faults in which a cut is long, and closes connections. */
+export const LongFaultKinds = [
   'calls',
   'crashes',
   'cuts',
@@ -62,6 +75,7 @@
   'lists',
   'callers',
 ] as const;
+export const PartitionFaultKinds = [...LongFaultKinds, ...CutFaultKinds] as const;
 export type PartitionFaultKind = (typeof PartitionFaultKinds)[number];
 
 export async function simulatePartitions(
@@ -72,6 +86,8 @@
   const timer = createManualTimer();
   const random = createRandom(seed);
   const randomBetween = (min: number, max: number) => min + (max - min) * random.next();
+  /** Numbers of their own keep the seeds of long faults the same. */
+  const cutRandom = createRandom(seed + CUT_SEED_OFFSET);
   const chance = (probability: number) => random.next() < probability;
   const pick = <T>(items: readonly T[]) => items[Math.floor(random.next() * items.length)] as T;
   const traceEvent = (sentence: string, details: object = {}) => {
@@ -100,6 +116,8 @@
   const fleet = createSimulatedInstances({
     timer,
     random,
+    connectionRandom: createRandom(seed + CONNECTION_SEED_OFFSET),
+    holdsMessages: kinds.has('lateMessages'),
     logger,
     shards,
     networkOf: endpoints.networkOf,
@@ -111,6 +129,7 @@
   const { environment } = fleet;
   for (const { id } of all.slice(count)) environment.unlisted.add(id);
   const outcomes: Record<string, number> = {};
+  let jobs = kinds.has('waitingTasks') ? WAITING_JOBS : JOBS;
   /** Callbacks that end the waits of callers when their gateway is killed. */
   const onKill = new Map<SimulatedInstance, Set<() => void>>();
 
@@ -133,14 +152,56 @@
     for (const instance of fleet.running()) kill(instance, downMs + randomBetween(0, 100));
   }
 
-  function isolateZone(): void {
+  /** Ends the connections that a cut breaks, unless only their keepalive ends them. */
+  function breakConnections(withinMs: number): void {
+    if (!kinds.has('lateMessages')) fleet.loseConnections(withinMs);
+  }
+
+  function submitBurst(): void {
+    if (!kinds.has('waitingTasks')) return;
+    for (const delayMs of drawBurst(cutRandom)) timer.onAfter(delayMs, submitNext);
+  }
+
+  function submitNext(): void {
+    const id = `j${jobs}`;
+    jobs += 1;
+    void call(id);
+  }
+
+  function cutShortly(): void {
+    submitBurst();
+    timer.onAfter(cutRandom.next() * MAX_CUT_DELAY_MS, () => {
+      isolateZone(() => drawCutMs(cutRandom), SHORT_CUT_NOTICE_MS);
+    });
+  }
+
+  function cutOneWay(): void {
+    submitBurst();
+    timer.onAfter(cutRandom.next() * MAX_CUT_DELAY_MS, () => {
+      const running = fleet.running();
+      const instance = running[Math.floor(cutRandom.next() * running.length)];
+      if (instance === undefined || environment.oneWayCut !== undefined) return;
+      const cut = drawOneWayCut(cutRandom, instance);
+      const forMs = drawCutMs(cutRandom);
+      environment.oneWayCut = cut;
+      traceEvent('messages are cut one way', { ...cut, forMs: Math.round(forMs) });
+      breakConnections(SHORT_CUT_NOTICE_MS);
+      timer.onAfter(forMs, () => {
+        environment.oneWayCut = undefined;
+        traceEvent('messages are cut no more');
+        fleet.releaseMessages();
+      });
+    });
+  }
+
+  function isolateZone(drawMs: () => number, noticedWithinMs: number): void {
     if (environment.isolatedZone !== undefined) return;
     const zone = pick(ZONES);
-    const forMs = randomBetween(300, 4_500);
+    const forMs = drawMs();
     environment.isolatedZone = zone;
     environment.isZoneWithoutStore = chance(0.75);
     traceEvent('zone is isolated', { zone, isZoneWithoutStore: environment.isZoneWithoutStore });
-    fleet.loseConnections(1_500);
+    breakConnections(noticedWithinMs);
     // Entries expire seconds later, when no job from the start of the isolation is left.
     if (kinds.has('lapses') && chance(0.5) && forMs > MIN_LAPSE_MS) {
       timer.onAfter(randomBetween(MIN_LAPSE_MS, forMs), () => {
@@ -151,6 +212,7 @@
     timer.onAfter(forMs, () => {
       environment.isolatedZone = undefined;
       traceEvent('zone reconnected', { zone });
+      fleet.releaseMessages();
       timer.onAfter(randomBetween(0, 1_500), () => {
         environment.lapsed.clear();
       });
@@ -273,9 +335,11 @@
     if (kind === 'instances') {
       instance.isIsolated = true;
       traceEvent('instance is isolated', details);
-      fleet.loseConnections(1_500);
+      breakConnections(CUT_NOTICE_MS);
+      submitBurst();
       timer.onAfter(forMs, () => {
         instance.isIsolated = false;
+        fleet.releaseMessages();
         traceEvent('instance reconnected', details);
       });
     }
@@ -297,9 +361,13 @@
   }
 
   function injectFault(): void {
-    const kind = pick([...kinds]);
-    if (kind === 'zones') isolateZone();
-    else if (kind === 'fleetKills') {
+    const kind = pick([...kinds].filter((candidate) => !isModifier(candidate)));
+    if (kind === 'shortCuts') cutShortly();
+    else if (kind === 'oneWayCuts') cutOneWay();
+    else if (kind === 'zones') {
+      submitBurst();
+      isolateZone(() => randomBetween(300, 4_500), CUT_NOTICE_MS);
+    } else if (kind === 'fleetKills') {
       if (chance(0.3)) killAll();
     } else {
       injectEndpointFault(kind);
@@ -332,7 +400,9 @@
   function submit(at: SimulatedInstance, job: LeasedJob): Promise<JobOutcome | undefined> {
     return new Promise((resolve) => {
       const cancellation = new AbortController();
+      let isWaiting = true;
       const endWait = () => {
+        isWaiting = false;
         resolve(undefined);
       };
       onKill.get(at)?.add(endWait);
@@ -344,12 +414,19 @@
       });
       timer.onAfter(randomBetween(0.5, 2), () => {
         at.host.receive(() => {
-          void at.entry.submit(job, cancellation.signal).then(resolve);
+          void at.entry.submit(job, cancellation.signal).then((outcome) => {
+            if (isWaiting) resolve(outcome);
+            else if (outcome.state === JobStates.LOST) countOutcome(LOST_UNSEEN);
+          });
         });
       });
     });
   }
 
+  function countOutcome(state: string): void {
+    outcomes[state] = (outcomes[state] ?? 0) + 1;
+  }
+
   async function call(id: string): Promise<void> {
     const job = createJob(id);
     for (let attempt = 0; attempt < 4; attempt += 1) {
@@ -363,7 +440,7 @@
       const outcome = await submit(at, job);
       const state = outcome?.state ?? 'broken';
       traceEvent('caller received an outcome', { id, state });
-      outcomes[state] = (outcomes[state] ?? 0) + 1;
+      countOutcome(state);
       const isAnswered = state === JobStates.COMPLETED || state === JobStates.FAILED;
       if (isAnswered || state === JobStates.REFUSED) return;
       await timer.sleep(RESUBMIT_DELAY_MS);
@@ -372,7 +449,7 @@
 
   for (const name of INSTANCES) start(name);
   await timer.advance(QUIET_UNTIL_MS);
-  for (let number = 0; number < JOBS; number += 1) {
+  for (let number = 0; number < jobs; number += 1) {
     timer.onAfter(randomBetween(0, FAULTS_UNTIL_MS - QUIET_UNTIL_MS), () => {
       void call(`j${number}`);
     });
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -31,7 +31,7 @@
 /** Share of the dispatchers of a large fleet that may be lost together, with a data centre. */
 const SPARE_SHARE = 0.5;
 
-const ONE_SHARD_HEARTBEAT: HeartbeatTiming = {
+export const ONE_SHARD_HEARTBEAT: HeartbeatTiming = {
   intervalMs: 150,
   timeoutMs: 330,
   firstReplyTimeoutMs: 330,
@@ -40,7 +40,7 @@
  * Longer, because a gateway sends heartbeats to several dispatchers. Each dispatcher still gets two
  * within the lease of the gateway's jobs.
  */
-const MANY_SHARDS_HEARTBEAT: HeartbeatTiming = {
+export const MANY_SHARDS_HEARTBEAT: HeartbeatTiming = {
   intervalMs: 220,
   timeoutMs: 460,
   firstReplyTimeoutMs: 1_000,
--- a/packages/leadership/src/index.ts
+++ b/packages/leadership/src/index.ts
@@ -6,6 +6,8 @@
 } from './replicatedDocuments.js';
 export {
   createFleetLeadership,
+  MANY_SHARDS_HEARTBEAT,
+  ONE_SHARD_HEARTBEAT,
   type FleetLeadership,
   type FleetLeadershipOptions,
 } from './fleetLeadership.js';
