feat(dispatch): log what is known at a job's first start, and changes of the fencing token

The line of the first start now has the resubmissions, the age of the job by its message, the token at admission and now, and the age of the gateway's lease at both times. Admission itself logs nothing: the values are kept with the job, so there is no further line for each job. A change of the token of a running dispatcher is one line, written before the first start under the new token, and counted by fence-changes and its classes. No decision changes.

--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -99,14 +99,16 @@
     }),
   };
   const log = createRecordingLogger();
+  const state = { fence: 1 };
   const dispatcher = createDispatcher({
     network,
+    instance: 'g',
     timer,
     clock: createElapsedClock(timer),
     random: createRandom(1),
     logger: log.logger,
     metrics,
-    fence: () => 1,
+    fence: () => state.fence,
     onFenced: () => undefined,
   });
   opened.push(dispatcher);
@@ -121,7 +123,7 @@
   };
   dispatcher.renewGatewayLease('g');
   dispatcher.setEndpoints(endpoints.map(entry));
-  return { ...log, dispatcher, timer, metrics, running, submit, advance };
+  return { ...log, dispatcher, timer, metrics, running, state, submit, advance };
 }
 
 describe('the duplicate run detector', () => {
@@ -262,6 +264,66 @@
   });
 });
 
+// Guards against two runs of one task whose lines do not tell which dispatcher knew what.
+describe('the log of two dispatchers of one job', () => {
+  it('contains what was known of a job and its gateway, at the first start only', async () => {
+    const { dispatcher, submit, advance, state, timer, lines } = createRunningDispatcher([
+      'a',
+      'b',
+    ]);
+    await advance(400);
+    await timer.advance(30);
+    const steps = [{ ...job('j').steps[0], tasks: 3 }] as LeasedJob['steps'];
+    submit(job('j', { steps, ageMs: 70, remainingMs: 30_000 }));
+    state.fence = 2;
+    await advance(50);
+    const titles = ['Fencing token of the dispatcher has changed.', 'Tasks are placed.'];
+    const [change, first] = lines.filter(({ sentence }) => titles.includes(sentence));
+    expect([change?.sentence, first?.sentence]).toEqual(titles);
+    const { gateway, resubmissions, ageMs, dispatcherAgeMs } = first?.context ?? {};
+    expect([gateway, resubmissions, ageMs, dispatcherAgeMs]).toEqual(['g', 0, 70, 430]);
+    const { fence, admittedFence } = first?.context ?? {};
+    expect([fence, admittedFence]).toEqual([2, 1]);
+    const { leaseRenewedAgoMs, admittedLeaseRenewedAgoMs } = first?.context ?? {};
+    expect([leaseRenewedAgoMs, admittedLeaseRenewedAgoMs]).toEqual([0, 80]);
+    const { leaseGrantedAgoMs, admittedLeaseGrantedAgoMs } = first?.context ?? {};
+    expect([leaseGrantedAgoMs, admittedLeaseGrantedAgoMs]).toEqual([430, 430]);
+    dispatcher.setEndpoints(['a', 'b', 'c'].map(entry));
+    await advance(400);
+    const later = lines.filter(({ sentence }) => sentence === titles[1]).slice(1);
+    expect(later.some(({ context }) => 'fence' in context)).toEqual(false);
+    expect(later.length > 0).toEqual(true);
+  });
+
+  it('contains and counts a change of the fencing token, with the jobs that run and those that wait', async () => {
+    const { submit, advance, dispatcher, state, timer, lines, metrics } = createRunningDispatcher([
+      'a',
+    ]);
+    await advance(400);
+    submit(job('runs', { remainingMs: 30_000 }));
+    await advance(50);
+    void dispatcher.submit({
+      job: job('waits', { remainingMs: 30_000 }),
+      gateway: 'other',
+      resubmissions: 1,
+    });
+    await timer.advance(100);
+    expect(lines.some(({ sentence }) => sentence.startsWith('Fencing token'))).toEqual(false);
+    state.fence = 5;
+    await advance(400);
+    const changes = lines.filter(({ sentence }) => sentence.startsWith('Fencing token'));
+    expect(changes.length).toEqual(1);
+    const { earlierFence, fence, jobsWithRuns, waitingJobs } = changes[0]?.context ?? {};
+    expect([earlierFence, fence, jobsWithRuns, waitingJobs]).toEqual([1, 5, 1, 1]);
+    const { oldestWaitingMs, resubmittedJobs, jobsOfOtherGateways } = changes[0]?.context ?? {};
+    expect([oldestWaitingMs, resubmittedJobs, jobsOfOtherGateways]).toEqual([110, 1, 1]);
+    const counters = metrics.counters();
+    expect(counters['fence-changes']).toEqual(1);
+    expect(counters['fence-changes/open-jobs-with-runs']).toEqual(1);
+    expect(counters['fence-changes/waiting-jobs']).toEqual(1);
+  });
+});
+
 describe('the log of a job that was not served', () => {
   it('contains its estimate, the work ahead of it and the free capacity', async () => {
     const { submit, advance, lines, metrics } = createRunningDispatcher(['a']);
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -32,16 +32,18 @@
   type LeasedJob,
   type Withdrawal,
 } from '@celerybarrow/protocol';
-import type { Logger, Metrics } from '@celerybarrow/telemetry';
+import type { LogContext, Logger, Metrics } from '@celerybarrow/telemetry';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import { createArrivalRates } from './arrivalRates.js';
 import { createReconciliation, RECONCILIATION_TIMEOUT_MS } from './reconciliation.js';
 import { createEndpointPool } from './endpointPool.js';
 import { describeDepartures, findDepartures } from './departures.js';
 import { createInheritedEndpoints } from './inheritedEndpoints.js';
+import { describeFirstStart } from './describeFirstStart.js';
 import { describeEnd, describeUnserved, outcomeName } from './describeOutcome.js';
 import { createEndpointHealth } from './endpointHealth.js';
-import { createGatewayLeases } from './gatewayLeases.js';
+import { createFenceLog } from './fenceLog.js';
+import { createGatewayLeases, type LeaseAge } from './gatewayLeases.js';
 import {
   createJobRecord,
   endpointsWithRuns,
@@ -149,7 +151,9 @@
   readonly metrics: Metrics;
   readonly fence: () => number;
   /** Called when an endpoint rejects this dispatcher's fencing token in favour of a higher one. */
-  readonly onFenced: () => void;
+  readonly onFenced: (endpoint: string) => void;
+  /** Name of this instance, for the log. */
+  readonly instance?: string | undefined;
   /**
    * Whether the endpoint list is at least as recent as any earlier dispatcher's; true by default.
    */
@@ -214,7 +218,9 @@
         openOrders.delete(run);
         if (areJobsHeldByLink || wereStartsLimited) schedulePass();
       },
-      onFenced: options.onFenced,
+      onFenced: () => {
+        options.onFenced(endpoint);
+      },
       onChange: schedulePass,
       onReport: () => {
         neighbourLoss?.reported(pool.find(endpoint));
@@ -288,6 +294,7 @@
   });
   const createdMs = clock.nowMs();
   const reportLog = createEndpointReportLog({ pool, clock, logger });
+  const fenceLog = createFenceLog({ ...options, jobs: () => jobs.values() });
   const stallDetector = createStallDetector(clock);
   let isPassDue = false;
   let isClosed = false;
@@ -305,6 +312,7 @@
       const reason = 'it may have waited for long';
       return Promise.resolve({ state: JobStates.MOVED, reason, isUntouched: true });
     }
+    const leaseAge = gatewayLeases.ageOf(submission.gateway);
     gatewayLeases.renew(submission.gateway);
     const cached = outcomeCache.find(id);
     if (cached !== undefined) return Promise.resolve(cached);
@@ -317,7 +325,7 @@
       return Promise.resolve(CANCELLED_OUTCOME);
     }
     const known = jobs.get(id);
-    if (known === undefined) return admit(submission);
+    if (known === undefined) return admit(submission, leaseAge);
     logResubmission(known, submission);
     if (known.outcome === undefined) return join(known, submission);
     return readmit(known, submission);
@@ -380,7 +388,7 @@
     });
   }
 
-  function admit(submission: Submission): Promise<JobOutcome> {
+  function admit(submission: Submission, lease: LeaseAge | undefined): Promise<JobOutcome> {
     const { job, gateway, resubmissions } = submission;
     const tasks = job.steps.reduce((sum, step) => sum + step.tasks, 0);
     if (byTask.size > 0 && byTask.size + tasks > MAX_OPEN_TASKS)
@@ -392,7 +400,9 @@
       const mayHaveRun = resubmissions > 0;
       const work = placer.totalWork(job);
       const size = jobSizes.classify(job.team, work);
-      const recordOptions = { arrivedMs, criticalPathMs, firstRun, mayHaveRun, work, size };
+      const admission = { resubmissions, fence: options.fence(), lease };
+      const estimates = { criticalPathMs, work, size };
+      const recordOptions = { arrivedMs, firstRun, mayHaveRun, admission, ...estimates };
       const record = createJobRecord(job, gateway, recordOptions, resolve);
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
@@ -436,6 +446,7 @@
   /** Runs a placement pass. It is cheap while there is no free capacity. */
   function runPass(): void {
     const nowMs = clock.nowMs();
+    fenceLog.check();
     if (nowMs - createdMs < RECONCILIATION_TIMEOUT_MS)
       reconciliation.reconcile(jobs.values(), nowMs);
     const waiting = [...jobs.values()].filter((record) => mayStartTasks(record, nowMs));
@@ -462,8 +473,9 @@
       // A long job may have ended in this pass, to make room for a job before it in the queue.
       if (planned.record.outcome !== undefined) continue;
       const linkWaitMs = linkWaitsMs.get(planned.record);
+      const isFirstStart = planned.record.firstStartMs === undefined;
       const starts = planned.starts.filter((start) => startTask(planned.record, start));
-      if (starts.length > 0) logPlacement({ ...planned, starts }, nowMs);
+      if (starts.length > 0) logPlacement({ ...planned, starts }, nowMs, isFirstStart);
       const waitMs = Math.max(planned.waitMs, linkWaitMs ?? 0);
       refuseIfLate({ ...planned, waitMs }, linkWaitMs !== undefined);
     }
@@ -516,7 +528,11 @@
     return longJobsOfPass.filter(({ job }) => job.outcome === undefined);
   }
 
-  function logPlacement({ record, starts, waitMs }: PlannedJob, nowMs: number): void {
+  function logPlacement(
+    { record, starts, waitMs }: PlannedJob,
+    nowMs: number,
+    isFirstStart: boolean,
+  ): void {
     logger.info('Tasks are placed.', {
       job: record.job.id,
       places: starts
@@ -529,9 +545,16 @@
       apart: describeRelocations(starts),
       waitedMs: Math.round(nowMs - record.arrivedMs),
       expectedWaitMs: Math.round(waitMs),
+      ...(isFirstStart ? firstStartContext(record, nowMs) : {}),
     });
   }
 
+  function firstStartContext(record: JobRecord, nowMs: number): LogContext {
+    const lease = gatewayLeases.ageOf(record.gateway);
+    const fence = options.fence();
+    return describeFirstStart(record, { fence, lease, dispatcherAgeMs: nowMs - createdMs });
+  }
+
   function mayStartTasks(record: JobRecord, nowMs: number): boolean {
     return isWaiting(record, nowMs) && !lateStarts.isHeld(record);
   }
@@ -776,6 +799,7 @@
   function review(): void {
     const nowMs = clock.nowMs();
     stallDetector.tick();
+    fenceLog.check();
     pool.removeDrained();
     reportLog.logReports();
     reconciliation.reconcile(jobs.values(), nowMs);
--- a/packages/dispatch/src/gatewayLeases.ts
+++ b/packages/dispatch/src/gatewayLeases.ts
@@ -10,8 +10,16 @@
 /** Less than the 950 ms of endpoint leases and the 1.3 s after which callers resubmit. */
 const GATEWAY_LEASE_MS = 550;
 
+export interface LeaseAge {
+  readonly renewedAgoMs: number;
+  /** Time since the lease began, without an interruption before `renewedAgoMs`. */
+  readonly grantedAgoMs: number;
+}
+
 export interface GatewayLeases {
   renew(gateway: string): void;
+  /** Returns the age of a lease, whether or not it is valid; undefined if there was none. */
+  ageOf(gateway: string): LeaseAge | undefined;
   /** Whether the lease has been valid without interruption since `sinceMs`. */
   isValidSince(gateway: string, sinceMs: number): boolean;
 }
@@ -32,6 +40,12 @@
         leases.set(gateway, { grantedMs: nowMs, renewedMs: nowMs });
       } else lease.renewedMs = nowMs;
     },
+    ageOf(gateway) {
+      const lease = leases.get(gateway);
+      if (lease === undefined) return undefined;
+      const nowMs = clock.nowMs();
+      return { renewedAgoMs: nowMs - lease.renewedMs, grantedAgoMs: nowMs - lease.grantedMs };
+    },
     isValidSince(gateway, sinceMs) {
       const lease = leases.get(gateway);
       if (lease === undefined || lease.grantedMs > sinceMs) return false;
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -1,6 +1,7 @@
 /** State of one job, which the dispatcher keeps until all runs of the job have terminated. */
 import { RunStates, type Run, type TaskRef } from '@celerybarrow/endpoints';
 import type { JobOutcome, LeasedJob, Step } from '@celerybarrow/protocol';
+import type { LeaseAge } from './gatewayLeases.js';
 import type { LengthSample } from './jobLength.js';
 import { JobSizes, type JobSize } from './jobSizes.js';
 
@@ -49,6 +50,7 @@
   /** Expected core-milliseconds of the whole job in thousandths, and its size within the team. */
   readonly work: number;
   readonly size: JobSize;
+  readonly admission: Admission | undefined;
   firstStartMs?: number;
   lastStartMs?: number;
   /**
@@ -77,6 +79,14 @@
   answer: (outcome: JobOutcome) => void;
 }
 
+/** What was known when a job was admitted; kept for its first start, since admission logs nothing. */
+export interface Admission {
+  readonly resubmissions: number;
+  readonly fence: number;
+  /** Age of the gateway's lease before the submission renewed it; undefined if there was none. */
+  readonly lease: LeaseAge | undefined;
+}
+
 /** Estimate of a planning pass for a job with waiting tasks; see `CompletionEstimate`. */
 export interface JobEstimate {
   readonly atMs: number;
@@ -94,6 +104,7 @@
   readonly mayHaveRun: boolean;
   readonly work?: number;
   readonly size?: JobSize;
+  readonly admission?: Admission;
 }
 
 export function createJobRecord(
@@ -124,6 +135,7 @@
     mayHaveRun: options.mayHaveRun,
     work: options.work ?? 0,
     size: options.size ?? JobSizes.UNKNOWN,
+    admission: options.admission,
     answer,
   };
 }
