feat(leadership): log why a fencing token changes

'Fence is raised.' names the peer and its view, or the endpoint, that caused it, and both tokens. It is written after the store has answered, because the new token is not known before; a failed write is 'Fence could not be raised.' 'Dispatcher is known.' has the sender of the view, both tokens, and whether this instance dispatched before and after. A gateway's first heartbeat that names another view than the dispatcher's own is a line, for at most 8 gateways with an older and 8 with a newer view. No decision changes.

--- a/packages/instance/src/shardDispatchers.ts
+++ b/packages/instance/src/shardDispatchers.ts
@@ -77,8 +77,9 @@
       logger: withContext(createLogger('dispatch'), { shard }),
       metrics,
       fence: () => fenceOf(leadership.view() ?? { epoch: 0, round: 0, dispatcher: self }),
-      onFenced: () => {
-        leadership.handleFenced();
+      instance: self.instance,
+      onFenced: (endpoint) => {
+        leadership.handleFenced(endpoint);
       },
       isInterferenceEnabled: options.isInterferenceEnabled,
       otherRackFactor: options.otherRackFactor,
--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -14,13 +14,14 @@
   type View,
 } from '@celerybarrow/protocol';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
-import type { Logger } from '@celerybarrow/telemetry';
+import type { LogContext, Logger } from '@celerybarrow/telemetry';
 import { createReplicatedDocuments } from '../src/replicatedDocuments.js';
 import { createLeadership } from '../src/leadership.js';
 import { createMembers } from '../src/members.js';
 import { createPatience } from '../src/patience.js';
 import { createStoreContact } from '../src/storeContact.js';
 import { dispatcherKey } from '../src/storedView.js';
+import { fenceOf } from '../src/views.js';
 import { createFakeStore } from './fakeStore.js';
 
 const HEARTBEAT = { intervalMs: 150, timeoutMs: 330, firstReplyTimeoutMs: 330 };
@@ -57,6 +58,10 @@
   const requestTypes: string[] = [];
   const positions: (number | undefined)[] = [];
   const cancellations: string[] = [];
+  const lines: { sentence: string; context: LogContext }[] = [];
+  const record = (sentence: string, context: LogContext = {}) => {
+    lines.push({ sentence, context });
+  };
   const { dispatcher, isRefused = false, opinions = [] } = options;
 
   function openLink(to: FleetMember): PeerLink {
@@ -106,7 +111,7 @@
     patience: createPatience(timer),
     timer,
     clock,
-    logger,
+    logger: { ...logger, info: record, warn: record },
     ranking: () => ({ precedingShards: 0, countDispatchedShards: () => 0 }),
     waiting: () => ({}),
     onHeartbeat: ignore,
@@ -120,7 +125,7 @@
   leadership.applyStoredEntry({ key, value: JSON.stringify(view), revision: 1 });
   store.isUnavailable = options.isStoreUnavailable ?? false;
   leadership.start();
-  return { timer, requestTypes, positions, cancellations, leadership, wallClockStep };
+  return { timer, requestTypes, positions, cancellations, lines, leadership, wallClockStep };
 }
 
 describe('a new dispatcher', () => {
@@ -263,3 +268,73 @@
     expect(leadership.view()?.round).toEqual(1);
   });
 });
+
+// Guards against a raise of the fencing token whose cause no line tells.
+describe('the log of a dispatcher whose fencing token changes', () => {
+  const greeting = { version: 2, instance: 'c', incarnation: 'c-1', dataCentre: 'd' };
+  const own: View = { epoch: 3, round: 0, dispatcher: member('a') };
+  const apart: View = { epoch: 3, round: 1, dispatcher: member('c') };
+
+  it('names the peer and the view that caused it, and both tokens', async () => {
+    const { timer, lines, leadership } = await startLeadership({ dispatcher: member('a') });
+    leadership.handlePulse({ shard: 0, versions: {}, view: apart }, greeting);
+    await timer.advance(10);
+    leadership.close();
+    const contextOf = (title: string) => lines.find(({ sentence }) => sentence === title)?.context;
+    const { peer, peerDispatcher, peerFence, ...raised } = contextOf('Fence is raised.') ?? {};
+    expect([peer, peerDispatcher, peerFence]).toEqual(['c', 'c', fenceOf(apart)]);
+    expect([raised['earlierFence'], raised['fence']]).toEqual([3 * 2 ** 20, 4 * 2 ** 20]);
+    const adopted = lines.filter(({ sentence }) => sentence === 'Dispatcher is known.').at(-1);
+    const { source, wasDispatching, isDispatching, earlierFence } = adopted?.context ?? {};
+    expect([source, wasDispatching, isDispatching]).toEqual(['raised fence', true, true]);
+    expect(earlierFence).toEqual(fenceOf(own));
+  });
+
+  it('names the endpoint that obeys another dispatcher', async () => {
+    const { timer, lines, leadership } = await startLeadership({ dispatcher: member('a') });
+    leadership.handleFenced('e1');
+    await timer.advance(10);
+    leadership.close();
+    const line = lines.find(({ sentence }) => sentence === 'Fence is raised.');
+    expect(line?.context['endpoint']).toEqual('e1');
+  });
+
+  it('names the instance that ceded, and contains no raise that a newer view has overtaken', async () => {
+    const { timer, lines, leadership } = await startLeadership({ dispatcher: member('a') });
+    const taken: View = { epoch: 9, round: 0, dispatcher: member('b') };
+    leadership.handleFenced('e1');
+    leadership.handleTakeOver({ shard: 0, view: taken }, greeting);
+    await timer.advance(10);
+    leadership.close();
+    expect(lines.some(({ sentence }) => sentence === 'Fence is raised.')).toEqual(false);
+    const adopted = lines.filter(({ sentence }) => sentence === 'Dispatcher is known.').at(-1);
+    const { source, peer, wasDispatching, isDispatching } = adopted?.context ?? {};
+    expect([source, peer, wasDispatching, isDispatching]).toEqual(['cession', 'c', true, false]);
+  });
+
+  it('contains each gateway with an older view once, and a limited number of them', async () => {
+    const { lines, leadership } = await startLeadership({ dispatcher: member('a') });
+    const view = { ...own, epoch: 2 };
+    for (let beat = 0; beat < 40; beat += 1) {
+      const instance = `g${beat % 20}`;
+      leadership.handlePulse({ shard: 0, versions: {}, view }, { ...greeting, instance });
+      leadership.handlePulse({ shard: 0, versions: {}, view: own }, { ...greeting, instance });
+    }
+    leadership.close();
+    const named = lines.filter(({ sentence }) => sentence === 'Heartbeat names another view.');
+    expect(named.length).toEqual(8);
+    const { peer, isNewer, peerFence, fence } = named[0]?.context ?? {};
+    expect([peer, isNewer, peerFence, fence]).toEqual(['g0', false, fenceOf(view), fenceOf(own)]);
+  });
+
+  it('contains a newer view of a gateway although many gateways have an older one', async () => {
+    const { lines, leadership } = await startLeadership({ dispatcher: member('a') });
+    for (const [index, view] of [...Array<View>(20).fill({ ...own, epoch: 2 }), apart].entries()) {
+      const instance = `g${index}`;
+      leadership.handlePulse({ shard: 0, versions: {}, view }, { ...greeting, instance });
+    }
+    leadership.close();
+    const newer = lines.filter(({ context }) => context['isNewer'] === true);
+    expect(newer.map(({ context }) => context['peer'])).toEqual(['g20']);
+  });
+});
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -206,8 +206,8 @@
       documents: options.documents.select(names),
     }));
     server.onRequest('opinion', (request) => findShard(request.shard).handleOpinion(request));
-    server.onRequest('takeOver', (request) => ({
-      accepted: findShard(request.shard).handleTakeOver(request),
+    server.onRequest('takeOver', (request, peer) => ({
+      accepted: findShard(request.shard).handleTakeOver(request, peer),
     }));
   }
 
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -15,7 +15,7 @@
   type View,
 } from '@celerybarrow/protocol';
 import type { Entry, Store } from '@celerybarrow/store';
-import { withContext, type Logger } from '@celerybarrow/telemetry';
+import { withContext, type LogContext, type Logger } from '@celerybarrow/telemetry';
 import {
   choosePeersToPoll,
   isLeadingCandidate,
@@ -36,7 +36,8 @@
   type OpinionReply,
   type TakeoverDecision,
 } from './takeover.js';
-import { isNewer } from './views.js';
+import { createPeerViewLog, describePeerView } from './peerViewLog.js';
+import { fenceOf, isNewer } from './views.js';
 
 const REQUEST_TIMEOUT_MS = 250;
 /** Late replies to heartbeats count as well, because a slow dispatcher is not lost. */
@@ -105,7 +106,7 @@
    */
   lastContactMs(incarnation: string): number | undefined;
   /** Reports that an endpoint obeys a higher fencing token than that of the current view. */
-  handleFenced(): void;
+  handleFenced(endpoint: string): void;
   /** Returns the number of unstarted jobs by team, as last reported by the dispatcher. */
   waiting(): Record<string, number>;
   /** Whether no dispatcher is known, or the known one is suspected. */
@@ -118,7 +119,7 @@
   applyStoredEntry(entry: Entry): void;
   handlePulse(request: RequestBody<'pulse'>, peer: Greeting): Reply<'pulse'>;
   handleOpinion(request: RequestBody<'opinion'>): Opinion;
-  handleTakeOver(request: RequestBody<'takeOver'>): boolean;
+  handleTakeOver(request: RequestBody<'takeOver'>, peer: Greeting): boolean;
   close(): void;
 }
 
@@ -131,6 +132,7 @@
   let view: View | undefined;
   const detector = createFailureDetector(clock, timer, heartbeat, patience);
   const contacts = createRecentContacts();
+  const peerViewLog = createPeerViewLog(logger);
   const stored = createStoredView({
     ...options,
     logger,
@@ -171,9 +173,11 @@
     return { epoch, ...options.ranking() };
   }
 
-  /** Adopts a view if it is newer than the current one. */
-  function adoptView(next: View, source: string): void {
+  /** Adopts a view if it is newer than the current one. `peer` is the instance that sent it, if any. */
+  function adoptView(next: View, source: string, peer?: string): void {
     if (closing.signal.aborted || !isNewer(next, view)) return;
+    const earlier = view;
+    const wasDispatching = isDispatching();
     view = next;
     cancellationsPosition = 0;
     detector.reset();
@@ -184,6 +188,12 @@
       epoch: next.epoch,
       round: next.round,
       source,
+      peer,
+      fence: fenceOf(next),
+      earlierFence: earlier === undefined ? undefined : fenceOf(earlier),
+      earlierDispatcher: earlier?.dispatcher.instance,
+      isDispatching: isDispatching(),
+      wasDispatching,
     });
     for (const subscriber of subscribers) subscriber(next);
   }
@@ -398,8 +408,8 @@
     const running = members.others(self.incarnation, current?.dispatcher.incarnation ?? '');
     const others = choosePeersToPoll(self, running, ranking);
     const [isRead, answered] = await Promise.all([reading, pollPeers(others, current)]);
-    for (const { opinion } of answered) {
-      if (opinion.view !== undefined) adoptView(opinion.view, 'another instance');
+    for (const { member, opinion } of answered) {
+      if (opinion.view !== undefined) adoptView(opinion.view, 'another instance', member.instance);
     }
     if (view !== current || isStopping) return TakeoverDecisions.WAIT;
     const decision = decideTakeover({
@@ -478,8 +488,8 @@
     const nowMs = clock.nowMs();
     if (nowMs - lastPeerPollMs < PEER_POLL_INTERVAL_MS) return;
     lastPeerPollMs = nowMs;
-    for (const { opinion } of await pollPeers(choosePeers(current), current)) {
-      if (opinion.view !== undefined) adoptView(opinion.view, 'another instance');
+    for (const { member, opinion } of await pollPeers(choosePeers(current), current)) {
+      if (opinion.view !== undefined) adoptView(opinion.view, 'another instance', member.instance);
     }
   }
 
@@ -513,7 +523,7 @@
    * Raises the fencing token above the tokens that endpoints have seen, if this instance is still the
    * dispatcher.
    */
-  async function raiseFence(reason: string): Promise<void> {
+  async function raiseFence(reason: string, cause: LogContext): Promise<void> {
     const nowMs = clock.nowMs();
     if (!isDispatching() || isStopping || nowMs - lastFenceRaiseMs < FENCE_RAISE_INTERVAL_MS)
       return;
@@ -524,21 +534,30 @@
       return;
     }
     if (!(await stored.read()) || view !== current) return;
-    logger.warn('Fence is raised.', { reason, epoch: current?.epoch });
-    await writeStoredView(self, 'raised fence');
+    const isWritten = await writeStoredView(self, 'raised fence');
+    logger.warn(isWritten ? 'Fence is raised.' : 'Fence could not be raised.', {
+      reason,
+      ...cause,
+      epoch: current?.epoch,
+      earlierFence: current === undefined ? undefined : fenceOf(current),
+      fence: view === undefined ? undefined : fenceOf(view),
+      tookMs: Math.round(clock.nowMs() - nowMs),
+    });
   }
 
   /**
    * Records that endpoints obey another dispatcher, and makes the next step poll the peers at once.
    * A dispatcher that continues while disconnected from the one that endpoints obey does harm.
    */
-  function recordFencedWhileDisconnected(current: View): void {
+  function recordFencedWhileDisconnected(current: View, endpoint: string): void {
     if (!isDispatching() || wasFenced) return;
     wasFenced = true;
     lastPeerPollMs = -Infinity;
     logger.warn('Endpoints obey another dispatcher.', {
       epoch: current.epoch,
       round: current.round,
+      fence: fenceOf(current),
+      endpoint,
     });
   }
 
@@ -546,8 +565,14 @@
     const current = view;
     if (isDispatching() && current !== undefined) {
       options.onHeartbeat(peer.instance);
-      if (isNewer(request.view, current)) void raiseFence('a peer knows another dispatcher');
-    } else if (isNewer(request.view, current)) adoptView(request.view, 'another instance');
+      peerViewLog.check(peer.instance, request.view, current);
+      if (isNewer(request.view, current)) {
+        const cause = describePeerView(peer.instance, request.view);
+        void raiseFence('a peer knows another dispatcher', cause);
+      }
+    } else if (isNewer(request.view, current)) {
+      adoptView(request.view, 'another instance', peer.instance);
+    }
     const wanted = documents.missing(request.versions);
     const cancellations = findCancellations(request);
     return {
@@ -610,9 +635,9 @@
       .request('takeOver', { shard, view }, { timeoutMs: REQUEST_TIMEOUT_MS });
   }
 
-  function handleTakeOver(request: RequestBody<'takeOver'>): boolean {
+  function handleTakeOver(request: RequestBody<'takeOver'>, peer: Greeting): boolean {
     if (isStopping) return false;
-    adoptView(request.view, 'cession');
+    adoptView(request.view, 'cession', peer.instance);
     return true;
   }
 
@@ -636,9 +661,9 @@
     },
     link: () => (view === undefined || isDispatching() ? undefined : links.to(view.dispatcher)),
     lastContactMs: contacts.lastMs,
-    handleFenced() {
-      if (view !== undefined && view.round > 0) recordFencedWhileDisconnected(view);
-      void raiseFence('an endpoint obeys another dispatcher');
+    handleFenced(endpoint) {
+      if (view !== undefined && view.round > 0) recordFencedWhileDisconnected(view, endpoint);
+      void raiseFence('an endpoint obeys another dispatcher', { endpoint });
     },
     waiting: () => (isDispatching() ? options.waiting() : reportedWaiting),
     cede: handOver,
