feat(entry): log why a job is handed over again

The line tells whether the dispatcher returned the job, touched or untouched, or gave no answer, for how long the attempt waited, and the time since the last answered heartbeat. The error of a closed connection says so, since only a timeout was named before. How an attempt ended moves to retry.ts. No decision changes.

--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -14,6 +14,7 @@
   type Withdrawal,
 } from '@celerybarrow/protocol';
 import type { Leadership } from '@celerybarrow/leadership';
+import type { LogContext } from '@celerybarrow/telemetry';
 import { Cancellations, createEntry, type LocalDispatcher } from '../src/index.js';
 
 const dispatcher = { instance: 'a', incarnation: 'a-1', peer: '', dataCentre: 'd', weight: 1 };
@@ -101,7 +102,11 @@
   };
   const ignore = () => undefined;
   const warnings: string[] = [];
-  const warn = (message: string) => warnings.push(message);
+  const contexts: LogContext[] = [];
+  const warn = (message: string, context: LogContext = {}) => {
+    warnings.push(message);
+    contexts.push(context);
+  };
   const entry = createEntry({
     instance: 'a',
     shardOf: () => 0,
@@ -110,7 +115,7 @@
     clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + state.stepMs }),
     logger: { debug: ignore, info: ignore, warn, error: ignore },
   });
-  return { timer, entry, submissions, withdrawn, limits, state, warnings };
+  return { timer, entry, submissions, withdrawn, limits, state, warnings, contexts };
 }
 
 // Guards against a planned stop that ends the process before it has answered its open requests.
@@ -533,3 +538,42 @@
     expect(withdrawn).toEqual(['j', 'j']);
   });
 });
+
+// Guards against a handover whose cause no line tells: a dispatcher that gave no answer may go on.
+describe('the log of a job that is handed over again', () => {
+  const remote = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+  const completed = { state: JobStates.COMPLETED, reason: '' };
+  const moved = { state: JobStates.MOVED, reason: 'another instance dispatches' };
+
+  for (const [outcome, end] of [
+    [moved, 'moved'],
+    [{ ...moved, isUntouched: true }, 'moved-untouched'],
+  ] as const) {
+    it(`contains that its dispatcher has answered ${end}`, async () => {
+      const { timer, entry, contexts } = createTestEntry([outcome, completed]);
+      const answered = entry.submit(createJob(), new AbortController().signal);
+      await timer.advance(50);
+      await answered;
+      expect([contexts[0]?.['end'], contexts[0]?.['reason']]).toEqual([end, moved.reason]);
+    });
+  }
+
+  it('contains for how long it waited without an answer, and the last contact', async () => {
+    const { timer, entry, state, contexts } = createTestEntry([completed]);
+    state.view = remote;
+    await timer.advance(500);
+    state.contacts.set('a-1', 420);
+    state.answer = async () => {
+      await timer.sleep(300);
+      return Result.err(new ProtocolError(ErrorCodes.PEER_SILENT, 'connection closed'));
+    };
+    const answered = entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(300);
+    state.view = { epoch: 2, round: 0, dispatcher };
+    await timer.advance(50);
+    await answered;
+    const { end, reason, attemptMs, lastContactAgoMs } = contexts[0] ?? {};
+    expect([end, attemptMs, lastContactAgoMs]).toEqual(['no-answer', 300, 380]);
+    expect(String(reason).endsWith('connection closed')).toEqual(true);
+  });
+});
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -22,6 +22,7 @@
 import type { Logger } from '@celerybarrow/telemetry';
 import { createCanceller, type Cancellation } from './canceller.js';
 import { isDeadlineUnreachable } from './deadline.js';
+import { AttemptEnds, describeRetry, isUntouched, type Retry } from './retry.js';
 import type { LocalDispatcher, Route } from './route.js';
 
 /** How long a job that was not handed over yet waits for a dispatcher. */
@@ -113,13 +114,8 @@
   readonly sentMs: number;
 }
 
-/**
- * Results of an attempt that call for another one: `TOUCHED` if the attempt may have started the
- * job, `UNTOUCHED` if it cannot have.
- */
-const Retry = { TOUCHED: 'touched', UNTOUCHED: 'untouched' } as const;
 /** The result of one attempt to have a dispatcher run a job. */
-type Attempt = JobOutcome | (typeof Retry)[keyof typeof Retry];
+type Attempt = JobOutcome | Retry;
 
 export function createEntry(options: EntryOptions): Entry {
   const { instance, shardOf, routes, timer, clock, logger } = options;
@@ -179,11 +175,14 @@
       if (view === undefined) return unreachableOutcome(openJob);
       if (openJob.isLostWhileDisconnected && view !== openJob.lastView) return lostOutcome(openJob);
       const previousView = openJob.lastView;
-      const outcome = await attempt(openJob, view);
-      if (typeof outcome !== 'string') return outcome;
+      const startedMs = timer.nowMs();
+      const result = await attempt(openJob, view);
+      if ('state' in result) return result;
+      const endedMs = timer.nowMs();
       // An attempt that cannot have started the job leaves no earlier runs to look for.
-      if (outcome === Retry.UNTOUCHED) openJob.lastView = previousView;
+      if (isUntouched(result)) openJob.lastView = previousView;
       if (openJob.lastView !== undefined) openJob.resubmissions += 1;
+      const lastContactMs = routeOf(openJob)?.leadership.lastContactMs(view.dispatcher.incarnation);
       if (routeOf(openJob)?.leadership.view() === view) await timer.sleep(POLL_INTERVAL_MS);
       logger.warn('Job is handed over again.', {
         job: openJob.job.id,
@@ -193,6 +192,7 @@
         round: view.round,
         resubmissions: openJob.resubmissions,
         heldOn: [...openJob.heldOn].join(' '),
+        ...describeRetry(result, { startedMs, endedMs, lastContactMs }),
       });
     }
   }
@@ -320,7 +320,8 @@
       return handleOutcome(openJob, await local.submit(submission));
     }
     const link = route?.leadership.link();
-    if (route === undefined || link === undefined) return Retry.UNTOUCHED;
+    if (route === undefined || link === undefined)
+      return { end: AttemptEnds.NOT_SENT, reason: 'no connection to the dispatcher' };
     const request = { shard: route.leadership.shard, ...submission };
     openJob.isAwaitingReply = true;
     const reply = await link.request('dispatch', request, {
@@ -329,14 +330,14 @@
     openJob.isAwaitingReply = false;
     if (reply.isErr && reply.error.isUnsent) {
       await timer.sleep(POLL_INTERVAL_MS);
-      return Retry.UNTOUCHED;
+      return { end: AttemptEnds.NOT_SENT, reason: reply.error.message };
     }
     openJob.lastView = view;
     if (reply.isOk) return handleOutcome(openJob, reply.value);
     openJob.lostHandover = { incarnation, sentMs };
     // The next dispatcher may not know the endpoints that a disconnected one has used.
     openJob.isLostWhileDisconnected ||= view.round > 0;
-    return Retry.TOUCHED;
+    return { end: AttemptEnds.NO_ANSWER, reason: reply.error.message };
   }
 
   /** Returns until when a dispatcher that gave no answer may have started tasks of the job. */
@@ -347,7 +348,9 @@
   function handleOutcome(openJob: OpenJob, outcome: JobOutcome): Attempt {
     if (outcome.state !== JobStates.MOVED) return outcome;
     for (const endpoint of outcome.heldOn ?? []) openJob.heldOn.add(endpoint);
-    return outcome.isUntouched === true ? Retry.UNTOUCHED : Retry.TOUCHED;
+    const { isUntouched: isReturnedUntouched, reason } = outcome;
+    const end = isReturnedUntouched === true ? AttemptEnds.MOVED_UNTOUCHED : AttemptEnds.MOVED;
+    return { end, reason };
   }
 
   function lostOutcome(openJob: OpenJob): JobOutcome {
--- a/packages/protocol/src/peerLink.ts
+++ b/packages/protocol/src/peerLink.ts
@@ -246,7 +246,7 @@
 
   function failPendingRequests(code: ErrorCode): void {
     for (const pending of pendingRequests.values())
-      pending.settled.resolve(Result.err(new ProtocolError(code)));
+      pending.settled.resolve(Result.err(new ProtocolError(code, 'connection closed')));
     pendingRequests.clear();
   }
 
