feat(dispatch): log what is known of a job at its first start under each token

The values are therefore in the first placement line under each token, and the line of a change of the token counts the waiting tasks of all open jobs. No decision changes.

--- a/packages/dispatch/__tests__/observability.spec.ts
+++ b/packages/dispatch/__tests__/observability.spec.ts
@@ -266,14 +266,14 @@
 
 // Guards against two runs of one task whose lines do not tell which dispatcher knew what.
 describe('the log of two dispatchers of one job', () => {
-  it('contains what was known of a job and its gateway, at the first start only', async () => {
+  it('contains what was known of a job and its gateway, at its first start under each token', async () => {
     const { dispatcher, submit, advance, state, timer, lines } = createRunningDispatcher([
       'a',
       'b',
     ]);
     await advance(400);
     await timer.advance(30);
-    const steps = [{ ...job('j').steps[0], tasks: 3 }] as LeasedJob['steps'];
+    const steps = [{ ...job('j').steps[0], tasks: 4 }] as LeasedJob['steps'];
     submit(job('j', { steps, ageMs: 70, remainingMs: 30_000 }));
     state.fence = 2;
     await advance(50);
@@ -293,6 +293,11 @@
     const later = lines.filter(({ sentence }) => sentence === titles[1]).slice(1);
     expect(later.some(({ context }) => 'fence' in context)).toEqual(false);
     expect(later.length > 0).toEqual(true);
+    state.fence = 3;
+    dispatcher.setEndpoints(['a', 'b', 'c', 'd'].map(entry));
+    await advance(400);
+    const last = lines.filter(({ sentence }) => sentence === titles[1]).at(-1);
+    expect([last?.context['fence'], last?.context['admittedFence']]).toEqual([3, 1]);
   });
 
   it('contains and counts a change of the fencing token, with the jobs that run and those that wait', async () => {
@@ -315,6 +320,7 @@
     expect(changes.length).toEqual(1);
     const { earlierFence, fence, jobsWithRuns, waitingJobs } = changes[0]?.context ?? {};
     expect([earlierFence, fence, jobsWithRuns, waitingJobs]).toEqual([1, 5, 1, 1]);
+    expect(changes[0]?.context['waitingTasks']).toEqual(1);
     const { oldestWaitingMs, resubmittedJobs, jobsOfOtherGateways } = changes[0]?.context ?? {};
     expect([oldestWaitingMs, resubmittedJobs, jobsOfOtherGateways]).toEqual([110, 1, 1]);
     const counters = metrics.counters();
--- a/packages/dispatch/src/describeFirstStart.ts
+++ b/packages/dispatch/src/describeFirstStart.ts
@@ -1,7 +1,7 @@
 /**
- * Log context of the first start of a job: what the dispatcher knew of the job and of its gateway at
- * admission and now. It tells a job that waited through a change of the fencing token from one that
- * arrived late, and both from one whose gateway had handed it on.
+ * Log context of the first start of a job under each fencing token: what the dispatcher knew of the
+ * job and of its gateway at admission and now. It tells a job that waited through a change of the token
+ * from one that arrived late, and both from one whose gateway had handed it on.
  */
 import type { LogContext } from '@celerybarrow/telemetry';
 import type { LeaseAge } from './gatewayLeases.js';
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -473,9 +473,8 @@
       // A long job may have ended in this pass, to make room for a job before it in the queue.
       if (planned.record.outcome !== undefined) continue;
       const linkWaitMs = linkWaitsMs.get(planned.record);
-      const isFirstStart = planned.record.firstStartMs === undefined;
       const starts = planned.starts.filter((start) => startTask(planned.record, start));
-      if (starts.length > 0) logPlacement({ ...planned, starts }, nowMs, isFirstStart);
+      if (starts.length > 0) logPlacement({ ...planned, starts }, nowMs);
       const waitMs = Math.max(planned.waitMs, linkWaitMs ?? 0);
       refuseIfLate({ ...planned, waitMs }, linkWaitMs !== undefined);
     }
@@ -528,11 +527,11 @@
     return longJobsOfPass.filter(({ job }) => job.outcome === undefined);
   }
 
-  function logPlacement(
-    { record, starts, waitMs }: PlannedJob,
-    nowMs: number,
-    isFirstStart: boolean,
-  ): void {
+  function logPlacement({ record, starts, waitMs }: PlannedJob, nowMs: number): void {
+    const fence = options.fence();
+    // Another dispatcher may have started tasks between the starts under two tokens.
+    const isFirstOfFence = record.startFence !== fence;
+    record.startFence = fence;
     logger.info('Tasks are placed.', {
       job: record.job.id,
       places: starts
@@ -545,13 +544,12 @@
       apart: describeRelocations(starts),
       waitedMs: Math.round(nowMs - record.arrivedMs),
       expectedWaitMs: Math.round(waitMs),
-      ...(isFirstStart ? firstStartContext(record, nowMs) : {}),
+      ...(isFirstOfFence ? firstStartContext(record, fence, nowMs) : {}),
     });
   }
 
-  function firstStartContext(record: JobRecord, nowMs: number): LogContext {
+  function firstStartContext(record: JobRecord, fence: number, nowMs: number): LogContext {
     const lease = gatewayLeases.ageOf(record.gateway);
-    const fence = options.fence();
     return describeFirstStart(record, { fence, lease, dispatcherAgeMs: nowMs - createdMs });
   }
 
--- a/packages/dispatch/src/fenceLog.ts
+++ b/packages/dispatch/src/fenceLog.ts
@@ -42,6 +42,8 @@
       openJobs: open.length,
       jobsWithRuns: withRuns.length,
       waitingJobs: waiting.length,
+      // A job with runs may have other tasks that wait.
+      waitingTasks: open.reduce((sum, record) => sum + record.waiting, 0),
       oldestWaitingMs: waiting.length === 0 ? undefined : Math.round(nowMs - oldestMs),
       reconcilingJobs: open.filter((record) => record.reconcileUntilMs !== undefined).length,
       resubmittedJobs: open.filter((record) => record.mayHaveRun).length,
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -51,6 +51,8 @@
   readonly work: number;
   readonly size: JobSize;
   readonly admission: Admission | undefined;
+  /** Fencing token of its last start. */
+  startFence?: number;
   firstStartMs?: number;
   lastStartMs?: number;
   /**
