--- a/packages/instance/__tests__/raisedFence.spec.ts
+++ b/packages/instance/__tests__/raisedFence.spec.ts
@@ -35,6 +35,11 @@
     kinds: ['oneWayCuts', 'storeless', 'waitingTasks', 'lateMessages'],
     failedSeeds: [590, 662, 735],
   },
+  {
+    name: 'never runs twice at the same time when a submission of several cuts arrives after its caller has submitted the job again',
+    kinds: ['oneWayCuts', 'shortCuts', 'storeless', 'lateMessages'],
+    failedSeeds: [34, 917, 930],
+  },
   {
     name: 'never runs twice at the same time when any fault meets a short or one-way cut',
     kinds: [...LongFaultKinds, ...CutFaultKinds],
