fix(dispatch): start no task that was cleared under an earlier fencing token, or by an old message

Cause: a job was cleared to start once, at its admission, and stayed so. (1) A dispatcher whose token was raised, or which was named again, went on with its jobs without asking what another one had started under the tokens in between. (2) A first submission that was held up in a cut connection was admitted as new when it arrived, although its gateway had handed the job over or answered it. (3) Leases of gateways counted from the arrival of any message, also of one that was sent seconds ago, of one whose sender heard nothing, and of the request with which a dispatcher apart gives way.

Change: a job starts only under the token under which it was admitted or reconciled last. A change of the token reconciles every open job again, with runs or without: all endpoints must answer under the new token. The gateway must confirm the job under it too, by the number of its submissions that got no answer, which heartbeats and submissions carry. A submission that is old, or was sent under another token, waits for the same confirmation. A lease counts from the newest time of the dispatcher that the gateway has heard, and belongs to one process of the gateway. A job that is confirmed does not wait for a silent endpoint longer than 300 ms, so it is not lost for it.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -27,6 +27,7 @@
 import {
   CANCELLED_OUTCOME,
   JobStates,
+  type GatewayState,
   type JobOutcome,
   type JobState,
   type LeasedJob,
@@ -42,8 +43,8 @@
 import { describeFirstStart } from './describeFirstStart.js';
 import { describeEnd, describeUnserved, outcomeName } from './describeOutcome.js';
 import { createEndpointHealth } from './endpointHealth.js';
-import { createFenceLog } from './fenceLog.js';
-import { createGatewayLeases, type LeaseAge } from './gatewayLeases.js';
+import { logFenceChange } from './fenceLog.js';
+import { createGatewayLeases, type GatewayMessage, type LeaseAge } from './gatewayLeases.js';
 import {
   createJobRecord,
   endpointsWithRuns,
@@ -70,6 +71,7 @@
 import { createDuplicateRunDetector } from './duplicateRunDetector.js';
 import { createStallDetector } from './stallDetector.js';
 import { createEndpointReportLog } from './endpointReportLog.js';
+import { createTokenChanges } from './tokenChanges.js';
 
 /** Interval of the periodic check of waiting jobs, deadlines and gateway leases. */
 const REVIEW_INTERVAL_MS = 20;
@@ -91,6 +93,13 @@
 export interface Submission {
   readonly job: LeasedJob;
   readonly gateway: string;
+  /** Incarnation of the gateway's process; undefined for that of this instance. */
+  readonly incarnation?: string | undefined;
+  /**
+   * What the gateway knew when it sent the job; undefined for the gateway of this instance, and for one
+   * of an earlier version.
+   */
+  readonly sender?: GatewayState | undefined;
   /** How often the gateway has submitted the job to a dispatcher before. */
   readonly resubmissions: number;
   /** Endpoints on which an earlier dispatcher left runs of the job. */
@@ -125,8 +134,11 @@
   limitJobs(gateway: string, remainingMs: number): void;
   /** Whether a job is open, has recently ended, or may have orphaned runs. */
   isKnown(job: string): boolean;
-  /** Handles a heartbeat of a gateway: renews the lease that allows its jobs to run. */
-  renewGatewayLease(gateway: string): void;
+  /**
+   * Handles a heartbeat of a gateway: renews the lease that allows its jobs to run, and confirms them
+   * after a change of the fencing token.
+   */
+  renewGatewayLease(gateway: string, message?: Omit<GatewayMessage, 'gateway'>): void;
   /** Replaces the list of endpoints. */
   setEndpoints(entries: readonly EndpointEntry[]): void;
   /** Returns the endpoints with possible runs that the next dispatcher may not know. */
@@ -188,6 +200,9 @@
       ? createNeighbourLoss({ clock, logger, metrics })
       : undefined;
   const gatewayLeases = createGatewayLeases(clock);
+  const tokens = createTokenChanges({ fence: options.fence, clock, monotonicClock: timer });
+  /** Open jobs that wait for their gateways to confirm them. */
+  const unconfirmed = new Set<JobRecord>();
   const jobSizes = createJobSizeClassifier();
   const duplicateRuns = createDuplicateRunDetector({
     clock,
@@ -280,6 +295,7 @@
   const inherited = createInheritedEndpoints(pool, timer);
   const reconciliation = createReconciliation({
     pool,
+    tokens,
     inherited,
     clock,
     monotonicClock: timer,
@@ -294,7 +310,6 @@
   });
   const createdMs = clock.nowMs();
   const reportLog = createEndpointReportLog({ pool, clock, logger });
-  const fenceLog = createFenceLog({ ...options, jobs: () => jobs.values() });
   const stallDetector = createStallDetector(clock);
   let isPassDue = false;
   let isClosed = false;
@@ -313,7 +328,8 @@
       return Promise.resolve({ state: JobStates.MOVED, reason, isUntouched: true });
     }
     const leaseAge = gatewayLeases.ageOf(submission.gateway);
-    gatewayLeases.renew(submission.gateway);
+    detectTokenChange();
+    const isRecent = renewLease(submission);
     const cached = outcomeCache.find(id);
     if (cached !== undefined) return Promise.resolve(cached);
     if (submission.isCancelled === true) withdraw(id);
@@ -325,12 +341,72 @@
       return Promise.resolve(CANCELLED_OUTCOME);
     }
     const known = jobs.get(id);
-    if (known === undefined) return admit(submission, leaseAge);
+    if (known === undefined) return admit(submission, isRecent, leaseAge);
     logResubmission(known, submission);
-    if (known.outcome === undefined) return join(known, submission);
+    if (known.outcome === undefined) return join(known, submission, isRecent);
     return readmit(known, submission);
   }
 
+  /** Renews the lease of a gateway; returns false if the message is too old to prove contact. */
+  function renewLease(message: GatewayMessage): boolean {
+    return gatewayLeases.renew(message, { fence: tokens.fence(), sinceMs: tokens.sinceMs() });
+  }
+
+  /** Reconciles all open jobs again if the fencing token has changed. */
+  function detectTokenChange(): void {
+    const earlier = tokens.detect();
+    if (earlier === undefined) return;
+    const open = [...jobs.values()].filter(({ outcome }) => outcome === undefined);
+    const change = { earlier, fence: tokens.fence(), nowMs: tokens.sinceMs() };
+    logFenceChange(change, open, { ...options, instance: options.instance });
+    reconciliation.restart(open);
+    for (const record of open) if (record.confirmUntilMs !== undefined) unconfirmed.add(record);
+  }
+
+  /** Confirms the jobs that a gateway has handed over to no other dispatcher since it sent them. */
+  function confirmJobs(gateway: string, sender: GatewayState | undefined): void {
+    if (unconfirmed.size === 0 || sender === undefined || sender.fence !== tokens.fence()) return;
+    for (const record of [...unconfirmed]) {
+      if (record.gateway !== gateway || record.unanswered !== sender.unanswered) continue;
+      confirm(record);
+      record.leasedSinceMs = clock.nowMs();
+    }
+  }
+
+  function confirm(record: JobRecord): void {
+    reconciliation.confirm(record);
+    unconfirmed.delete(record);
+  }
+
+  /**
+   * Whether a submission proves by itself that its gateway has the job with this dispatcher: it was
+   * sent a short time ago, under the present token.
+   */
+  function isProved({ sender }: Submission, isRecent: boolean): boolean {
+    return sender === undefined || (isRecent && sender.fence === tokens.fence());
+  }
+
+  /**
+   * Lets a new job wait until its gateway confirms it. The job was sent under another token, or so long
+   * ago that the gateway may have handed it over elsewhere.
+   */
+  function awaitConfirmation(record: JobRecord, submission: Submission): void {
+    const { sender, gateway, resubmissions } = submission;
+    if (sender?.fence === tokens.fence()) reconciliation.awaitConfirmation(record);
+    else reconciliation.restart([record]);
+    unconfirmed.add(record);
+    metrics.increment('unconfirmed-submissions');
+    logger.info('Job waits for its gateway to confirm it.', {
+      job: record.job.id,
+      gateway,
+      resubmissions,
+      sentUnder: sender?.fence,
+      fence: tokens.fence(),
+      heardAgoMs:
+        sender?.heardMs === undefined ? undefined : Math.round(clock.nowMs() - sender.heardMs),
+    });
+  }
+
   function logResubmission(record: JobRecord, { gateway, resubmissions }: Submission): void {
     logger.info('Job was submitted again.', {
       job: record.job.id,
@@ -343,18 +419,19 @@
   }
 
   /** Joins a resubmission to the open job, so that the new caller gets the answer as well. */
-  function join(record: JobRecord, submission: Submission): Promise<JobOutcome> {
+  function join(record: JobRecord, submission: Submission, isRecent: boolean): Promise<JobOutcome> {
     const { gateway, resubmissions, heldOn = [], lostHandoverAgoMs } = submission;
     const wasElsewhere = heldOn.length > 0 || lostHandoverAgoMs !== undefined;
     // The same gateway submitted the job to this dispatcher before, unless the submission says
     // otherwise.
     const isOtherGateway = gateway !== record.gateway;
-    const mayRunElsewhere = wasElsewhere || (resubmissions > 0 && isOtherGateway);
-    // The deadline may be that of a gateway that ends, and this caller waits for longer.
-    const deadlineMs = clock.nowMs() + submission.job.remainingMs;
-    if (isOtherGateway) record.deadlineMs = Math.max(record.deadlineMs, deadlineMs);
-    record.gateway = gateway;
-    record.leasedSinceMs = clock.nowMs();
+    const mayRunElsewhere =
+      wasElsewhere ||
+      (resubmissions > 0 && isOtherGateway) ||
+      (resubmissions === 0 && !isOtherGateway && hasLostAnswers(record, submission));
+    // An outdated submission gets the answer, but its gateway may be gone.
+    if (isProved(submission, isRecent) && !isOutdated(record, submission))
+      applySubmission(record, submission);
     record.mayHaveRun ||= mayRunElsewhere;
     const earlier = record.answer;
     return new Promise((resolve) => {
@@ -362,10 +439,32 @@
         earlier(outcome);
         resolve(outcome);
       };
-      if (mayRunElsewhere) reconciliation.claim(record, submission);
+      if (!mayRunElsewhere) return;
+      reconciliation.claim(record, { ...submission, resubmissions: Math.max(1, resubmissions) });
     });
   }
 
+  function applySubmission(record: JobRecord, submission: Submission): void {
+    const { gateway, sender, job } = submission;
+    // The deadline may be that of a gateway that ends, and this caller waits for longer.
+    const deadlineMs = clock.nowMs() + job.remainingMs;
+    if (gateway !== record.gateway) record.deadlineMs = Math.max(record.deadlineMs, deadlineMs);
+    record.gateway = gateway;
+    record.leasedSinceMs = clock.nowMs();
+    record.unanswered = sender?.unanswered;
+    confirm(record);
+  }
+
+  /** Whether the gateway has sent the job here again since it sent a submission. */
+  function isOutdated(record: JobRecord, { gateway, sender }: Submission): boolean {
+    return gateway === record.gateway && (sender?.unanswered ?? 0) < (record.unanswered ?? 0);
+  }
+
+  /** Whether the gateway may have handed a job over elsewhere since it sent it here. */
+  function hasLostAnswers({ unanswered }: JobRecord, { sender }: Submission): boolean {
+    return unanswered !== undefined && sender !== undefined && unanswered !== sender.unanswered;
+  }
+
   /** Admits a resubmission of an ended job once the runs of that job have terminated. */
   async function readmit(record: JobRecord, submission: Submission): Promise<JobOutcome> {
     const sinceMs = clock.nowMs();
@@ -388,7 +487,11 @@
     });
   }
 
-  function admit(submission: Submission, lease: LeaseAge | undefined): Promise<JobOutcome> {
+  function admit(
+    submission: Submission,
+    isRecent: boolean,
+    lease: LeaseAge | undefined,
+  ): Promise<JobOutcome> {
     const { job, gateway, resubmissions } = submission;
     const tasks = job.steps.reduce((sum, step) => sum + step.tasks, 0);
     if (byTask.size > 0 && byTask.size + tasks > MAX_OPEN_TASKS)
@@ -400,15 +503,18 @@
       const mayHaveRun = resubmissions > 0;
       const work = placer.totalWork(job);
       const size = jobSizes.classify(job.team, work);
-      const admission = { resubmissions, fence: options.fence(), lease };
+      const fence = tokens.fence();
+      const admission = { resubmissions, fence, lease };
       const estimates = { criticalPathMs, work, size };
-      const recordOptions = { arrivedMs, firstRun, mayHaveRun, admission, ...estimates };
+      const recordOptions = { arrivedMs, firstRun, fence, mayHaveRun, admission, ...estimates };
       const record = createJobRecord(job, gateway, recordOptions, resolve);
       jobs.set(job.id, record);
       for (const task of record.tasks) byTask.set(task.key, { record, task });
       arrivalRates.record(job.priority, placer.workLeft(record), arrivedMs - job.ageMs, arrivedMs);
       reconciliation.claim(record, submission);
       if (record.outcome !== undefined) return;
+      record.unanswered = submission.sender?.unanswered;
+      if (!isProved(submission, isRecent)) awaitConfirmation(record, submission);
       if (!placer.isRunnable(record)) {
         finish(record, { state: stateOfUnserved(record), reason: 'no endpoint can run it' });
         return;
@@ -446,8 +552,8 @@
   /** Runs a placement pass. It is cheap while there is no free capacity. */
   function runPass(): void {
     const nowMs = clock.nowMs();
-    fenceLog.check();
-    if (nowMs - createdMs < RECONCILIATION_TIMEOUT_MS)
+    detectTokenChange();
+    if (nowMs - tokens.sinceMs() < RECONCILIATION_TIMEOUT_MS)
       reconciliation.reconcile(jobs.values(), nowMs);
     const waiting = [...jobs.values()].filter((record) => mayStartTasks(record, nowMs));
     if (waiting.length > 0 && placer.hasFreeCapacity(waiting, nowMs)) executePlan(waiting, nowMs);
@@ -501,7 +607,8 @@
       return;
     }
     const hasFreeCapacity =
-      (planned.hasFreeCapacity && !isHeldByLink) || nowMs - createdMs < RECONCILIATION_TIMEOUT_MS;
+      (planned.hasFreeCapacity && !isHeldByLink) ||
+      nowMs - tokens.sinceMs() < RECONCILIATION_TIMEOUT_MS;
     const { deadlineMs, arrivedMs, maxWaitMs } = record;
     const job = {
       nowMs,
@@ -562,6 +669,7 @@
       record.outcome === undefined &&
       record.waiting > 0 &&
       record.reconcileUntilMs === undefined &&
+      record.fence === options.fence() &&
       nowMs < record.deadlineMs &&
       gatewayLeases.isValidSince(record.gateway, record.leasedSinceMs)
     );
@@ -601,7 +709,7 @@
    */
   function startTask(record: JobRecord, { task, controller, relocation }: PlannedStart): boolean {
     const demand = record.job.steps[task.ref.step]?.demand;
-    if (demand === undefined) return false;
+    if (demand === undefined || record.fence !== options.fence()) return false;
     if (reconciliation.claimTask(record, task)) {
       const { key, endpoint, run, isDone } = task;
       const claimContext = { job: record.job.id, task: key, endpoint, run: run?.number, isDone };
@@ -739,6 +847,7 @@
   function finish(record: JobRecord, outcome: JobOutcome): void {
     if (record.outcome !== undefined) return;
     record.outcome = outcome;
+    unconfirmed.delete(record);
     record.answer(outcome);
     const nowMs = clock.nowMs();
     const { id, team } = record.job;
@@ -797,7 +906,7 @@
   function review(): void {
     const nowMs = clock.nowMs();
     stallDetector.tick();
-    fenceLog.check();
+    detectTokenChange();
     pool.removeDrained();
     reportLog.logReports();
     reconciliation.reconcile(jobs.values(), nowMs);
@@ -805,7 +914,10 @@
       if (record.outcome !== undefined) continue;
       if (nowMs >= record.deadlineMs) {
         finish(record, expiredOutcome(record));
-      } else if (!gatewayLeases.isValidSince(record.gateway, record.leasedSinceMs)) {
+      } else if (
+        record.confirmUntilMs === undefined &&
+        !gatewayLeases.isValidSince(record.gateway, record.leasedSinceMs)
+      ) {
         finish(record, { state: JobStates.LOST, reason: 'its gateway is silent' });
       }
     }
@@ -891,11 +1003,13 @@
       jobs.has(id) ||
       outcomeCache.find(id) !== undefined ||
       reconciliation.mayHaveRuns(id),
-    renewGatewayLease: (gateway) => {
-      gatewayLeases.renew(gateway);
+    renewGatewayLease(gateway, message = {}) {
+      detectTokenChange();
+      if (renewLease({ gateway, ...message })) confirmJobs(gateway, message.sender);
     },
     setEndpoints(entries) {
       reportLog.logListChange(entries);
+      tokens.recordListed(entries.map(({ id }) => id));
       pool.setEntries(entries);
       hasEvacuatedEndpoints = entries.some((entry) => entry.isEvacuated === true);
       evacuatedJobs = new WeakMap();
--- a/packages/dispatch/src/gatewayLeases.ts
+++ b/packages/dispatch/src/gatewayLeases.ts
@@ -1,14 +1,38 @@
 /**
- * Leases that allow the jobs of each gateway to run, renewed by the gateway's heartbeats.
+ * Leases that allow the jobs of each gateway to run, renewed by what the gateway sends.
  *
- * A gateway lease is shorter than the leases of endpoints and than the delay after which a caller
- * submits its job again. The job of a lost gateway therefore ends here before it can start
- * elsewhere.
+ * Fault pattern: a link is cut in one direction, or delivers seconds later what was sent in a cut. The
+ * gateway has lost contact and hands its jobs over to another dispatcher, but its messages still
+ * arrive. A lease therefore counts from the newest time of this dispatcher that the gateway has heard
+ * of, and not from the arrival of the message.
+ *
+ * A lease ends before a caller submits its job again elsewhere, and before the leases of endpoints.
  */
+import type { GatewayState } from '@celerybarrow/protocol';
 import type { ElapsedClock } from '@celerybarrow/timer';
 
-/** Less than the 950 ms of endpoint leases and the 1.3 s after which callers resubmit. */
-const GATEWAY_LEASE_MS = 550;
+/**
+ * Lease from the time that the gateway has heard of. Less than the 950 ms of endpoint leases and the
+ * 1.3 s after which callers resubmit, and more than three heartbeat intervals.
+ */
+export const GATEWAY_LEASE_MS = 750;
+/** Lease from the arrival of a message that tells no such time, from a gateway of an earlier version. */
+const LEASE_FROM_ARRIVAL_MS = 550;
+
+/** A message of a gateway, as evidence that the gateway is in contact. */
+export interface GatewayMessage {
+  readonly gateway: string;
+  /** Incarnation of the gateway's process; undefined if not known. */
+  readonly incarnation?: string | undefined;
+  /** Undefined for the gateway of this instance, and for one of an earlier version. */
+  readonly sender?: GatewayState | undefined;
+}
+
+/** The fencing token of the dispatcher, and since when it has had it. */
+export interface TokenAge {
+  readonly fence: number;
+  readonly sinceMs: number;
+}
 
 export interface LeaseAge {
   readonly renewedAgoMs: number;
@@ -17,28 +41,40 @@
 }
 
 export interface GatewayLeases {
-  renew(gateway: string): void;
-  /** Returns the age of a lease, whether or not it is valid; undefined if there was none. */
-  ageOf(gateway: string): LeaseAge | undefined;
+  /** Renews the lease of a gateway. Returns false if the message is too old to prove contact. */
+  renew(message: GatewayMessage, token: TokenAge): boolean;
   /** Whether the lease has been valid without interruption since `sinceMs`. */
   isValidSince(gateway: string, sinceMs: number): boolean;
+  /** Returns the age of a lease, whether or not it is valid; undefined if there was none. */
+  ageOf(gateway: string): LeaseAge | undefined;
 }
 
 interface GatewayLease {
-  grantedMs: number;
+  readonly incarnation: string | undefined;
+  readonly grantedMs: number;
+  /** When the last message that renewed it arrived. */
   renewedMs: number;
+  endMs: number;
 }
 
 export function createGatewayLeases(clock: ElapsedClock): GatewayLeases {
   const leases = new Map<string, GatewayLease>();
   return {
-    renew(gateway) {
+    renew(message, token) {
+      const { gateway, incarnation } = message;
       const nowMs = clock.nowMs();
+      const endMs = leaseEndMs(message, token, nowMs);
+      if (endMs <= nowMs) return false;
       const lease = leases.get(gateway);
-      // A renewal after expiry, such as after this machine was frozen, starts a new lease.
-      if (lease === undefined || nowMs - lease.renewedMs >= GATEWAY_LEASE_MS) {
-        leases.set(gateway, { grantedMs: nowMs, renewedMs: nowMs });
-      } else lease.renewedMs = nowMs;
+      // A renewal after expiry, such as after this machine was frozen, starts a new lease, and so does
+      // the first one of a restarted gateway.
+      if (lease === undefined || nowMs >= lease.endMs || isOtherProcess(lease, incarnation)) {
+        leases.set(gateway, { incarnation, grantedMs: nowMs, renewedMs: nowMs, endMs });
+      } else {
+        lease.renewedMs = nowMs;
+        lease.endMs = Math.max(lease.endMs, endMs);
+      }
+      return true;
     },
     ageOf(gateway) {
       const lease = leases.get(gateway);
@@ -48,8 +84,23 @@
     },
     isValidSince(gateway, sinceMs) {
       const lease = leases.get(gateway);
-      if (lease === undefined || lease.grantedMs > sinceMs) return false;
-      return clock.nowMs() - lease.renewedMs < GATEWAY_LEASE_MS;
+      return lease !== undefined && lease.grantedMs <= sinceMs && clock.nowMs() < lease.endMs;
     },
   };
 }
+
+/** Returns until when a message proves contact, on the clock of the dispatcher. */
+function leaseEndMs({ sender }: GatewayMessage, token: TokenAge, nowMs: number): number {
+  if (sender === undefined) return nowMs + LEASE_FROM_ARRIVAL_MS;
+  // A gateway that knows the present token sent the message after this dispatcher got the token.
+  const tokenMs = sender.fence === token.fence ? token.sinceMs : -Infinity;
+  return Math.max(sender.heardMs ?? -Infinity, tokenMs) + GATEWAY_LEASE_MS;
+}
+
+function isOtherProcess(lease: GatewayLease, incarnation: string | undefined): boolean {
+  return (
+    incarnation !== undefined &&
+    lease.incarnation !== undefined &&
+    lease.incarnation !== incarnation
+  );
+}
--- a/packages/dispatch/src/jobRecord.ts
+++ b/packages/dispatch/src/jobRecord.ts
@@ -66,6 +66,15 @@
   mayHaveRun: boolean;
   /** Set when the job ends; remaining runs are then being stopped. */
   outcome?: JobOutcome;
+  /** Fencing token under which the job was admitted, or reconciled last. It starts under no other. */
+  fence: number;
+  /** `GatewayState.unanswered` of the gateway when it sent the job; undefined if it told none. */
+  unanswered?: number | undefined;
+  /**
+   * Until when the job waits for its gateway to confirm, under the present token, that it has not
+   * handed the job over elsewhere; undefined if it is confirmed.
+   */
+  confirmUntilMs?: number | undefined;
   /** End of the reconciliation of orphaned runs. No new runs start while it is set. */
   reconcileUntilMs?: number | undefined;
   /** Endpoints that have to report their runs before reconciliation ends, listed or not. */
@@ -103,6 +112,7 @@
   readonly arrivedMs: number;
   readonly criticalPathMs: number;
   readonly firstRun: number;
+  readonly fence?: number;
   readonly mayHaveRun: boolean;
   readonly work?: number;
   readonly size?: JobSize;
@@ -135,6 +145,7 @@
     waiting: tasks.length,
     hasStarted: false,
     mayHaveRun: options.mayHaveRun,
+    fence: options.fence ?? 0,
     work: options.work ?? 0,
     size: options.size ?? JobSizes.UNKNOWN,
     admission: options.admission,
--- a/packages/dispatch/src/reconciliation.ts
+++ b/packages/dispatch/src/reconciliation.ts
@@ -17,6 +17,10 @@
  * - Any other job may have been submitted before at another instance. It waits for the first
  *   reports of all endpoints, for at most the same time, and then starts. If the earlier dispatcher
  *   named it among those with runs on such an endpoint, it counts as resubmitted.
+ * - When the fencing token of this dispatcher changes, another dispatcher may have had the open jobs
+ *   in the meantime. They are reconciled again, and start nothing before their gateway has confirmed
+ *   under the new token that it has handed none of them over. A job that is not confirmed in time is
+ *   lost here: its gateway has it elsewhere, or submits it again.
  */
 import { RunEnds, taskKey } from '@celerybarrow/endpoints';
 import type { Logger } from '@celerybarrow/telemetry';
@@ -24,12 +28,15 @@
 import type { EndpointPool } from './endpointPool.js';
 import { ORPHANED_RUN_LIFETIME_MS, type InheritedEndpoints } from './inheritedEndpoints.js';
 import { describeRuns, type JobRecord, type TaskRecord } from './jobRecord.js';
+import type { TokenChanges } from './tokenChanges.js';
 
 /**
  * Maximum time for the endpoints to report their runs. A resubmitted job is lost after this time. A
  * new dispatcher refuses no job for lack of capacity before it has passed.
  */
 export const RECONCILIATION_TIMEOUT_MS = 300;
+/** Gateways learn of a new token, and confirm their jobs, within this time. */
+const CONFIRMATION_TIMEOUT_MS = 1_000;
 /** Time in which the expiry of the leases is noticed. */
 const EXPIRY_MARGIN_MS = 50;
 
@@ -47,6 +54,15 @@
 export interface Reconciliation {
   /** Claims the orphaned runs of a job that was just submitted, for the first time or again. */
   claim(record: JobRecord, handover: Handover): void;
+  /**
+   * Reconciles jobs again under the present token, and waits for their gateways to confirm them if the
+   * gateways can.
+   */
+  restart(records: readonly JobRecord[]): void;
+  /** Lets a job wait until its gateway confirms that it has not handed the job over elsewhere. */
+  awaitConfirmation(record: JobRecord): void;
+  /** Records that the gateway of a job has confirmed it, or submitted it again, under the present token. */
+  confirm(record: JobRecord): void;
   /** Claims the orphaned run of a task, if an endpoint reports one; returns whether it did. */
   claimTask(record: JobRecord, task: TaskRecord): boolean;
   /** Whether an endpoint reports an unclaimed run of a job, or may still report one. */
@@ -60,6 +76,7 @@
 
 export interface ReconciliationOptions {
   readonly pool: EndpointPool;
+  readonly tokens: TokenChanges;
   readonly inherited: InheritedEndpoints;
   readonly clock: ElapsedClock;
   /** Clock for the expiry of orphaned runs, and for the request times of reports. */
@@ -77,13 +94,48 @@
 }
 
 export function createReconciliation(options: ReconciliationOptions): Reconciliation {
-  const { pool, inherited, clock, monotonicClock, logger } = options;
+  const { pool, tokens, inherited, clock, monotonicClock, logger } = options;
   const createdMs = monotonicClock.nowMs();
 
   function ageMs(): number {
     return monotonicClock.nowMs() - createdMs;
   }
 
+  /** Time since this dispatcher has had the present token. */
+  function tokenAgeMs(): number {
+    return monotonicClock.nowMs() - tokens.sinceMonotonicMs();
+  }
+
+  function restart(records: readonly JobRecord[]): void {
+    if (records.length === 0) return;
+    const nowMs = clock.nowMs();
+    const oldestMs = Math.min(...records.map(({ arrivedMs }) => arrivedMs));
+    // Another dispatcher may have used endpoints that have left the list here since the jobs arrived.
+    const endpoints = new Set(tokens.departedSince(oldestMs));
+    surveyListed(endpoints);
+    for (const record of records) {
+      record.fence = tokens.fence();
+      record.reconcileFromMs = monotonicClock.nowMs();
+      record.surveyed =
+        record.surveyed === undefined ? endpoints : new Set([...record.surveyed, ...endpoints]);
+      record.reconcileUntilMs = record.waiting > 0 ? nowMs + RECONCILIATION_TIMEOUT_MS : Infinity;
+      // The gateway of this process hands over no job that is open here, and one of an earlier version
+      // tells nothing.
+      if (record.unanswered !== undefined) record.confirmUntilMs = nowMs + CONFIRMATION_TIMEOUT_MS;
+    }
+    refreshAll();
+  }
+
+  function awaitConfirmation(record: JobRecord): void {
+    const nowMs = clock.nowMs();
+    record.confirmUntilMs = nowMs + CONFIRMATION_TIMEOUT_MS;
+    record.reconcileUntilMs ??= nowMs;
+  }
+
+  function confirm(record: JobRecord): void {
+    record.confirmUntilMs = undefined;
+  }
+
   function claim(record: JobRecord, handover: Handover): void {
     const { heldOn = [], lostHandoverAgoMs } = handover;
     const { id } = record.job;
@@ -96,11 +148,11 @@
       options.onLost(record, 'an endpoint with its runs is not listed');
       return;
     }
-    if (!isResubmitted && ageMs() > ORPHANED_RUN_LIFETIME_MS) return;
+    if (!isResubmitted && tokenAgeMs() > ORPHANED_RUN_LIFETIME_MS) return;
     for (const task of record.tasks) claimTask(record, task);
     if (!isResubmitted) {
       logUnmarkedJob(record);
-      const leftMs = RECONCILIATION_TIMEOUT_MS - ageMs();
+      const leftMs = RECONCILIATION_TIMEOUT_MS - tokenAgeMs();
       if (leftMs > 0 && !haveAllReported(record)) record.reconcileUntilMs = nowMs + leftMs;
       return;
     }
@@ -121,6 +173,10 @@
 
   function requestReports(record: JobRecord, nowMs: number): void {
     record.reconcileUntilMs = nowMs + RECONCILIATION_TIMEOUT_MS;
+    refreshAll();
+  }
+
+  function refreshAll(): void {
     for (const controller of pool.controllers()) controller.refresh();
   }
 
@@ -219,15 +275,34 @@
     return options.isListCurrent() && departuresVersion <= options.departuresVersion();
   }
 
-  /** Whether every endpoint that may have runs of the job has reported its runs at least once. */
+  /** Whether every endpoint that may have runs of the job has reported under the present token. */
   function haveAllReported(record: JobRecord): boolean {
     if (pool.size() === 0 || !isInformed(record)) return false;
     if (inherited.unreported(record.job.id, -Infinity).length > 0) return false;
+    const fromMs = tokens.sinceMonotonicMs();
     return [...pool.controllers()].every(
-      ({ id, lastReportMs }) => lastReportMs() !== undefined || inherited.isBesideList(id),
+      ({ id, lastReportMs }) =>
+        (lastReportMs() ?? -Infinity) >= fromMs || inherited.isBesideList(id),
     );
   }
 
+  /** Whether all endpoints have reported that may run a job of which no earlier handover is known. */
+  function hasNoUnseenRuns(record: JobRecord): boolean {
+    if (record.reconcileFromMs === undefined) return haveAllReported(record);
+    return haveListedReported(record) && awaitedBesideList(record).length === 0;
+  }
+
+  function loseUnconfirmed(record: JobRecord): void {
+    logger.warn('Job was not confirmed by its gateway under the new token.', {
+      job: record.job.id,
+      gateway: record.gateway,
+      fence: record.fence,
+      runs: describeRuns(record, MAX_NAMED_ENDPOINTS),
+      missing: record.waiting,
+    });
+    options.onLost(record, 'its gateway has not confirmed it after a change of the token');
+  }
+
   /** Returns the endpoints beside the list whose reports or expired leases the job waits for. */
   function awaitedBesideList({ job, reconcileFromMs = Infinity }: JobRecord): readonly string[] {
     return inherited.unreported(job.id, reconcileFromMs);
@@ -269,13 +344,17 @@
       for (const task of record.tasks) claimTask(record, task);
       // The departing endpoints of the earlier dispatcher may arrive after the job.
       if (!record.mayHaveRun && inherited.isNamed(record.job.id)) awaitReports(record, nowMs);
+      if (record.confirmUntilMs !== undefined) {
+        if (nowMs > record.confirmUntilMs) loseUnconfirmed(record);
+        continue;
+      }
+      if (record.waiting > 0 && record.reconcileUntilMs === Infinity) requestReports(record, nowMs);
       if (!record.mayHaveRun) {
-        if (!haveAllReported(record) && nowMs < record.reconcileUntilMs) continue;
+        if (!hasNoUnseenRuns(record) && nowMs < record.reconcileUntilMs) continue;
         record.reconcileUntilMs = undefined;
         options.onReconciled();
         continue;
       }
-      if (record.waiting > 0 && record.reconcileUntilMs === Infinity) requestReports(record, nowMs);
       if (haveListedReported(record) && awaitedBesideList(record).length === 0) {
         record.reconcileUntilMs = undefined;
         logReconciliation(record, nowMs);
@@ -306,5 +385,5 @@
     );
   }
 
-  return { claim, claimTask, mayHaveRuns, reconcile };
+  return { claim, restart, awaitConfirmation, confirm, claimTask, mayHaveRuns, reconcile };
 }
--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -77,6 +77,8 @@
     isDispatching: () => state.view?.dispatcher.instance === 'a',
     isDispatcherReachable: () => state.view !== undefined,
     lastContactMs: (incarnation: string) => state.contacts.get(incarnation),
+    gatewayState: () => undefined,
+    recordUnanswered: () => undefined,
     link: () => {
       const { answer } = state;
       if (answer !== undefined) return { request: answer } as unknown as PeerLink;
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -322,7 +322,11 @@
     const link = route?.leadership.link();
     if (route === undefined || link === undefined)
       return { end: AttemptEnds.NOT_SENT, reason: 'no connection to the dispatcher' };
-    const request = { shard: route.leadership.shard, ...submission };
+    const request = {
+      shard: route.leadership.shard,
+      ...submission,
+      sender: route.leadership.gatewayState(),
+    };
     openJob.isAwaitingReply = true;
     const reply = await link.request('dispatch', request, {
       timeoutMs: remaining + ANSWER_GRACE_MS,
@@ -335,6 +339,7 @@
     openJob.lastView = view;
     if (reply.isOk) return handleOutcome(openJob, reply.value);
     openJob.lostHandover = { incarnation, sentMs };
+    route.leadership.recordUnanswered(incarnation);
     // The next dispatcher may not know the endpoints that a disconnected one has used.
     openJob.isLostWhileDisconnected ||= view.round > 0;
     return { end: AttemptEnds.NO_ANSWER, reason: reply.error.message };
--- a/packages/instance/__tests__/resubmittedShard.spec.ts
+++ b/packages/instance/__tests__/resubmittedShard.spec.ts
@@ -68,6 +68,8 @@
         view: () => view,
         isDispatching: () => true,
         lastContactMs: () => undefined,
+        gatewayState: () => undefined,
+        recordUnanswered: () => undefined,
       };
       const fence = () => 1;
       const common = { timer, clock, random, logger, metrics: createMetrics() };
--- a/packages/instance/__tests__/simulatedFleet.ts
+++ b/packages/instance/__tests__/simulatedFleet.ts
@@ -159,6 +159,8 @@
       isDispatching: () => false,
       isDispatcherReachable: () => views[number]?.isUnreachable === false,
       lastContactMs: () => undefined,
+      gatewayState: () => undefined,
+      recordUnanswered: () => undefined,
       link: () => createLink(views[number] ?? current),
     } as unknown as Leadership;
     timer.onEvery(HEARTBEAT_INTERVAL_MS, () => {
--- a/packages/instance/__tests__/simulatedInstance.ts
+++ b/packages/instance/__tests__/simulatedInstance.ts
@@ -2,7 +2,8 @@
 import type { Dispatcher } from '@celerybarrow/dispatch';
 import type { Entry } from '@celerybarrow/entry';
 import type { ReplicatedDocuments } from '@celerybarrow/leadership';
-import type { View } from '@celerybarrow/protocol';
+import type { GatewayState, View } from '@celerybarrow/protocol';
+import type { ElapsedClock } from '@celerybarrow/timer';
 import type { DepartureSharing } from '../src/shareDepartures.js';
 import type { OneWayCut } from './simulatedCuts.js';
 import type { SimulatedHost } from './simulatedHost.js';
@@ -22,6 +23,9 @@
   hasContact: boolean;
   /** When dispatchers last answered a heartbeat, by incarnation. */
   readonly contacts: Map<string, number>;
+  /** Newest clocks that dispatchers have told, and jobs taken from them, by incarnation. */
+  readonly heard: Map<string, number>;
+  readonly unanswered: Map<string, number>;
   /** When the first heartbeat without an answer was due. */
   unansweredSinceMs: number | undefined;
   /** Since when this instance suspects that the dispatcher has failed. */
@@ -39,12 +43,14 @@
   readonly view: View;
   /** Versions of the documents that the gateway has. */
   readonly versions: Readonly<Record<string, number>>;
+  readonly sender: GatewayState | undefined;
 }
 
 export interface SimulatedInstance {
   readonly name: string;
   readonly zone: string;
   readonly host: SimulatedHost;
+  readonly clock: ElapsedClock;
   readonly entry: Entry;
   readonly shardStates: readonly ShardState[];
   readonly documents: ReplicatedDocuments;
--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -16,7 +16,7 @@
   ONE_SHARD_HEARTBEAT,
   type Leadership,
 } from '@celerybarrow/leadership';
-import type { LeasedJob, PeerLink, View } from '@celerybarrow/protocol';
+import type { GatewayState, LeasedJob, PeerLink, View } from '@celerybarrow/protocol';
 import type { Random } from '@celerybarrow/shared';
 import { createMetrics, type Logger } from '@celerybarrow/telemetry';
 import { createElapsedClock, type ManualTimer } from '@celerybarrow/timer';
@@ -185,7 +185,7 @@
 
   function startDispatcher(instance: SimulatedInstance, shard: number): Dispatcher {
     const state = shardStateOf(instance, shard);
-    const clock = createElapsedClock(instance.host.timer);
+    const { clock } = instance;
     const dispatcher = createDispatcher({
       network: options.networkOf({
         reaches: (id) => isRunning(instance) && !isEndpointCut(instance, id, true),
@@ -324,6 +324,7 @@
       gateway: instance.name,
       view,
       versions: { ...instance.documents.versions(shard) },
+      sender: gatewayStateOf(instance, shard),
     };
     const endPending = connection.addPending(() => undefined);
     instance.host.timer.onTimeout(HEARTBEAT_REQUEST_TIMEOUT_MS, endPending);
@@ -338,6 +339,7 @@
         state.lastContactMs = timer.nowMs();
         state.hasContact = true;
         state.contacts.set(view.dispatcher.incarnation, sentMs);
+        state.heard.set(view.dispatcher.incarnation, reply.clockMs);
         state.unansweredSinceMs = undefined;
         state.suspectedSinceMs = undefined;
         state.wasFenced = false;
@@ -345,6 +347,17 @@
     });
   }
 
+  function gatewayStateOf(instance: SimulatedInstance, shard: number): GatewayState | undefined {
+    const { view, heard, unanswered } = shardStateOf(instance, shard);
+    if (view === undefined) return undefined;
+    const { incarnation } = view.dispatcher;
+    return {
+      fence: fenceOf(view),
+      heardMs: heard.get(incarnation),
+      unanswered: unanswered.get(incarnation) ?? 0,
+    };
+  }
+
   function handleHeartbeat(
     sender: SimulatedInstance,
     dispatcher: SimulatedInstance,
@@ -353,9 +366,16 @@
   ) {
     sendDocuments(sender, dispatcher, sent);
     const state = shardStateOf(dispatcher, shard);
-    const reply = { view: state.view, isDispatching: isDispatching(dispatcher, shard) };
+    const reply = {
+      view: state.view,
+      isDispatching: isDispatching(dispatcher, shard),
+      clockMs: Math.floor(dispatcher.clock.nowMs()),
+    };
     if (reply.isDispatching) {
-      state.dispatcher?.renewGatewayLease(sent.gateway);
+      state.dispatcher?.renewGatewayLease(sent.gateway, {
+        incarnation: incarnationOf(sender.name, sender.host),
+        sender: sent.sender,
+      });
       if (isNewer(sent.view, state.view)) raiseEpoch(dispatcher, shard);
     } else receiveView(dispatcher, shard, sent.view);
     return reply;
@@ -416,6 +436,7 @@
     return createSimulatedLink({
       shard,
       from: instance,
+      incarnation: incarnationOf(instance.name, instance.host),
       to: dispatcher,
       connections,
       onConnectionLoss,
@@ -442,6 +463,8 @@
       lastContactMs: timer.nowMs(),
       hasContact: false,
       contacts: new Map(),
+      heard: new Map(),
+      unanswered: new Map(),
       unansweredSinceMs: undefined,
       suspectedSinceMs: undefined,
       epochRaisedMs: -Infinity,
@@ -465,8 +488,14 @@
         },
         lastContactMs: (incarnation: string) =>
           shardStateOf(instance, shard).contacts.get(incarnation),
+        gatewayState: () => gatewayStateOf(instance, shard),
+        recordUnanswered(incarnation: string) {
+          const { unanswered } = shardStateOf(instance, shard);
+          unanswered.set(incarnation, (unanswered.get(incarnation) ?? 0) + 1);
+        },
         link: () => linkOf(instance, shard),
       }) as unknown as Leadership;
+    const clock = createElapsedClock(host.timer);
     const entry = createEntry({
       instance: name,
       shardOf: (job) => shardOf(instance, job),
@@ -477,7 +506,7 @@
           departuresVersion: departures.versionWithEndpoints(shard),
         })),
       timer: host.timer,
-      clock: createElapsedClock(host.timer),
+      clock,
       logger: options.logger,
     });
     const documents = createReplicatedDocuments(host.timer);
@@ -496,6 +525,7 @@
       name,
       zone,
       host,
+      clock,
       entry,
       shardStates,
       documents,
--- a/packages/instance/__tests__/simulatedLink.ts
+++ b/packages/instance/__tests__/simulatedLink.ts
@@ -8,6 +8,7 @@
 export interface SimulatedLinkOptions {
   readonly shard: number;
   readonly from: SimulatedInstance;
+  readonly incarnation: string;
   readonly to: SimulatedInstance | undefined;
   readonly connections: SimulatedConnections;
   /** Callbacks that fail the requests of connections that are no longer open. */
@@ -19,7 +20,7 @@
 type RequestBody = Readonly<Record<string, unknown>>;
 
 export function createSimulatedLink(options: SimulatedLinkOptions): PeerLink {
-  const { shard, from, to, connections, onConnectionLoss, isLost } = options;
+  const { shard, from, incarnation, to, connections, onConnectionLoss, isLost } = options;
 
   async function answer(at: SimulatedInstance, type: string, body: RequestBody): Promise<unknown> {
     const dispatcher = at.shardStates[shard]?.dispatcher;
@@ -28,7 +29,7 @@
       return dispatcher?.withdraw(body['job'] as string, gateway) ?? { found: false };
     }
     const moved = { state: JobStates.MOVED, reason: 'does not dispatch' };
-    return dispatcher?.submit(body as never) ?? moved;
+    return dispatcher?.submit({ ...body, incarnation } as never) ?? moved;
   }
 
   function request(type: string, body: RequestBody, wait: { timeoutMs: number }): Promise<unknown> {
--- a/packages/instance/src/instance.ts
+++ b/packages/instance/src/instance.ts
@@ -191,7 +191,8 @@
     traffic,
     logger: createLogger('leadership'),
     waiting: (shard) => dispatchers.get(shard)?.waiting() ?? {},
-    onHeartbeat: (shard, gateway) => dispatchers.get(shard)?.renewGatewayLease(gateway),
+    onHeartbeat: (shard, { instance: gateway, incarnation }, sender) =>
+      dispatchers.get(shard)?.renewGatewayLease(gateway, { incarnation, sender }),
     cancellationsAfter: (shard, position) =>
       dispatchers.get(shard)?.cancellationsAfter(position) ?? { jobs: [], position },
     onCancellations: (jobs) => {
@@ -262,9 +263,9 @@
   });
 
   async function start(): Promise<void> {
-    server.onRequest('dispatch', ({ shard, ...submission }) => {
+    server.onRequest('dispatch', ({ shard, ...submission }, { incarnation }) => {
       const moved = { state: JobStates.MOVED, reason: 'does not dispatch' };
-      return dispatchers.get(shard)?.submit(submission) ?? moved;
+      return dispatchers.get(shard)?.submit({ ...submission, incarnation }) ?? moved;
     });
     server.onRequest('withdraw', ({ shard, job, gateway }) => {
       const notHere = { found: false, isUncertain: true };
--- a/packages/leadership/src/fleetLeadership.ts
+++ b/packages/leadership/src/fleetLeadership.ts
@@ -5,7 +5,13 @@
  */
 import type { Random, RecordedJobs } from '@celerybarrow/shared';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
-import type { FleetMember, Greeting, PeerServer, Traffic } from '@celerybarrow/protocol';
+import type {
+  FleetMember,
+  GatewayState,
+  Greeting,
+  PeerServer,
+  Traffic,
+} from '@celerybarrow/protocol';
 import { followPrefix, type Entry, type Store } from '@celerybarrow/store';
 import type { Logger } from '@celerybarrow/telemetry';
 import { agreeOnShardCount, parseShardCount, SHARD_COUNT_KEY } from './shardCount.js';
@@ -61,7 +67,7 @@
   /** Returns the number of unstarted jobs of a shard by team; used while this instance dispatches it. */
   readonly waiting: (shard: number) => Record<string, number>;
   /** Called when a gateway's heartbeat reaches this instance as the dispatcher of a shard. */
-  readonly onHeartbeat: (shard: number, gateway: string) => void;
+  readonly onHeartbeat: (shard: number, gateway: Greeting, state: GatewayState | undefined) => void;
   /** Returns jobs of a shard cancelled after a position; used while this instance dispatches it. */
   readonly cancellationsAfter: (shard: number, position: number) => RecordedJobs;
   /** Called with jobs that a dispatcher on another instance has cancelled. */
@@ -160,8 +166,8 @@
         countDispatchedShards: (member) => countDispatchedBy(member, shard),
       }),
       waiting: () => options.waiting(shard),
-      onHeartbeat: (gateway) => {
-        options.onHeartbeat(shard, gateway);
+      onHeartbeat: (gateway, state) => {
+        options.onHeartbeat(shard, gateway, state);
       },
       cancellationsAfter: (position) => options.cancellationsAfter(shard, position),
     });
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -8,6 +8,7 @@
 import {
   type RequestBody,
   type FleetMember,
+  type GatewayState,
   type Greeting,
   type Opinion,
   type PeerLink,
@@ -75,8 +76,11 @@
   readonly ranking: () => Omit<RankingOptions, 'epoch'>;
   /** Returns the number of unstarted jobs by team; used while this instance dispatches. */
   readonly waiting: () => Record<string, number>;
-  /** Called for each heartbeat of a gateway. */
-  readonly onHeartbeat: (gateway: string) => void;
+  /**
+   * Called for each heartbeat of a gateway, with what the gateway knows; undefined if the gateway is of
+   * an earlier version.
+   */
+  readonly onHeartbeat: (gateway: Greeting, state: GatewayState | undefined) => void;
   /** Returns jobs cancelled after a position; used while this instance dispatches. */
   readonly cancellationsAfter: (position: number) => RecordedJobs;
   /** Called with jobs that the dispatcher has cancelled. */
@@ -105,6 +109,10 @@
    * undefined if it has answered none, or was replaced long ago.
    */
   lastContactMs(incarnation: string): number | undefined;
+  /** Returns what this instance tells the dispatcher with each job; undefined without a dispatcher. */
+  gatewayState(): GatewayState | undefined;
+  /** Records that this instance no longer waits for a dispatcher's answer to a job. */
+  recordUnanswered(incarnation: string): void;
   /** Reports that an endpoint obeys a higher fencing token than that of the current view. */
   handleFenced(endpoint: string): void;
   /** Returns the number of unstarted jobs by team, as last reported by the dispatcher. */
@@ -178,6 +186,7 @@
     if (closing.signal.aborted || !isNewer(next, view)) return;
     const earlier = view;
     const wasDispatching = isDispatching();
+    const isSameDispatcher = view?.dispatcher.incarnation === next.dispatcher.incarnation;
     view = next;
     cancellationsPosition = 0;
     detector.reset();
@@ -196,6 +205,10 @@
       wasDispatching,
     });
     for (const subscriber of subscribers) subscriber(next);
+    // A dispatcher whose token has changed starts nothing of this gateway until it hears from it.
+    if (isSameDispatcher && !isDispatching()) {
+      void sendPulse(next, links.to(next.dispatcher)).catch(logFailure);
+    }
   }
 
   async function run(): Promise<void> {
@@ -250,6 +263,7 @@
       versions,
       fetchesDocuments: true,
       cancellationsAfter: cancellationsPosition,
+      ...describeContact(current),
     };
     const sentMs = clock.nowMs();
     const sentMonotonicMs = timer.nowMs();
@@ -262,7 +276,10 @@
         openPulses -= 1;
       });
     if (reply.isErr || closing.signal.aborted) return;
-    if (reply.value.isDispatching) contacts.record(current.dispatcher.incarnation, sentMonotonicMs);
+    if (reply.value.isDispatching) {
+      const { incarnation } = current.dispatcher;
+      contacts.record(incarnation, sentMonotonicMs, reply.value.clockMs);
+    }
     if (lastSuspected === current) {
       lastSuspected = undefined;
       patience.recordFalseSuspicion();
@@ -270,6 +287,12 @@
     if (view === current) await handlePulseReply(current, link, reply.value, sentMs);
   }
 
+  function describeContact({ dispatcher }: View): Omit<GatewayState, 'fence'> {
+    const heardMs = contacts.heardMs(dispatcher.incarnation);
+    const unanswered = contacts.unanswered(dispatcher.incarnation);
+    return { unanswered, ...(heardMs === undefined ? {} : { heardMs }) };
+  }
+
   async function handlePulseReply(
     current: View,
     link: PeerLink,
@@ -502,7 +525,10 @@
     if (!(await stored.read()) || view !== current) return;
     const last = stored.view();
     if (last === undefined) return;
-    const request = { shard, view: current, versions: documents.versions(shard) };
+    // It names no time that was heard, because it is no heartbeat and must not renew the lease of this
+    // gateway.
+    const unanswered = contacts.unanswered(last.dispatcher.incarnation);
+    const request = { shard, view: current, versions: documents.versions(shard), unanswered };
     const reply = await links.to(last.dispatcher).request('pulse', request, {
       timeoutMs: REQUEST_TIMEOUT_MS,
       connectWaitMs: REQUEST_TIMEOUT_MS,
@@ -564,7 +590,7 @@
   function handlePulse(request: RequestBody<'pulse'>, peer: Greeting): Reply<'pulse'> {
     const current = view;
     if (isDispatching() && current !== undefined) {
-      options.onHeartbeat(peer.instance);
+      options.onHeartbeat(peer, stateOfSender(request));
       peerViewLog.check(peer.instance, request.view, current);
       if (isNewer(request.view, current)) {
         const cause = describePeerView(peer.instance, request.view);
@@ -579,6 +605,7 @@
       // Most heartbeats name the current view already. Parsing it again would be most of their cost.
       ...(view !== undefined && isNewer(view, request.view) ? { view } : {}),
       isDispatching: isDispatching(),
+      clockMs: Math.floor(clock.nowMs()),
       ...(request.fetchesDocuments === true
         ? { documents: {}, newer: documents.announce(request.versions, shard) }
         : { documents: documents.newerThan(request.versions, shard) }),
@@ -588,6 +615,12 @@
     };
   }
 
+  function stateOfSender(request: RequestBody<'pulse'>): GatewayState | undefined {
+    const { unanswered, heardMs } = request;
+    if (unanswered === undefined) return undefined;
+    return { fence: fenceOf(request.view), unanswered, heardMs };
+  }
+
   function findCancellations(request: RequestBody<'pulse'>): RecordedJobs | undefined {
     if (request.cancellationsAfter === undefined || !isDispatching()) return undefined;
     const recorded = options.cancellationsAfter(request.cancellationsAfter);
@@ -661,6 +694,9 @@
     },
     link: () => (view === undefined || isDispatching() ? undefined : links.to(view.dispatcher)),
     lastContactMs: contacts.lastMs,
+    gatewayState: () =>
+      view === undefined ? undefined : { fence: fenceOf(view), ...describeContact(view) },
+    recordUnanswered: contacts.recordUnanswered,
     handleFenced(endpoint) {
       if (view !== undefined && view.round > 0) recordFencedWhileDisconnected(view, endpoint);
       void raiseFence('an endpoint obeys another dispatcher', { endpoint });
--- a/packages/protocol/src/dispatchMessages.ts
+++ b/packages/protocol/src/dispatchMessages.ts
@@ -131,6 +131,25 @@
 /** Tells which version of a document an instance has, without its text. */
 export const announcementSchema = z.object({ version: nonNegativeInt, digest: z.string() });
 
+/**
+ * What a gateway knows of its dispatcher when it sends a message. It tells the dispatcher under which
+ * view the message was sent, and how old the message is at most.
+ */
+export const gatewayStateSchema = z.object({
+  /** Fencing token of the view that the gateway has. */
+  fence: nonNegativeInt,
+  /**
+   * Newest time on the dispatcher's clock that a heartbeat reply has told the gateway; absent before the
+   * first one.
+   */
+  heardMs: nonNegativeInt.optional(),
+  /**
+   * How many jobs the gateway has sent to this dispatcher and no longer awaits the answer of, although
+   * none came. While the number is the same, the gateway has handed over none elsewhere.
+   */
+  unanswered: nonNegativeInt,
+});
+
 export const pulseSchema = z.object({
   /** Zero-based index of the shard that the view belongs to. */
   shard: nonNegativeInt,
@@ -141,11 +160,17 @@
   fetchesDocuments: z.boolean().optional(),
   /** How many cancellations of the dispatcher the sender knows; absent if it takes none. */
   cancellationsAfter: nonNegativeInt.optional(),
+  /** See `gatewayStateSchema`; the fencing token follows from the view. */
+  heardMs: nonNegativeInt.optional(),
+  /** Absent if the sender is of an earlier version. */
+  unanswered: nonNegativeInt.optional(),
 });
 
 export const pulseReplySchema = z.object({
   view: viewSchema.optional(),
   isDispatching: z.boolean(),
+  /** Time on the dispatcher's clock; the sender returns it as `heardMs`. */
+  clockMs: nonNegativeInt.optional(),
   /**
    * Documents that are newer than the versions of the requester, by name. Empty for a requester that
    * fetches documents.
@@ -187,13 +212,15 @@
 export const dispatchRequests = {
   /**
    * Submits a job. The reply is sent when the job has ended. This request and the heartbeats of
-   * `gateway` renew the lease that allows its jobs to run.
+   * `gateway` renew the lease that allows its jobs to run, from the time that they have heard of.
    */
   dispatch: {
     ask: z.object({
       shard: nonNegativeInt,
       job: leasedJobSchema,
       gateway: z.string(),
+      /** Absent if the gateway is of an earlier version. */
+      sender: gatewayStateSchema.optional(),
       /** How many times this gateway has already sent the job to a dispatcher. */
       resubmissions: nonNegativeInt,
       /** Endpoints with runs of the job that an earlier dispatcher started. */
@@ -271,6 +298,7 @@
 export type FleetMember = z.infer<typeof fleetMemberSchema>;
 export type Withdrawal = z.infer<typeof withdrawalSchema>;
 export type View = z.infer<typeof viewSchema>;
+export type GatewayState = z.infer<typeof gatewayStateSchema>;
 export type Opinion = z.infer<typeof opinionSchema>;
 export type SharedDocument = z.infer<typeof documentSchema>;
 export type Announcement = z.infer<typeof announcementSchema>;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -54,6 +54,7 @@
   type JobOutcome,
   type JobState,
   type LeasedJob,
+  type GatewayState,
   type Opinion,
   type Resources,
   type Announcement,
