test(jobs): cuts one way, freezes and given-up requests in random schedules

The simulation behind schedules.spec.ts delayed messages in cuts both ways, but its senders waited for them without a limit, so that no message arrived after its sender had given up. With time limits it now has cuts one way, frozen processes, the timeouts and keepalives of PeerLink, the real router, and refusals. The old kinds of commands and their draws are unchanged (first test).

--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -1,11 +1,12 @@
 /**
  * Simulates the instances of one data centre in one process. Claims, handover and job service are
  * the real ones; time, network and platform are injected. A cut delays messages, as a frozen
- * instance does.
+ * instance does. With time limits, the real router forwards submissions, requests are given up
+ * as in production, and some submissions are refused.
  */
 import { Result } from 'true-myth';
-import { createRandom, ErrorCodes, type Random } from '@celerybarrow/shared';
-import { createManualTimer, type ManualTimer } from '@celerybarrow/timer';
+import { createRandom, ErrorCodes, Outcomes, type Random } from '@celerybarrow/shared';
+import { createManualTimer, type ManualTimer, type TimerService } from '@celerybarrow/timer';
 import {
   ProtocolError,
   TaskOutcomes,
@@ -14,6 +15,7 @@
   type Greeting,
   type Member,
   type Reply,
+  type RequestOptions,
   type RequestType,
   type Roster,
   type Submission,
@@ -43,8 +45,17 @@
 } from '@celerybarrow/claims';
 import type { Placement } from '@celerybarrow/placement';
 import type { ActiveConfiguration, ServiceFile } from '@celerybarrow/configuration';
+import { RefusalReasons, type Refusal } from '@celerybarrow/admission';
 import { createLogger, createMetrics } from '@celerybarrow/telemetry';
-import { createJobService, createTraces, type JobService } from '../src/index.js';
+import {
+  createJobService,
+  createRouter,
+  createTraces,
+  type JobService,
+  type Router,
+} from '../src/index.js';
+import { createNetwork, type Network } from './network.js';
+import { createPausableTimer, type PausableTimer } from './pausableTimer.js';
 
 export type Command =
   | { readonly type: 'submit'; readonly job: number; readonly node: number; readonly other: number }
@@ -53,7 +64,10 @@
   | { readonly type: 'stop'; readonly node: number }
   | { readonly type: 'read-roster'; readonly node: number }
   | { readonly type: 'cut'; readonly node: number; readonly other: number }
+  | { readonly type: 'cut-one-way'; readonly node: number; readonly other: number }
   | { readonly type: 'heal'; readonly node: number; readonly other: number }
+  | { readonly type: 'freeze'; readonly node: number }
+  | { readonly type: 'resume'; readonly node: number }
   | { readonly type: 'evict'; readonly node: number; readonly other: number }
   | { readonly type: 'platform'; readonly isDown: boolean }
   | { readonly type: 'advance'; readonly ms: number };
@@ -76,41 +90,62 @@
 const DATA_CENTRE = 'dub1';
 const START_MS = 1_800_000_000_000;
 const TASK_MS = 300;
-const MAX_DELAY_MS = 40;
 const TRANSFER_WAIT_MS = 2_000;
 const ROUTE_ATTEMPTS = 5;
 const ROUTE_DELAY_MS = 100;
 const SINGLE_MEMBER_LEASE_MS = 10_000;
 const HANDOVER_TIMEOUT_MS = 8_000;
+/** Share of the submissions that admission refuses, with time limits. */
+const REFUSED_SHARE = 0.2;
 
 interface Node {
   readonly member: Member;
+  readonly timer: PausableTimer;
   readonly rosters: RosterCache;
   readonly handover: Handover;
   readonly jobs: JobService;
+  readonly router: Router;
   readonly handle: (type: RequestType, ask: unknown, peer: Greeting) => Promise<unknown>;
   isUp: boolean;
 }
 
-export function createCluster(seed: number): Cluster {
+interface OpenSubmission {
+  /** Whether the job had started when it was submitted. */
+  readonly hadStarted: boolean;
+  /** Whether no other submission of the id was without an answer at the same time. */
+  isAlone: boolean;
+}
+
+export interface ClusterOptions {
+  /** Whether requests have the time limits of production; without them a sender waits. */
+  readonly hasTimeLimits?: boolean;
+}
+
+export function createCluster(
+  seed: number,
+  { hasTimeLimits = false }: ClusterOptions = {},
+): Cluster {
   const timer = createManualTimer(START_MS);
   const random = createRandom(seed);
+  const network = createNetwork({ timer, random, hasTimeLimits, isFrozen });
   const nodes = new Map<number, Node>();
   /** Stopping nodes by index. Another node may have been started at the same index since. */
   const stopping = new Map<number, Node>();
   const allNodes: Node[] = [];
-  const cuts = new Set<string>();
   const starts = new Map<string, number>();
   const faults: string[] = [];
   const createdAt = new Map<number, number>();
   const answers = new Map<string, Answer[]>();
+  /** The submissions without an answer, by job. */
+  const unanswered = new Map<string, Set<OpenSubmission>>();
   let storedRoster: Roster | undefined;
   let isPlatformDown = false;
   let leaseHolder = { incarnation: '', untilMs: 0 };
   let writes = 0;
 
-  function isCut(a: string, b: string): boolean {
-    return cuts.has([a, b].sort().join('|'));
+  function isFrozen(incarnation: string): boolean {
+    const node = allNodes.find((one) => one.member.incarnation === incarnation);
+    return node?.isUp === true && node.timer.isPaused();
   }
 
   function updateRoster(apply: (roster: Roster | undefined) => Roster | undefined): void {
@@ -125,7 +160,8 @@
 
   /** Gives a node the stored roster, as its watch of the platform does. */
   function readRoster(node: Node): void {
-    if (!isPlatformDown && storedRoster !== undefined) node.rosters.update(storedRoster);
+    if (isPlatformDown || storedRoster === undefined || node.timer.isPaused()) return;
+    node.rosters.update(storedRoster);
   }
 
   function startNode(index: number): Node {
@@ -137,6 +173,8 @@
     const node = createNode(member, {
       timer,
       random,
+      network,
+      hasTimeLimits,
       send,
       isUp,
       countStart,
@@ -147,21 +185,36 @@
     return node;
   }
 
-  async function send(
+  function send(
     from: Member,
     to: Member,
     type: RequestType,
     ask: unknown,
+    requestOptions: RequestOptions,
   ): Promise<Result<unknown, ProtocolError>> {
-    const target = allNodes.find((node) => node.member.incarnation === to.incarnation);
     const sender = allNodes.find((node) => node.member.incarnation === from.incarnation);
-    if (!(await deliver(from, to)) || target?.isUp !== true) return unresponsive();
+    const target = allNodes.find((node) => node.member.incarnation === to.incarnation);
+    const message = structuredClone(ask);
+    return network.request(from, to, sender?.timer ?? timer, requestOptions, () =>
+      exchange(sender, target, type, message),
+    );
+  }
+
+  async function exchange(
+    sender: Node | undefined,
+    target: Node | undefined,
+    type: RequestType,
+    ask: unknown,
+  ): Promise<Result<unknown, ProtocolError>> {
+    if (sender === undefined || target === undefined) return unresponsive();
+    const [from, to] = [sender.member, target.member];
+    if (!(await network.deliver(from, to)) || !target.isUp) return unresponsive();
     const greeting = { ...from, version: 1, dataCentre: DATA_CENTRE };
-    const reply = await target.handle(type, structuredClone(ask), greeting).then(
+    const reply = await target.handle(type, ask, greeting).then(
       (body) => body,
       () => undefined,
     );
-    const isReplyDelivered = (await deliver(to, from)) && sender?.isUp === true;
+    const isReplyDelivered = (await network.deliver(to, from)) && sender.isUp;
     return reply === undefined || !isReplyDelivered ? unresponsive() : Result.ok(reply);
   }
 
@@ -169,22 +222,12 @@
     return allNodes.some((node) => node.member.incarnation === member.incarnation && node.isUp);
   }
 
-  /**
-   * Resolves with false if the message is lost because its link was cut until the message timed
-   * out.
-   */
-  async function deliver(from: Member, to: Member): Promise<boolean> {
-    await timer.sleep(1 + random.next() * MAX_DELAY_MS);
-    for (let polls = 0; isCut(from.instance, to.instance); polls += 1) {
-      if (polls > 40) return false;
-      await timer.sleep(100);
-    }
-    return true;
-  }
-
   function countStart(id: string): void {
     starts.set(id, (starts.get(id) ?? 0) + 1);
     if ((starts.get(id) ?? 0) > 1) faults.push(`${id} was started twice`);
+    const isNotRun = (answers.get(id) ?? []).some(isNotRunAnswer);
+    if (isNotRun && unanswered.get(id)?.size === 0)
+      faults.push(`${id} was started after it was answered not-run`);
   }
 
   /** Acquires or renews the single-member lease. Another node gets it only after it has expired. */
@@ -216,22 +259,38 @@
       digest: 'd',
       tasks,
     };
-    const answer = (await node.jobs.submit(submission)) ?? (await submitToOwner(node, submission));
-    if (!node.isUp) return;
-    if (answer !== undefined) answers.set(id, [...(answers.get(id) ?? []), answer]);
-    const isNotRun =
-      answer !== undefined && 'problem' in answer && answer.problem.outcome === 'not-run';
-    if (isNotRun && (starts.get(id) ?? 0) > 0)
+    const others = unanswered.get(id) ?? new Set();
+    unanswered.set(id, others);
+    const open = { hadStarted: starts.has(id), isAlone: others.size === 0 };
+    for (const other of others) other.isAlone = false;
+    others.add(open);
+    const answer = await (hasTimeLimits ? route(node, submission) : forward(node, submission));
+    if (!node.isUp || answer === undefined) return;
+    others.delete(open);
+    answers.set(id, [...(answers.get(id) ?? []), answer]);
+    // A refusal may have been decided before another submission of the id started the job.
+    const isExact = !hasTimeLimits || open.isAlone || open.hadStarted;
+    if (isExact && isNotRunAnswer(answer) && starts.has(id))
       faults.push(`${id} was answered not-run and had started`);
   }
 
+  async function route(node: Node, submission: Submission): Promise<Answer> {
+    while (node.timer.isPaused()) await timer.sleep(ROUTE_DELAY_MS);
+    return node.router.submit(submission);
+  }
+
+  async function forward(node: Node, submission: Submission): Promise<Answer | undefined> {
+    return (await node.jobs.submit(submission)) ?? submitToOwner(node, submission);
+  }
+
   /** Forwards a submission to the owner in a node's view, as a gateway does. */
   async function submitToOwner(node: Node, submission: Submission): Promise<Answer | undefined> {
     for (let attempt = 0; attempt < ROUTE_ATTEMPTS && node.isUp; attempt += 1) {
       const view = node.rosters.ownView();
       const owner = view && findOwner(view, submission.id);
       const target = allNodes.find((one) => one.member.incarnation === owner?.incarnation);
-      const hasArrived = target !== undefined && (await deliver(node.member, target.member));
+      const hasArrived =
+        target !== undefined && (await network.deliver(node.member, target.member));
       if (hasArrived && target.isUp) {
         const answer = await target.jobs.submit(submission);
         if (answer !== undefined && target.isUp) return answer;
@@ -254,6 +313,7 @@
     const evictor = nodes.get(by);
     const target = nodes.get(index);
     if (evictor?.isUp !== true || target === undefined || by === index) return;
+    if (evictor.timer.isPaused()) return;
     readRoster(evictor);
     const eviction = { incarnation: target.member.incarnation, isProven: !target.isUp };
     updateRoster((roster) => {
@@ -269,11 +329,11 @@
   /** Stops a node: hands over its claims, waits for its jobs to end, and leaves the roster. */
   async function stop(index: number): Promise<void> {
     const node = nodes.get(index);
-    if (node?.isUp !== true) return;
+    if (node?.isUp !== true || node.timer.isPaused()) return;
     nodes.delete(index);
     stopping.set(index, node);
     await node.handover.cede(HANDOVER_TIMEOUT_MS);
-    while (node.jobs.running() > 0) await timer.sleep(20);
+    while (node.jobs.running() > 0) await node.timer.sleep(20);
     await handOverAndLeave({
       handover: node.handover,
       withinMs: HANDOVER_TIMEOUT_MS,
@@ -297,6 +357,7 @@
 
   function join(index: number): void {
     const before = nodes.get(index);
+    if (before?.isUp === true && before.timer.isPaused()) return;
     if (before?.isUp === true) {
       readRoster(before);
       updateRoster((roster) => roster && joinRoster(roster, before.member, nextWrite()));
@@ -321,7 +382,8 @@
       if (roster === undefined || roster.sources.length === 0) return roster;
       const members = allNodes.filter((node) => hasMember(roster, node.member.incarnation));
       const isDone = members.every(
-        (node) => node.isUp && node.handover.hasTransferredClaims(roster.epoch),
+        (node) =>
+          node.isUp && !node.timer.isPaused() && node.handover.hasTransferredClaims(roster.epoch),
       );
       return isDone ? completeTransfer(roster, nextWrite()) : roster;
     });
@@ -348,13 +410,15 @@
       else if (command.type === 'stop') void stop(command.node);
       else if (command.type === 'crash') markCrashed(nodes.get(command.node));
       else if (command.type === 'read-roster') readRosterAt(command.node);
-      else if (command.type === 'cut')
-        cuts.add([`e${command.node}`, `e${command.other}`].sort().join('|'));
-      else cuts.delete([`e${command.node}`, `e${command.other}`].sort().join('|'));
+      else if (command.type === 'freeze') nodes.get(command.node)?.timer.pause();
+      else if (command.type === 'resume') nodes.get(command.node)?.timer.resume();
+      else if (command.type === 'heal') network.heal(`e${command.node}`, `e${command.other}`);
+      else network.cut(`e${command.node}`, `e${command.other}`, command.type === 'cut-one-way');
       await timer.advance(5);
     },
     async end() {
-      cuts.clear();
+      network.healAll();
+      for (const node of allNodes) node.timer.resume();
       isPlatformDown = false;
       for (let round = 0; round < 4; round += 1) {
         for (const index of [...nodes.keys(), ...stopping.keys()]) readRosterAt(index);
@@ -384,6 +448,10 @@
   if (node !== undefined) node.isUp = false;
 }
 
+function isNotRunAnswer(answer: Answer): boolean {
+  return 'problem' in answer && answer.problem.outcome === Outcomes.NOT_RUN;
+}
+
 function unresponsive(): Result<unknown, ProtocolError> {
   return Result.err(new ProtocolError(ErrorCodes.PEER_SILENT));
 }
@@ -391,11 +459,14 @@
 interface NodeOptions {
   readonly timer: ManualTimer;
   readonly random: Random;
+  readonly network: Network;
+  readonly hasTimeLimits: boolean;
   readonly send: (
     from: Member,
     to: Member,
     type: RequestType,
     ask: unknown,
+    requestOptions: RequestOptions,
   ) => Promise<Result<unknown, ProtocolError>>;
   readonly isUp: (member: Member) => boolean;
   readonly countStart: (id: string) => void;
@@ -403,13 +474,19 @@
 }
 
 function createNode(self: Member, options: NodeOptions): Node {
-  const { timer } = options;
+  const { random, hasTimeLimits } = options;
+  const timer = createPausableTimer(options.timer);
   const logger = createLogger('cluster');
   const rosters = createRosterCache(DATA_CENTRE, logger);
   const peers = {
-    request: <T extends RequestType>(to: Member, type: T, ask: RequestBody<T>) =>
-      options.send(self, to, type, ask) as Promise<Result<Reply<T>, ProtocolError>>,
-    linkTo: (to: Member) => ({ isGone: () => !options.isUp(to) }),
+    request: <T extends RequestType>(
+      to: Member,
+      type: T,
+      ask: RequestBody<T>,
+      requestOptions: RequestOptions,
+    ) =>
+      options.send(self, to, type, ask, requestOptions) as Promise<Result<Reply<T>, ProtocolError>>,
+    linkTo: (to: Member) => ({ isGone: () => isGone(to) }),
   } as unknown as Peers;
   const heartbeat = {
     isReachable: () => true,
@@ -421,6 +498,11 @@
     validUntilMs: () =>
       node.isUp && options.acquireSingleMemberLease(self.incarnation) ? timer.wallMs() + 1 : 0,
   };
+  function isGone(to: Member): boolean {
+    const canConnect = !hasTimeLimits || !options.network.isCut(self.instance, to.instance);
+    return canConnect && !options.isUp(to);
+  }
+
   const store = createClaimStore();
   const claimRegistry = createClaimRegistry({
     self,
@@ -446,6 +528,11 @@
     findKind: () => ({ expectedMs: TASK_MS, idempotent: false }),
     findQuota: () => undefined,
   } as unknown as ActiveConfiguration;
+  function admit(): Result<undefined, Refusal> {
+    if (!hasTimeLimits || random.next() >= REFUSED_SHARE) return Result.ok(undefined);
+    return Result.err({ reason: RefusalReasons.QUEUE_FULL, retryAfterMs: 1 });
+  }
+
   const jobs = createJobService({
     self,
     store,
@@ -454,7 +541,7 @@
     rosters,
     peers,
     configuration,
-    admission: { admit: () => Result.ok(undefined), refusals: () => ({}) },
+    admission: { admit, refusals: () => ({}) },
     placement: createPlacementFake(timer, (id) => {
       if (node.isUp) options.countStart(id);
     }),
@@ -463,11 +550,24 @@
     traces: createTraces(() => timer.wallMs()),
     answerBytes: 1_000_000,
   });
+  const router = createRouter({
+    self,
+    jobs,
+    rosters,
+    peers,
+    timer,
+    random,
+    readDirectory: () => Promise.resolve(undefined),
+    pledge: (ask) => claimRegistry.pledge(ask),
+    findTrace: () => [],
+  });
   const node: Node = {
     member: self,
+    timer,
     rosters,
     handover,
     jobs,
+    router,
     isUp: true,
     handle: (type, ask, peer) => {
       switch (type) {
@@ -477,6 +577,10 @@
           return Promise.resolve(handover.receive(ask as RequestBody<'transfer'>, peer));
         case 'cede':
           return handover.onSeal(ask as RequestBody<'cede'>);
+        case 'submit':
+          return router.receive(ask as RequestBody<'submit'>, peer);
+        case 'pledge':
+          return Promise.resolve(claimRegistry.pledge(ask as RequestBody<'pledge'>));
         case 'join':
           return jobs.join(ask as RequestBody<'join'>);
         default:
@@ -490,7 +594,7 @@
 /**
  * Creates a placement that reports each start immediately and completes the task after `TASK_MS`.
  */
-function createPlacementFake(timer: ManualTimer, onStart: (id: string) => void): Placement {
+function createPlacementFake(timer: TimerService, onStart: (id: string) => void): Placement {
   return {
     open(job: { id: string; onResult: (result: object) => void }) {
       onStart(job.id);
--- a/packages/jobs/__tests__/schedules.spec.ts
+++ b/packages/jobs/__tests__/schedules.spec.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import fc from 'fast-check';
-import { createCluster, type Command } from './cluster.js';
+import { createCluster, type ClusterOptions, type Command } from './cluster.js';
 
 const SEED = 20261204;
 const SCHEDULES = Number(process.env['CELERYBARROW_SCHEDULES'] ?? 400);
@@ -31,6 +31,25 @@
   },
 );
 
+/** The commands above, and faults that need the time limits of production. */
+const commandWithTimeLimits: fc.Arbitrary<Command> = fc.oneof(
+  { weight: 30, arbitrary: command },
+  {
+    weight: 4,
+    arbitrary: fc.record({ type: fc.constant('cut-one-way' as const), node, other: node }),
+  },
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('heal' as const), node, other: node }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('freeze' as const), node }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('resume' as const), node }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      type: fc.constant('advance' as const),
+      ms: fc.integer({ min: 1_000, max: 4_000 }),
+    }),
+  },
+);
+
 /** Shrunk schedules of earlier failures, and schedules that each exercise one mechanism. */
 const examples: [Command[], number][] = [
   [
@@ -88,19 +107,45 @@
   ]);
 }
 
+async function play(
+  commands: readonly Command[],
+  networkSeed: number,
+  options: ClusterOptions,
+): Promise<void> {
+  const cluster = createCluster(networkSeed, options);
+  await cluster.begin(3);
+  for (const one of commands) await cluster.execute(one);
+  await cluster.end();
+  const faults = cluster.faults();
+  if (faults.length > 0) throw new Error(faults.join('; '));
+}
+
 describe('random schedules of claims and roster changes', () => {
+  const parameters = {
+    seed: Number(process.env['CELERYBARROW_SEED'] ?? SEED),
+    numRuns: SCHEDULES,
+  };
+  const sizes = { minLength: 5, maxLength: MAX_COMMANDS, size: 'max' } as const;
+
   it('never start a task twice and never answer not-run for a started task', async () => {
-    const schedules = fc.array(command, { minLength: 5, maxLength: MAX_COMMANDS, size: 'max' });
     await fc.assert(
-      fc.asyncProperty(schedules, fc.integer({ min: 1 }), async (commands, networkSeed) => {
-        const cluster = createCluster(networkSeed);
-        await cluster.begin(3);
-        for (const one of commands) await cluster.execute(one);
-        await cluster.end();
-        const faults = cluster.faults();
-        if (faults.length > 0) throw new Error(faults.join('; '));
-      }),
-      { seed: Number(process.env['CELERYBARROW_SEED'] ?? SEED), numRuns: SCHEDULES, examples },
+      fc.asyncProperty(
+        fc.array(command, sizes),
+        fc.integer({ min: 1 }),
+        async (commands, networkSeed) => play(commands, networkSeed, {}),
+      ),
+      { ...parameters, examples },
+    );
+  });
+
+  it('do so under cuts one way, freezes and messages that arrive after their senders gave up', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(commandWithTimeLimits, sizes),
+        fc.integer({ min: 1 }),
+        async (commands, networkSeed) => play(commands, networkSeed, { hasTimeLimits: true }),
+      ),
+      parameters,
     );
   });
 });
