fix(jobs): do not answer not-run while a lost copy of the submission may arrive

Callers could be told not-run for a job that ran afterwards: a copy that a gateway had forwarded over a connection that was cut arrived after the cut as if new, when another member had already refused the submission.

A gateway now answers may-have-run while a copy without a reply may arrive.

The check of the simulation is made exact: a refusal may be decided before another submission of the same id starts the job, and a may-have-run answer leaves a later start open.

--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -225,7 +225,8 @@
   function countStart(id: string): void {
     starts.set(id, (starts.get(id) ?? 0) + 1);
     if ((starts.get(id) ?? 0) > 1) faults.push(`${id} was started twice`);
-    const isNotRun = (answers.get(id) ?? []).some(isNotRunAnswer);
+    const given = answers.get(id) ?? [];
+    const isNotRun = given.length > 0 && given.every(isNotRunAnswer);
     if (isNotRun && unanswered.get(id)?.size === 0)
       faults.push(`${id} was started after it was answered not-run`);
   }
--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -22,6 +22,7 @@
   type RosterCache,
 } from '@celerybarrow/membership';
 import type { JobService } from './jobService.js';
+import { createLostCopies } from './lostCopies.js';
 import * as problems from './problems.js';
 import { MAX_JOB_DURATION_MS } from './submissionChecks.js';
 
@@ -84,24 +85,28 @@
     const endMs = timer.nowMs() + limitMs + ANSWER_GRACE_MS;
     let timeoutAtMs = timer.nowMs() + Math.min(ROUTE_TIMEOUT_MS, limitMs);
     let pledgeAtMs = timer.nowMs() + Math.min(PLEDGE_DELAY_MS, limitMs);
+    const lostCopies = createLostCopies((member) => peers.linkTo(member).isGone());
     for (let attempt = 0; timer.nowMs() < timeoutAtMs; attempt += 1) {
       const target = chooseTarget(submission, attempt);
       const startedMs = timer.nowMs();
       if (target !== undefined) {
-        const answer = await forward(target, submission, 1, endMs);
-        if (answer !== undefined) return answer;
+        const { answer, mayArrive } = await forward(target, submission, 1, endMs);
+        if (answer !== undefined) return lostCopies.qualify(answer);
+        if (mayArrive === true) lostCopies.add(target);
       }
       // An instance that kept the request open this long had accepted it, so the search restarts.
       const wasAccepted = timer.nowMs() - startedMs > ACCEPTED_AFTER_MS;
       if (wasAccepted) timeoutAtMs = Math.min(endMs, timer.nowMs() + ROUTE_TIMEOUT_MS);
       if (timer.nowMs() >= pledgeAtMs) {
-        if (await isRunRuledOut(submission)) return rejectUnowned(submission, Outcomes.NOT_RUN);
+        if (await isRunRuledOut(submission))
+          return lostCopies.qualify(rejectUnowned(submission, Outcomes.NOT_RUN));
         pledgeAtMs = timer.nowMs() + PLEDGE_DELAY_MS;
       }
       await timer.sleep(addJitter(RETRY_DELAY_MS, random));
     }
     const hasNotRun = await isRunRuledOut(submission);
-    return rejectUnowned(submission, hasNotRun ? Outcomes.NOT_RUN : Outcomes.MAY_HAVE_RUN);
+    const outcome = hasNotRun ? Outcomes.NOT_RUN : Outcomes.MAY_HAVE_RUN;
+    return lostCopies.qualify(rejectUnowned(submission, outcome));
   }
 
   function rejectUnowned({ id, home }: Submission, outcome: Outcome): Answer {
@@ -150,8 +155,8 @@
     submission: Submission,
     hops: number,
     endMs: number,
-  ): Promise<Answer | undefined> {
-    if (target.incarnation === self.incarnation) return jobs.submit(submission);
+  ): Promise<Reply<'submit'>> {
+    if (target.incarnation === self.incarnation) return { answer: await jobs.submit(submission) };
     const abort = new AbortController();
     const stopChecking = timer.onEvery(MEMBER_CHECK_MS, () => {
       if (!isMember(submission.home, target)) abort.abort();
@@ -163,7 +168,7 @@
       { timeoutMs: endMs - timer.nowMs(), connectWaitMs: MEMBER_CHECK_MS, signal: abort.signal },
     );
     stopChecking();
-    return reply.isOk ? reply.value.answer : undefined;
+    return reply.isOk ? reply.value : { mayArrive: !reply.error.isUnsent };
   }
 
   function isMember(dataCentre: string, target: Member): boolean {
@@ -188,7 +193,7 @@
     const isRemote = owner !== undefined && owner.incarnation !== self.incarnation;
     if (hops >= MAX_HOPS || !isRemote) return {};
     const endMs = timer.nowMs() + (submission.deadlineMs ?? MAX_JOB_DURATION_MS) + ANSWER_GRACE_MS;
-    return { answer: await forward(owner, submission, hops + 1, endMs) };
+    return forward(owner, submission, hops + 1, endMs);
   }
 
   /**
--- a/packages/protocol/src/keyMap.ts
+++ b/packages/protocol/src/keyMap.ts
@@ -56,4 +56,5 @@
   hops: 51,
   shard: 52,
   held: 53,
+  mayArrive: 54,
 } as const;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -187,7 +187,11 @@
    */
   submit: {
     ask: z.object({ submission: submissionSchema, hops: nonNegativeInt }),
-    reply: z.object({ answer: answerSchema.optional() }),
+    reply: z.object({
+      answer: answerSchema.optional(),
+      /** Whether the sender forwarded the submission without a reply, so that it may still arrive. */
+      mayArrive: z.boolean().optional(),
+    }),
   },
   lookup: {
     ask: z.object({ id: z.string() }),
