fix(claims): do not count stopping members as copies that they do not have

Callers could have had a job run twice: when the last active member crashed while another member was still stopping, its claims were lost, but the roster counted one of two copies as lost. A leaving member hands its claims over to the active members only, and after a transfer only they have copies; base kept the sealed members all the same.

base now leaves out the members that the writer knows as sealed, only an active member marks a transfer as complete, and a seal names the other seals that its sender knows.

--- a/packages/claims/src/handover.ts
+++ b/packages/claims/src/handover.ts
@@ -193,6 +193,7 @@
   }
 
   async function onSeal(ask: RequestBody<'cede'>): Promise<Reply<'cede'>> {
+    for (const incarnation of ask.ceded ?? []) rosters.recordSeal(ask.epoch, incarnation);
     rosters.recordSeal(ask.epoch, ask.incarnation);
     const view = rosters.ownView();
     // A seal of another epoch was not recorded, and its records were sent to other members.
--- a/packages/claims/src/plannedHandover.ts
+++ b/packages/claims/src/plannedHandover.ts
@@ -119,7 +119,7 @@
   async function notify(member: Member, view: RosterView, signal: AbortSignal): Promise<boolean> {
     const { epoch } = view.roster;
     if (notifiedEpochs.get(member.incarnation) === epoch) return true;
-    const ask = { epoch, incarnation: self.incarnation };
+    const ask = { epoch, incarnation: self.incarnation, ceded: [...view.ceded] };
     const reply = await peers.request(member, 'cede', ask, {
       timeoutMs: NOTIFY_TIMEOUT_MS,
       signal,
--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -349,7 +349,7 @@
     readRoster(node);
     updateRoster((roster) => {
       if (roster === undefined || roster.epoch === handedOverEpoch)
-        return roster && leaveRoster(roster, incarnation, nextWrite());
+        return roster && leaveRoster(roster, incarnation, nextWrite(), sealedOf(node));
       if (handedOverEpoch !== undefined) return roster;
       return evictMember(roster, { incarnation, isProven: true }, nextWrite());
     });
@@ -386,7 +386,12 @@
         (node) =>
           node.isUp && !node.timer.isPaused() && node.handover.hasTransferredClaims(roster.epoch),
       );
-      return isDone ? completeTransfer(roster, nextWrite()) : roster;
+      const first = members.find(({ member, rosters }) => {
+        const view = rosters.ownView();
+        return view?.roster.epoch === roster.epoch && !view.ceded.has(member.incarnation);
+      });
+      if (!isDone || first === undefined) return roster;
+      return completeTransfer(roster, nextWrite(), sealedOf(first));
     });
   }
 
@@ -449,6 +454,10 @@
   if (node !== undefined) node.isUp = false;
 }
 
+function sealedOf(node: Node): ReadonlySet<string> {
+  return node.rosters.ownView()?.ceded ?? new Set();
+}
+
 function isNotRunAnswer(answer: Answer): boolean {
   return 'problem' in answer && answer.problem.outcome === Outcomes.NOT_RUN;
 }
--- a/packages/jobs/__tests__/stopDuringLoss.spec.ts
+++ b/packages/jobs/__tests__/stopDuringLoss.spec.ts
@@ -7,6 +7,8 @@
 const NETWORK_SEEDS = [1, 2, 3, 4, 5, 6, 7, 8];
 /** Long enough for a claim transfer, or for a handover that can complete. */
 const TRANSFER_WAIT_MS = 2_000;
+/** Long enough for a member without jobs to leave. */
+const STOP_MS = 120;
 /** Step size and number of steps that cover the registration of a claim. */
 const STEP_MS = 5;
 const STEPS_UNTIL_CLAIMED = 12;
@@ -90,5 +92,30 @@
         expect(cluster.faults()).toEqual([]);
       }
     });
+
+    // Guards against a second start: the last active member had the only copy of a claim, because
+    // the others had been told that it was their only successor, but a member that was still
+    // stopping counted as the second one.
+    it(`does not hide the loss of the last active member (network ${seed})`, async () => {
+      const cluster = await startCluster(3, seed);
+      const ofStopping = cluster.findJob(1, 0);
+      const ofLast = cluster.findJob(0, 2, ofStopping + 1);
+      await runAll(cluster, [
+        { type: 'submit', job: ofStopping, node: 1, other: 1 },
+        { type: 'advance', ms: 150 },
+        { type: 'stop', node: 1 },
+        { type: 'submit', job: ofLast, node: 0, other: 0 },
+        { type: 'advance', ms: 100 },
+        { type: 'stop', node: 2 },
+        { type: 'advance', ms: STOP_MS },
+        { type: 'crash', node: 0 },
+        { type: 'join', node: 0 },
+        { type: 'submit', job: ofLast, node: 0, other: 0 },
+        { type: 'advance', ms: 100 },
+        ...readRosterAt(0, 1),
+        { type: 'advance', ms: TRANSFER_WAIT_MS },
+      ]);
+      expect(cluster.faults()).toEqual([]);
+    });
   }
 });
--- a/packages/membership/__tests__/rosters.spec.ts
+++ b/packages/membership/__tests__/rosters.spec.ts
@@ -70,6 +70,23 @@
       evict(joinRoster(rosterOf('a'), member('b'), write), 'a'),
       true,
     ],
+    // Guard against an unnoticed loss of claims: the only active member has the only copies, while
+    // other members are still stopping.
+    [
+      'the loss of the only active member after another has handed over to it alone',
+      evict(leaveRoster(rosterOf('a', 'b', 'c'), 'c.1', write, new Set(['b.1', 'c.1'])), 'a'),
+      true,
+    ],
+    [
+      'the loss of the only active member after a transfer to it alone',
+      evict(completeTransfer(evict(rosterOf('a', 'b', 'c'), 'c'), write, new Set(['b.1'])), 'a'),
+      true,
+    ],
+    [
+      'the loss of one of two active members while another stops',
+      evict(leaveRoster(rosterOf('a', 'b', 'c'), 'c.1', write, new Set(['c.1'])), 'a'),
+      false,
+    ],
   ];
   for (const [description, roster, isLost] of cases) {
     it(`advance memoryLostBefore only if claims may be lost: ${description}`, () => {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -249,15 +249,23 @@
     }, `Took out ${member.instance}, which failed.`);
   }
 
+  function sealedMembers(): ReadonlySet<string> {
+    return rosters.ownView()?.ceded ?? new Set();
+  }
+
   function removeSealed(member: Member): Promise<boolean> {
     return changeRoster(
-      (latest, write) => latest && leaveRoster(latest, member.incarnation, write),
+      (latest, write) => latest && leaveRoster(latest, member.incarnation, write, sealedMembers()),
       `Took out ${member.instance}, which left.`,
     );
   }
 
   async function completeTransferWhenReady(roster: Roster): Promise<boolean> {
-    const first = roster.members.find((member) => heartbeat.isReachable(member.incarnation));
+    const sealed = sealedMembers();
+    // Only an active member decides, because it knows every seal that its own transfer left out.
+    const first = roster.members.find(
+      ({ incarnation }) => !sealed.has(incarnation) && heartbeat.isReachable(incarnation),
+    );
     if (first?.incarnation !== self.incarnation || !options.hasTransferredClaims(roster.epoch))
       return true;
     const others = roster.members.filter((member) => member.incarnation !== self.incarnation);
@@ -269,7 +277,7 @@
     if (!answers.every((answer) => answer.isOk && answer.value.settled)) return true;
     return changeRoster(
       (latest, write) =>
-        latest?.epoch === roster.epoch ? completeTransfer(latest, write) : latest,
+        latest?.epoch === roster.epoch ? completeTransfer(latest, write, sealedMembers()) : latest,
       'Marked the claim transfer as complete.',
     );
   }
@@ -305,7 +313,7 @@
     for (let attempt = 1; ; attempt += 1) {
       const written = await writer.change((latest, write) => {
         if (latest === undefined || latest.epoch === handedOverEpoch)
-          return latest && leaveRoster(latest, self.incarnation, write);
+          return latest && leaveRoster(latest, self.incarnation, write, sealedMembers());
         return handedOverEpoch === undefined ? evictMember(latest, eviction, write) : latest;
       });
       if (written.isOk) {
--- a/packages/membership/src/rosterChanges.ts
+++ b/packages/membership/src/rosterChanges.ts
@@ -14,6 +14,7 @@
 export const MAX_INSTANCE_SKEW_MS = 1_000;
 
 const CLAIM_COPIES = 2;
+const NONE_SEALED: ReadonlySet<string> = new Set();
 
 export interface RosterWrite {
   readonly writeId: string;
@@ -85,16 +86,22 @@
 
 /**
  * Removes a member that has handed its claims over to its successors. The last member has no
- * successors, so its claims are lost.
+ * successors, so its claims are lost. Sealed members are not successors: they no longer count as
+ * members that have the claims.
  */
-export function leaveRoster(roster: Roster, incarnation: string, write: RosterWrite): Roster {
+export function leaveRoster(
+  roster: Roster,
+  incarnation: string,
+  write: RosterWrite,
+  sealed: ReadonlySet<string> = NONE_SEALED,
+): Roster {
   if (!hasMember(roster, incarnation)) return roster;
   if (roster.members.length === 1) return evictLastMember(roster, incarnation, write);
   const next = startEpoch(roster, write);
   return {
     ...next,
     members: withoutMember(roster.members, incarnation),
-    base: next.base.filter((one) => one !== incarnation),
+    base: next.base.filter((one) => one !== incarnation && !sealed.has(one)),
     sources: withoutMember(next.sources, incarnation),
   };
 }
@@ -105,16 +112,21 @@
 }
 
 /**
- * Marks the claim transfer as complete: every member has the claims of its range, and every claim
- * is stored at two members.
+ * Marks the claim transfer as complete: every active member has the claims of its range, and every
+ * claim is stored at two of them, or at the only one. Sealed members have no range, so a loss of
+ * the active ones must not be taken for the loss of one of two copies.
  */
-export function completeTransfer(roster: Roster, write: RosterWrite): Roster {
+export function completeTransfer(
+  roster: Roster,
+  write: RosterWrite,
+  sealed: ReadonlySet<string> = NONE_SEALED,
+): Roster {
   if (isTransferComplete(roster)) return roster;
   return {
     ...roster,
     version: roster.version + 1,
     sources: [],
-    base: roster.members.map((member) => member.incarnation),
+    base: roster.members.map((member) => member.incarnation).filter((one) => !sealed.has(one)),
     lost: [],
     writeId: write.writeId,
   };
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -250,7 +250,12 @@
   },
   /** States that a member registers no more claims in an epoch (a seal). */
   cede: {
-    ask: z.object({ epoch: nonNegativeInt, incarnation: z.string() }),
+    ask: z.object({
+      epoch: nonNegativeInt,
+      incarnation: z.string(),
+      /** Other sealed members of the epoch, to which the sender has not handed over its claims. */
+      ceded: z.array(z.string()).optional(),
+    }),
     reply: z.object({ accepted: z.boolean() }),
   },
   settled: { ask: z.object({ epoch: nonNegativeInt }), reply: z.object({ settled: z.boolean() }) },
