fix(claims): use a released claim only in the epoch in which the handover was complete

A job could start twice: an owner to whom the runner had released a claim started the job without having all claims of the epoch, while the runner, removed without knowing it, claimed the id again in the earlier epoch with a witness that had not left it.

A release counts only if the owner had all claims when it asked and is in the same epoch still. The epoch in which an owner had all claims is passed to register, which fails as outdated in another. Only the owner removes a released record: at another member the record could be a newer claim of the same runner.

--- a/packages/claims/__tests__/claimRegistry.spec.ts
+++ b/packages/claims/__tests__/claimRegistry.spec.ts
@@ -23,6 +23,8 @@
 
 const WRITE = { writeId: 'w', nowMs: 1_000 };
 const DATA_CENTRE = 'dub1';
+/** The epoch of the roster of three members. */
+const EPOCH = 3;
 
 interface Node {
   readonly member: Member;
@@ -94,7 +96,7 @@
     if (owner === undefined) throw new Error('expected three nodes');
     for (const witness of others) witness.store.add(claimOf('job', 'e4'));
     owner.store.add(claimOf('job', 'e1'));
-    const registered = await owner.claimRegistry.register(claimOf('job', 'e1'));
+    const registered = await owner.claimRegistry.register(claimOf('job', 'e1'), EPOCH);
     expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_REFUSED);
     owner.store.remove('job');
     expect(owner.store.find('job')?.claim).toEqual(claimOf('job', 'e4'));
@@ -104,9 +106,9 @@
     const [owner, ...others] = createNodes();
     if (owner === undefined) throw new Error('expected three nodes');
     for (const witness of others)
-      expect(witness.claimRegistry.pledge({ epoch: 3, id: 'job' })).toEqual({ pledged: true });
+      expect(witness.claimRegistry.pledge({ epoch: EPOCH, id: 'job' })).toEqual({ pledged: true });
     owner.store.add(claimOf('job', 'e1'));
-    const registered = await owner.claimRegistry.register(claimOf('job', 'e1'));
+    const registered = await owner.claimRegistry.register(claimOf('job', 'e1'), EPOCH);
     expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_REFUSED);
     owner.store.remove('job');
     expect(owner.store.find('job')).toEqual(undefined);
@@ -122,12 +124,21 @@
     const [owner] = nodes;
     if (owner === undefined) throw new Error('expected three nodes');
     owner.store.add(claimOf('job', 'e1'));
-    const registration = owner.claimRegistry.register(claimOf('job', 'e1'), 0);
+    const registration = owner.claimRegistry.register(claimOf('job', 'e1'), EPOCH, 0);
     await owner.timer.advance(1_000);
     const registered = await registration;
     expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_OUTDATED);
   });
 
+  it('rejects a claim as outdated if its epoch has ended before the registration', async () => {
+    const nodes = createNodes();
+    const [owner] = nodes;
+    if (owner === undefined) throw new Error('expected three nodes');
+    nodes.forEach(rejoinAfterEviction);
+    const registered = await owner.claimRegistry.register(claimOf('job', 'e1'), EPOCH);
+    expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_OUTDATED);
+  });
+
   it('does not confirm an epoch that began after the refusal was decided', async () => {
     let requests = 0;
     const nodes: Node[] = createNodes(() => {
--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -33,13 +33,14 @@
 
 export interface ClaimRegistry {
   /**
-   * Registers a claim of this instance. After an error no task may start:
+   * Registers a claim that this instance, as the owner with all claims of the id, makes in an epoch.
+   * After an error no task may start:
    * - CLAIM_REFUSED: another runner has claimed the id, and its claim is now in the store too, or a
    *   member has pledged not to accept a claim of the id;
    * - CLAIM_UNWITNESSED: no witness answered in time;
    * - CLAIM_OUTDATED: the epoch has changed.
    */
-  register(claim: Claim, timeoutMs?: number): Promise<Result<Claim, ClaimError>>;
+  register(claim: Claim, epoch: number, timeoutMs?: number): Promise<Result<Claim, ClaimError>>;
   /**
    * Whether an id that this instance owns in the current epoch cannot have run in a later one. True
    * if another member has just confirmed that it is still in the current epoch, or if this instance
@@ -89,23 +90,26 @@
 
   async function register(
     claim: Claim,
+    epoch: number,
     timeoutMs = REGISTER_TIMEOUT_MS,
   ): Promise<Result<Claim, ClaimError>> {
-    const epoch = rosters.ownView()?.roster.epoch ?? 0;
     if (pledges.has(claim.id, epoch))
       return Result.err(new ClaimError(ErrorCodes.CLAIM_REFUSED, claim.id));
     registering.add(claim.id);
     try {
-      return await findWitness(claim, timeoutMs);
+      return await findWitness(claim, epoch, timeoutMs);
     } finally {
       registering.delete(claim.id);
     }
   }
 
-  async function findWitness(claim: Claim, timeoutMs: number): Promise<Result<Claim, ClaimError>> {
+  async function findWitness(
+    claim: Claim,
+    epoch: number,
+    timeoutMs: number,
+  ): Promise<Result<Claim, ClaimError>> {
     const timeoutAtMs = timer.nowMs() + timeoutMs;
     const tried = new Set<string>();
-    const epoch = rosters.ownView()?.roster.epoch;
     do {
       const view = rosters.ownView();
       if (view === undefined || isSealed || !hasMember(view.roster, self.incarnation)) break;
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -168,18 +168,29 @@
       peer: claim.runnerPeer,
     };
     const timeoutMs = submission.deadlineMs ?? MAX_JOB_DURATION_MS;
+    const askedEpoch = findCompleteEpoch(id);
     const joined = await askRunner(runner, { id, digest }, timer.nowMs() + timeoutMs);
     if (joined.isErr) return reject(id, problems.runnerLost(claim.runner));
     if (joined.value.answer !== undefined) return joined.value.answer;
     if (!joined.value.released) return reject(id, problems.runnerLost(claim.runner));
     options.traces.add(id, `Instance ${claim.runner} released the claim.`);
-    if (store.find(id)?.claim === claim) store.remove(id);
     if (!isOwner(id)) return undefined;
+    // While the runner could still claim the id in an earlier epoch, its release proves nothing: it
+    // may have claimed the id again since.
+    const epoch = findCompleteEpoch(id);
+    if (epoch === undefined) return submitAfterTransfer(submission);
+    if (epoch !== askedEpoch) return submit(submission);
+    if (store.find(id)?.claim === claim) store.remove(id);
     return activeJobs.has(id) || store.find(id) !== undefined
       ? submit(submission)
       : startJob(submission, claim.runnerIncarnation);
   }
 
+  /** Returns the present epoch if this instance has all claims of an id in it. */
+  function findCompleteEpoch(id: string): number | undefined {
+    return handover.hasAllClaims(id) ? rosters.ownView()?.roster.epoch : undefined;
+  }
+
   /**
    * Asks the runner of a claim for the answer. Asks once more if the runner was unresponsive but its
    * process has not exited. Asking again is safe, because a released claim is never used again.
@@ -231,18 +242,19 @@
   }
 
   /**
-   * Starts a job. It is added to `activeJobs` before its claim is registered, so that no other
+   * Starts a job whose id this instance owns, with all claims, in the present epoch. It is added to `activeJobs` before its claim is registered, so that no other
    * submission of the id can start it again.
    */
   function startJob(submission: Submission, supersedes?: string): Promise<Answer | undefined> {
     const checked = checks.check(submission);
     if (checked.isErr) return confirmAndReject(submission.id, checked.error);
     const admitted = checked.value;
+    const epoch = rosters.ownView()?.roster.epoch ?? 0;
     const job: ActiveJob = {
       digest: submission.digest,
       isCancelled: false,
       tasks: submission.tasks.length,
-      answer: Promise.resolve().then(() => claimAndRun(submission, admitted, supersedes)),
+      answer: Promise.resolve().then(() => claimAndRun(submission, admitted, epoch, supersedes)),
     };
     activeJobs.set(submission.id, job);
     return job.answer;
@@ -251,6 +263,7 @@
   async function claimAndRun(
     submission: Submission,
     admitted: AdmittedJob,
+    epoch: number,
     supersedes: string | undefined,
   ): Promise<Answer | undefined> {
     const { id } = submission;
@@ -263,6 +276,7 @@
     const remainingMs = admitted.startBefore - timer.wallMs();
     const registered = await claimRegistry.register(
       claim,
+      epoch,
       Math.max(MIN_CLAIM_WAIT_MS, Math.min(remainingMs, CLAIM_WAIT_MS)),
     );
     metrics.time('claim.ms', 'all', timer.nowMs() - startedMs);
