fix(membership): remove a member that may claim alone only with a lease that is still held

A job could have run twice after a takeover: an instance that stood still between acquiring the single-member lease and writing the roster, or whose write was held up in a cut connection, removed a member that had acquired the lease again and was claiming alone. The lease was checked once, against the cached roster, and a removed instance could remove others.

The removal now checks the roster that it changes, and whoever acquires the lease writes the roster anew first, so that a removal on its way fails on the revision.

A message of success is logged only if the roster was changed.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -116,7 +116,7 @@
   const singleMemberLease = createSingleMemberLease({
     platform,
     timer,
-    dataCentre: settings.dataCentre,
+    rosters,
     incarnation: self.incarnation,
   });
   const store = createClaimStore();
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -196,7 +196,7 @@
   ): Roster {
     let next = roster;
     for (const eviction of evictions) {
-      if (isEvictionSafe(next, eviction)) next = evictMember(next, eviction, write);
+      if (mayEvict(next, eviction)) next = evictMember(next, eviction, write);
     }
     return joinRoster(next, self, write);
   }
@@ -232,6 +232,17 @@
     return { incarnation: member.incarnation, isProven };
   }
 
+  /**
+   * Whether a member may be removed from this roster now. The lease must still be held when the
+   * roster to change has been read: whoever acquires it later changes the roster first, so that a
+   * write of this roster fails.
+   */
+  function mayEvict(roster: Roster, eviction: Eviction): boolean {
+    if (!isEvictionSafe(roster, eviction)) return false;
+    if (eviction.isProven || !isLastBaseMember(roster, eviction.incarnation)) return true;
+    return singleMemberLease.validUntilMs() > 0;
+  }
+
   async function evict(member: Member): Promise<boolean> {
     const eviction = createEviction(member);
     const roster = rosters.ownView()?.roster;
@@ -244,8 +255,8 @@
       return false;
     }
     return changeRoster((latest, write) => {
-      if (latest === undefined || !isEvictionSafe(latest, eviction)) return latest;
-      return evictMember(latest, eviction, write);
+      if (latest === undefined || !hasMember(latest, self.incarnation)) return latest;
+      return mayEvict(latest, eviction) ? evictMember(latest, eviction, write) : latest;
     }, `Took out ${member.instance}, which failed.`);
   }
 
@@ -286,12 +297,17 @@
     apply: (roster: Roster | undefined, write: RosterWrite) => Roster | undefined,
     successMessage: string,
   ): Promise<boolean> {
-    const changed = await writer.change(apply);
+    let isChanged = false;
+    const changed = await writer.change((latest, write) => {
+      const next = apply(latest, write);
+      isChanged = next !== latest;
+      return next;
+    });
     if (changed.isErr) {
       logger.warn('Could not change the roster.', { reason: changed.error.message });
       return false;
     }
-    logger.info(successMessage, { epoch: changed.value?.epoch });
+    if (isChanged) logger.info(successMessage, { epoch: changed.value?.epoch });
     return true;
   }
 
--- a/packages/membership/src/rosterChanges.ts
+++ b/packages/membership/src/rosterChanges.ts
@@ -47,6 +47,11 @@
   return { ...startEpoch(roster, write), members: [...roster.members, member] };
 }
 
+/** Writes a roster anew, so that writes based on the previous one fail. */
+export function renewRoster(roster: Roster, write: RosterWrite): Roster {
+  return { ...roster, version: roster.version + 1, writeId: write.writeId };
+}
+
 /**
  * Whether a member may be removed without its consent. Two members that are unresponsive but alive
  * could keep registering claims with each other. So at most one member whose end is not proven is
--- a/packages/membership/src/singleMemberLease.ts
+++ b/packages/membership/src/singleMemberLease.ts
@@ -1,12 +1,16 @@
 /**
  * The single-member lease: lets the only active member of a roster run jobs without a witness. It
  * is a key in the platform that is bound to a lease. An instance that wants to remove the only
- * member must acquire the key first, and therefore has to wait until the lease expires.
+ * member must acquire the key first, and therefore has to wait until the lease expires. Whoever has
+ * acquired the key writes the roster anew before using the lease: a removal that an earlier holder
+ * based on its own lease may still be on its way to the platform.
  */
 import { ErrorCodes } from '@celerybarrow/shared';
 import type { TimerService } from '@celerybarrow/timer';
 import type { Lease, Store } from '@celerybarrow/store';
-import { MAX_INSTANCE_SKEW_MS } from './rosterChanges.js';
+import type { RosterCache } from './rosterCache.js';
+import { MAX_INSTANCE_SKEW_MS, renewRoster } from './rosterChanges.js';
+import { createRosterWriter } from './rosterWriter.js';
 
 export const SINGLE_MEMBER_LEASE_MS = 10_000;
 const RENEW_INTERVAL_MS = 2_000;
@@ -25,7 +29,7 @@
 export interface SingleMemberLeaseOptions {
   readonly platform: Store;
   readonly timer: TimerService;
-  readonly dataCentre: string;
+  readonly rosters: RosterCache;
   readonly incarnation: string;
 }
 
@@ -36,8 +40,9 @@
 }
 
 export function createSingleMemberLease(options: SingleMemberLeaseOptions): SingleMemberLease {
-  const { platform, timer, incarnation } = options;
-  const key = `celerybarrow/sole/${options.dataCentre}`;
+  const { platform, timer, rosters, incarnation } = options;
+  const writer = createRosterWriter(options);
+  const key = `celerybarrow/sole/${rosters.dataCentre}`;
   let heldLease: HeldLease | undefined;
 
   async function acquire(formerHolders: ReadonlySet<string>): Promise<boolean> {
@@ -75,6 +80,8 @@
       lease.value,
     );
     if (written.isErr) return false;
+    const renewed = await writer.change((roster, write) => roster && renewRoster(roster, write));
+    if (renewed.isErr) return false;
     heldLease = { lease: lease.value, renewedMs: startedMs, renewedWallMs: startedWallMs };
     return true;
   }
