--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -196,7 +196,7 @@
   ): Roster {
     let next = roster;
     for (const eviction of evictions) {
-      if (isEvictionSafe(next, eviction)) next = evictMember(next, eviction, write);
+      if (mayEvict(next, eviction)) next = evictMember(next, eviction, write);
     }
     return joinRoster(next, self, write);
   }
@@ -232,6 +232,17 @@
     return { incarnation: member.incarnation, isProven };
   }
 
+  /**
+   * Whether a member may be removed from this roster now. The lease must still be held when the
+   * roster to change has been read: whoever acquires it later changes the roster first, so that a
+   * write of this roster fails.
+   */
+  function mayEvict(roster: Roster, eviction: Eviction): boolean {
+    if (!isEvictionSafe(roster, eviction)) return false;
+    if (eviction.isProven || !isLastBaseMember(roster, eviction.incarnation)) return true;
+    return singleMemberLease.validUntilMs() > 0;
+  }
+
   async function evict(member: Member): Promise<boolean> {
     const eviction = createEviction(member);
     const roster = rosters.ownView()?.roster;
@@ -244,20 +255,28 @@
       return false;
     }
     return changeRoster((latest, write) => {
-      if (latest === undefined || !isEvictionSafe(latest, eviction)) return latest;
-      return evictMember(latest, eviction, write);
+      if (latest === undefined || !hasMember(latest, self.incarnation)) return latest;
+      return mayEvict(latest, eviction) ? evictMember(latest, eviction, write) : latest;
     }, `Took out ${member.instance}, which failed.`);
   }
 
+  function sealedMembers(): ReadonlySet<string> {
+    return rosters.ownView()?.ceded ?? new Set();
+  }
+
   function removeSealed(member: Member): Promise<boolean> {
     return changeRoster(
-      (latest, write) => latest && leaveRoster(latest, member.incarnation, write),
+      (latest, write) => latest && leaveRoster(latest, member.incarnation, write, sealedMembers()),
       `Took out ${member.instance}, which left.`,
     );
   }
 
   async function completeTransferWhenReady(roster: Roster): Promise<boolean> {
-    const first = roster.members.find((member) => heartbeat.isReachable(member.incarnation));
+    const sealed = sealedMembers();
+    // Only an active member decides, because it knows every seal that its own transfer left out.
+    const first = roster.members.find(
+      ({ incarnation }) => !sealed.has(incarnation) && heartbeat.isReachable(incarnation),
+    );
     if (first?.incarnation !== self.incarnation || !options.hasTransferredClaims(roster.epoch))
       return true;
     const others = roster.members.filter((member) => member.incarnation !== self.incarnation);
@@ -269,7 +288,7 @@
     if (!answers.every((answer) => answer.isOk && answer.value.settled)) return true;
     return changeRoster(
       (latest, write) =>
-        latest?.epoch === roster.epoch ? completeTransfer(latest, write) : latest,
+        latest?.epoch === roster.epoch ? completeTransfer(latest, write, sealedMembers()) : latest,
       'Marked the claim transfer as complete.',
     );
   }
@@ -278,12 +297,17 @@
     apply: (roster: Roster | undefined, write: RosterWrite) => Roster | undefined,
     successMessage: string,
   ): Promise<boolean> {
-    const changed = await writer.change(apply);
+    let isChanged = false;
+    const changed = await writer.change((latest, write) => {
+      const next = apply(latest, write);
+      isChanged = next !== latest;
+      return next;
+    });
     if (changed.isErr) {
       logger.warn('Could not change the roster.', { reason: changed.error.message });
       return false;
     }
-    logger.info(successMessage, { epoch: changed.value?.epoch });
+    if (isChanged) logger.info(successMessage, { epoch: changed.value?.epoch });
     return true;
   }
 
@@ -305,7 +329,7 @@
     for (let attempt = 1; ; attempt += 1) {
       const written = await writer.change((latest, write) => {
         if (latest === undefined || latest.epoch === handedOverEpoch)
-          return latest && leaveRoster(latest, self.incarnation, write);
+          return latest && leaveRoster(latest, self.incarnation, write, sealedMembers());
         return handedOverEpoch === undefined ? evictMember(latest, eviction, write) : latest;
       });
       if (written.isOk) {
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -187,7 +187,11 @@
    */
   submit: {
     ask: z.object({ submission: submissionSchema, hops: nonNegativeInt }),
-    reply: z.object({ answer: answerSchema.optional() }),
+    reply: z.object({
+      answer: answerSchema.optional(),
+      /** Whether the sender forwarded the submission without a reply, so that it may still arrive. */
+      mayArrive: z.boolean().optional(),
+    }),
   },
   lookup: {
     ask: z.object({ id: z.string() }),
@@ -246,7 +250,12 @@
   },
   /** States that a member registers no more claims in an epoch (a seal). */
   cede: {
-    ask: z.object({ epoch: nonNegativeInt, incarnation: z.string() }),
+    ask: z.object({
+      epoch: nonNegativeInt,
+      incarnation: z.string(),
+      /** Other sealed members of the epoch, to which the sender has not handed over its claims. */
+      ceded: z.array(z.string()).optional(),
+    }),
     reply: z.object({ accepted: z.boolean() }),
   },
   settled: { ask: z.object({ epoch: nonNegativeInt }), reply: z.object({ settled: z.boolean() }) },
