--- a/packages/entry/__tests__/entry.spec.ts
+++ b/packages/entry/__tests__/entry.spec.ts
@@ -43,6 +43,7 @@
   const timer = createManualTimer();
   const submissions: Submission[] = [];
   const withdrawn: string[] = [];
+  const unanswered: string[] = [];
   const limits: number[] = [];
   const state: {
     view: View | undefined;
@@ -78,7 +79,7 @@
     isDispatcherReachable: () => state.view !== undefined,
     lastContactMs: (incarnation: string) => state.contacts.get(incarnation),
     gatewayState: () => undefined,
-    recordUnanswered: () => undefined,
+    recordUnanswered: (incarnation: string) => unanswered.push(incarnation),
     link: () => {
       const { answer } = state;
       if (answer !== undefined) return { request: answer } as unknown as PeerLink;
@@ -117,7 +118,7 @@
     clock: createElapsedClock({ ...timer, wallMs: () => timer.wallMs() + state.stepMs }),
     logger: { debug: ignore, info: ignore, warn, error: ignore },
   });
-  return { timer, entry, submissions, withdrawn, limits, state, warnings, contexts };
+  return { timer, entry, submissions, withdrawn, unanswered, limits, state, warnings, contexts };
 }
 
 // Guards against a planned stop that ends the process before it has answered its open requests.
@@ -276,6 +277,27 @@
     expect((submissions[0]?.lostHandoverAgoMs ?? 0) >= 10).toEqual(true);
   });
 
+  // A dispatcher that receives the job late must not start it: the count tells that it is elsewhere.
+  it('is counted as unanswered before it is handed over to the next dispatcher', async () => {
+    const { timer, entry, state, submissions, unanswered } = createTestEntry([]);
+    state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+    state.isLinkLost = true;
+    void entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(12);
+    expect(unanswered).toEqual([dispatcher.incarnation]);
+    expect(submissions.length).toEqual(0);
+  });
+
+  it('is not counted as unanswered if it was not sent', async () => {
+    const { timer, entry, state, unanswered } = createTestEntry([]);
+    state.view = { epoch: 1, round: 0, dispatcher: { ...dispatcher, instance: 'b' } };
+    state.isLinkLost = true;
+    state.error = ErrorCodes.PEER_UNREACHABLE;
+    void entry.submit(createJob(), new AbortController().signal);
+    await timer.advance(100);
+    expect(unanswered).toEqual([]);
+  });
+
   // Seed 2033 of separatedInstances.spec.ts: a job of 5 s, cut off with its dispatcher, which started a
   // task after the other data centre had a dispatcher of its own.
   it('tells the next dispatcher how long ago the lost one was in contact', async () => {
--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -4,6 +4,7 @@
 import { ErrorCodes } from '@celerybarrow/shared';
 import {
   ProtocolError,
+  type GatewayState,
   type RequestBody,
   type FleetMember,
   type Opinion,
@@ -57,6 +58,9 @@
   const store = createFakeStore();
   const requestTypes: string[] = [];
   const positions: (number | undefined)[] = [];
+  /** What heartbeats told of this gateway, and what other gateways told this dispatcher. */
+  const heard: (number | undefined)[] = [];
+  const states: (GatewayState | undefined)[] = [];
   const cancellations: string[] = [];
   const lines: { sentence: string; context: LogContext }[] = [];
   const record = (sentence: string, context: LogContext = {}) => {
@@ -87,6 +91,7 @@
         if (type === 'pulse' && heartbeats <= (options.answeredHeartbeats ?? 0)) {
           const { cancellationsAfter } = request as RequestBody<'pulse'>;
           positions.push(cancellationsAfter);
+          heard.push((request as RequestBody<'pulse'>).heardMs);
           const reply = { isDispatching: true, documents: {}, waiting: {}, ...options.reply };
           return Result.ok(reply as unknown as Reply<T>);
         }
@@ -114,7 +119,7 @@
     logger: { ...logger, info: record, warn: record },
     ranking: () => ({ precedingShards: 0, countDispatchedShards: () => 0 }),
     waiting: () => ({}),
-    onHeartbeat: ignore,
+    onHeartbeat: (_gateway, state) => states.push(state),
     cancellationsAfter: (position) => ({ jobs: ['j'].slice(position), position: 1 }),
     onCancellations: (jobs) => cancellations.push(...jobs),
   });
@@ -125,7 +130,8 @@
   leadership.applyStoredEntry({ key, value: JSON.stringify(view), revision: 1 });
   store.isUnavailable = options.isStoreUnavailable ?? false;
   leadership.start();
-  return { timer, requestTypes, positions, cancellations, lines, leadership, wallClockStep };
+  const observed = { requestTypes, positions, heard, states, cancellations, lines };
+  return { timer, leadership, wallClockStep, ...observed };
 }
 
 describe('a new dispatcher', () => {
@@ -187,6 +193,31 @@
     expect(positions).toEqual([0, 7, 0, 7]);
   });
 
+  it('tell a dispatcher the newest time on its clock that it has answered', async () => {
+    const { timer, heard, leadership } = await startLeadership({
+      dispatcher: member('b'),
+      answeredHeartbeats: 5,
+      reply: { clockMs: 70 },
+    });
+    await timer.advance(HEARTBEAT.intervalMs + 10);
+    leadership.close();
+    expect(heard).toEqual([undefined, 70]);
+  });
+
+  // The lease that a dispatcher grants from them ends also if the link is cut in one direction only.
+  it('get the time of the dispatcher, and tell it what their sender knew', async () => {
+    const { timer, states, leadership } = await startLeadership({ dispatcher: member('a') });
+    await timer.advance(20);
+    const view: View = { epoch: 3, round: 0, dispatcher: member('a') };
+    const pulse = { shard: 0, versions: {}, view };
+    const greeting = { version: 2, instance: 'c', incarnation: 'c', dataCentre: 'd' };
+    const reply = leadership.handlePulse({ ...pulse, heardMs: 5, unanswered: 2 }, greeting);
+    leadership.handlePulse(pulse, greeting);
+    leadership.close();
+    expect(reply.clockMs).toEqual(20);
+    expect(states).toEqual([{ fence: fenceOf(view), heardMs: 5, unanswered: 2 }, undefined]);
+  });
+
   it('get the cancellations after their position from a dispatcher', async () => {
     const { leadership } = await startLeadership({ dispatcher: member('a') });
     const pulse = { shard: 0, versions: {}, view: { epoch: 3, round: 0, dispatcher: member('a') } };
