perf(dispatch): run one placement pass a turn, for the review and for other events

The processor of the dispatcher is full then: 503 ms of 500 (trial, at 40.06 s), and a turn of its event loop takes 25 ms and more. So each turn had a review, which planned all waiting jobs, and then the pass for the other events of the turn, which planned them again: 15 of 33 plans in that half second were those of reviews. The second plan of a turn knows nothing new but the starts of the first one.

A review now requests a pass at the end of its turn, and a turn has one pass (passSchedule.ts). It reviews, that is it also refuses without free capacity, if one of its requests is for that. The counter placement-passes shows how often jobs are planned.

The test of the dispatcher failed with the review as it was: 1, 1, 2, 2 and 1 plans in five turns.

--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -60,6 +60,7 @@
 import { findOverdueTasks } from './overdueTasks.js';
 import { createPlacer, type PlannedJob } from './placer.js';
 import { createLateStarts } from './lateStarts.js';
+import { createPassSchedule, PassCauses, type PassCause } from './passSchedule.js';
 import type { PlannedStart } from './placeTasks.js';
 import { describeRelocations } from './quieterEndpoint.js';
 import { expectedEndInMs, isRefused, retryAfterMs } from './refusal.js';
@@ -289,7 +290,7 @@
   const createdMs = clock.nowMs();
   const reportLog = createEndpointReportLog({ pool, clock, logger });
   const stallDetector = createStallDetector(clock);
-  let isPassDue = false;
+  const passes = createPassSchedule(runPass);
   let isClosed = false;
   const stopReviews = timer.onEvery(REVIEW_INTERVAL_MS, review);
 
@@ -423,27 +424,25 @@
     };
   }
 
-  /** Schedules one placement pass for all events of this turn of the event loop. */
+  /** Has one placement pass run for all events of this turn of the event loop. */
   function schedulePass(): void {
-    if (isPassDue || isClosed) return;
-    isPassDue = true;
-    setImmediate(() => {
-      isPassDue = false;
-      if (!isClosed) runPass();
-    });
+    passes.request(PassCauses.CHANGE);
   }
 
-  /** Runs a placement pass. It is cheap while there is no free capacity. */
-  function runPass(): void {
+  /** Runs a placement pass. Unless it is a review, it is cheap while there is no free capacity. */
+  function runPass(cause: PassCause): void {
     const nowMs = clock.nowMs();
     if (nowMs - createdMs < RECONCILIATION_TIMEOUT_MS)
       reconciliation.reconcile(jobs.values(), nowMs);
     const waiting = [...jobs.values()].filter((record) => mayStartTasks(record, nowMs));
-    if (waiting.length > 0 && placer.hasFreeCapacity(waiting, nowMs)) executePlan(waiting, nowMs);
+    if (waiting.length === 0) return;
+    if (cause === PassCauses.REVIEW || placer.hasFreeCapacity(waiting, nowMs))
+      executePlan(waiting, nowMs);
   }
 
   /** Starts the planned tasks, and refuses jobs that can no longer end before their deadline. */
   function executePlan(waiting: readonly JobRecord[], nowMs: number): void {
+    metrics.increment('placement-passes');
     longJobsOfPass = undefined;
     let plannedBytes = 0;
     const linkWaitsMs = new Map<JobRecord, number>();
@@ -787,8 +786,7 @@
         finish(record, { state: JobStates.LOST, reason: 'its gateway is silent' });
       }
     }
-    const waiting = [...jobs.values()].filter((record) => mayStartTasks(record, nowMs));
-    if (waiting.length > 0) executePlan(waiting, nowMs);
+    passes.request(PassCauses.REVIEW);
     options.onReview?.();
   }
 
@@ -846,6 +844,7 @@
 
   function close(): void {
     isClosed = true;
+    passes.close();
     stopReviews();
     pool.close();
     neighbourLoss?.close();
