fix(claims): keep the records of all runners, and tell a runner's claims apart by epoch

A job could have been started again without asking the runner that had it: beside a pending claim the store kept one record of another runner, transfers sent only the first record of an id, an owner with an abandoned claim of its own did not ask the other runner, and a late record that supersedes a runner replaced the claim that this runner had made in a later epoch. Found by reading; the three new cases of claimStore.spec.ts failed before; no run of whole instances shows a second start by it.

Claims carry the epoch in which they were made (optional on the wire).

--- a/packages/claims/__tests__/claimStore.spec.ts
+++ b/packages/claims/__tests__/claimStore.spec.ts
@@ -50,4 +50,44 @@
     store.expire(60 * 60_000);
     expect(store.size()).toEqual(0);
   });
+
+  // Guards against a second start: of two records beside a pending claim only the last was kept, so
+  // the runner that had the job was not asked.
+  it('keeps the records of all other runners', () => {
+    const store = createClaimStore();
+    store.add(claimOf('e1'));
+    store.merge({ ...claimOf('e2'), answer: ANSWER });
+    store.merge(claimOf('e3'));
+    const runners = ['e1', 'e2', 'e3'].map(() => {
+      const runner = store.find('job')?.claim.runner;
+      store.remove('job');
+      return runner;
+    });
+    expect(runners.sort()).toEqual(['e1', 'e2', 'e3']);
+    expect(store.find('job')).toEqual(undefined);
+  });
+
+  // Guards against a record that is transferred late: a claim made after a release of its runner
+  // must not replace the claim that the same runner has made since.
+  it('keeps the newer of two claims that supersede each other', () => {
+    const older = { ...claimOf('e2', 'e1'), epoch: 4 };
+    const newer = { ...claimOf('e1', 'e2'), epoch: 5 };
+    for (const claims of [
+      [older, newer],
+      [newer, older],
+    ]) {
+      const store = createClaimStore();
+      for (const claim of claims) store.merge(claim);
+      expect(store.find('job')?.claim).toEqual(newer);
+    }
+  });
+
+  it('refuses a claim while the record of another runner is not superseded', () => {
+    const store = createClaimStore();
+    store.merge(claimOf('e1'));
+    store.merge(claimOf('e2'));
+    expect(store.add(claimOf('e3', 'e1'))).toEqual(false);
+    expect(store.add(claimOf('e3', 'e2'))).toEqual(true);
+    expect(store.find('job')?.claim.runner).toEqual('e3');
+  });
 });
--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -194,8 +194,7 @@
     if (reply === undefined) return 'retry';
     if (reply.epoch !== view.roster.epoch || !reply.accepted) return 'retry';
     if (!reply.refused.includes(claim.id)) return 'accepted';
-    const existingClaim = reply.held?.find((one) => one.id === claim.id);
-    if (existingClaim !== undefined) store.merge(existingClaim);
+    for (const existing of reply.held ?? []) if (existing.id === claim.id) store.merge(existing);
     return 'refused';
   }
 
@@ -241,12 +240,11 @@
     if (isSealed && !isLastActive(rosters.ownView(), peer)) {
       return { accepted: false, epoch, refused: [] };
     }
-    const refused = message.claims.filter(
-      (claim) =>
-        pledges.has(claim.id, epoch) || !store.add(toClaim(claim, peer, message.runnerPeer)),
-    );
+    const refused = message.claims
+      .map((claim) => toClaim(claim, peer, message))
+      .filter((claim) => pledges.has(claim.id, epoch) || !store.add(claim));
     if (refused.length === 0) return { accepted: true, epoch, refused: [] };
-    const held = refused.flatMap((claim) => store.find(claim.id)?.claim ?? []);
+    const held = refused.flatMap((claim) => store.findOthers(claim));
     return { accepted: true, epoch, refused: refused.map((claim) => claim.id), held };
   }
 
@@ -283,13 +281,18 @@
   };
 }
 
-function toClaim(claim: OwnClaim, peer: Greeting, runnerPeer: string): Claim {
+function toClaim(
+  claim: OwnClaim,
+  peer: Greeting,
+  { epoch, runnerPeer }: RequestBody<'claim'>,
+): Claim {
   return {
     ...claim,
     createdAt: claim.createdAt ?? readCreationTime(claim.id) ?? 0,
     runner: peer.instance,
     runnerIncarnation: peer.incarnation,
     runnerPeer,
+    epoch,
   };
 }
 
--- a/packages/claims/src/claimStore.ts
+++ b/packages/claims/src/claimStore.ts
@@ -14,9 +14,10 @@
 export interface ClaimRecord {
   claim: Claim;
   /**
-   * The record of another runner for the same id. It replaces this record if `claim` is removed.
+   * The records of other runners for the same id. The first replaces this record if `claim` is
+   * removed.
    */
-  conflicting?: ClaimRecord | undefined;
+  conflicting?: readonly ClaimRecord[] | undefined;
   answer?: Answer | undefined;
   /** Whether this instance ran the job to its end. Remains set after the answer is evicted. */
   hasEnded?: boolean;
@@ -29,10 +30,12 @@
    * claimed the id.
    */
   add(claim: Claim): boolean;
+  /** Returns the claims of other runners for the id of a claim. */
+  findOthers(claim: Claim): readonly Claim[];
   /**
    * Adds a record received from another instance. The answer is kept if either side knows it. If
    * the claims name different runners, at most one of them is registered. The store cannot tell
-   * which one, so it keeps both.
+   * which one, so it keeps all.
    */
   merge(record: TransferredRecord): void;
   setAnswer(id: string, answer: Answer): void;
@@ -58,30 +61,47 @@
   }
 
   function add(claim: Claim): boolean {
-    const known = byId.get(claim.id);
-    if (known === undefined) {
+    const record = byId.get(claim.id);
+    if (record === undefined) {
       insert(claim);
       return true;
     }
-    if (known.claim.runnerIncarnation === claim.runnerIncarnation) return true;
-    if (claim.supersedes === undefined) return false;
-    if (claim.supersedes !== known.claim.runnerIncarnation) return false;
-    known.claim = claim;
-    return true;
+    const others = allOf(record).filter((one) => !isSameRunner(one.claim, claim));
+    const remaining = others.filter((one) => !supersedes(claim, one.claim));
+    if (remaining.length === 0) {
+      record.claim = claim;
+      record.conflicting = undefined;
+      return true;
+    }
+    // The superseded claims are void all the same. The owner asks the remaining runners next.
+    for (const one of others) if (supersedes(claim, one.claim)) one.claim = claim;
+    return false;
+  }
+
+  function merge({ answer, ...claim }: TransferredRecord): void {
+    const record = byId.get(claim.id);
+    if (record === undefined) {
+      insert(claim).answer = answer;
+      return;
+    }
+    const match = allOf(record).find((one) => isRelated(one.claim, claim));
+    if (match === undefined) {
+      record.conflicting = [...(record.conflicting ?? []), { claim, answer }];
+      return;
+    }
+    if (isNewer(claim, match.claim)) match.claim = claim;
+    match.answer ??= answer;
   }
 
   return {
     find: (id) => byId.get(id),
     add,
-    merge({ answer, ...claim }) {
-      const record = byId.get(claim.id) ?? insert(claim);
-      if (isConflicting(claim, record.claim)) {
-        record.conflicting = { claim, answer: answer ?? record.conflicting?.answer };
-        return;
-      }
-      if (claim.supersedes === record.claim.runnerIncarnation) record.claim = claim;
-      record.answer ??= answer;
+    findOthers(claim) {
+      const record = byId.get(claim.id);
+      if (record === undefined) return [];
+      return allOf(record).flatMap((one) => (isSameRunner(one.claim, claim) ? [] : [one.claim]));
     },
+    merge,
     setAnswer(id, answer) {
       const record = byId.get(id);
       if (record === undefined) return;
@@ -93,8 +113,11 @@
       if (record === undefined) return;
       byId.delete(id);
       buckets.get(bucketOf(record.claim.createdAt))?.delete(id);
-      if (record.conflicting !== undefined)
-        insert(record.conflicting.claim).answer = record.conflicting.answer;
+      const [next, ...others] = record.conflicting ?? [];
+      if (next === undefined) return;
+      const replacement = insert(next.claim);
+      replacement.answer = next.answer;
+      if (others.length > 0) replacement.conflicting = others;
     },
     expire(nowMs) {
       const oldest = bucketOf(nowMs - RETENTION_MS - RETENTION_MARGIN_MS);
@@ -109,10 +132,31 @@
   };
 }
 
-/** Whether two claims name different runners and neither supersedes the other. */
-function isConflicting(one: Claim, other: Claim): boolean {
-  if (one.runnerIncarnation === other.runnerIncarnation) return false;
-  return one.supersedes !== other.runnerIncarnation && other.supersedes !== one.runnerIncarnation;
+/** Returns a record and the records of other runners beside it. */
+export function allOf(record: ClaimRecord): readonly ClaimRecord[] {
+  return record.conflicting === undefined ? [record] : [record, ...record.conflicting];
+}
+
+function isSameRunner(one: Claim, other: Claim): boolean {
+  return one.runnerIncarnation === other.runnerIncarnation;
+}
+
+/**
+ * Whether a claim was made after the runner of another had released it. A release says nothing
+ * about a claim that the same runner has made in a later epoch.
+ */
+function supersedes(claim: Claim, other: Claim): boolean {
+  if (claim.supersedes !== other.runnerIncarnation) return false;
+  return (claim.epoch ?? Infinity) >= (other.epoch ?? 0);
+}
+
+function isRelated(one: Claim, other: Claim): boolean {
+  return isSameRunner(one, other) || supersedes(one, other) || supersedes(other, one);
+}
+
+function isNewer(claim: Claim, known: Claim): boolean {
+  if (isSameRunner(claim, known)) return (claim.epoch ?? 0) > (known.epoch ?? 0);
+  return supersedes(claim, known);
 }
 
 function bucketOf(createdAt: number): number {
--- a/packages/claims/src/handover.ts
+++ b/packages/claims/src/handover.ts
@@ -27,7 +27,7 @@
 import { rankByRendezvous } from '@celerybarrow/shared';
 import type { Logger } from '@celerybarrow/telemetry';
 import { createPlannedHandover } from './plannedHandover.js';
-import type { ClaimRecord, ClaimStore } from './claimStore.js';
+import { allOf, type ClaimRecord, type ClaimStore } from './claimStore.js';
 
 const COPIES_PER_CLAIM = 2;
 const MAX_RECORDS_PER_MESSAGE = 500;
@@ -124,11 +124,15 @@
   }
 
   /** Collects records and yields regularly, so that a large store does not block the event loop. */
-  async function collect(isWanted: (id: string) => boolean): Promise<TransferredRecord[]> {
+  async function collect(
+    isWanted: (id: string) => boolean,
+    toTransferred = withoutAnswer,
+  ): Promise<TransferredRecord[]> {
     const collected: TransferredRecord[] = [];
     let visited = 0;
     for (const record of store.records()) {
-      if (isWanted(record.claim.id)) collected.push(withoutAnswer(record));
+      if (isWanted(record.claim.id))
+        for (const one of allOf(record)) collected.push(toTransferred(one));
       visited += 1;
       if (visited % MAX_RECORDS_PER_MESSAGE === 0) await timer.sleep(0);
     }
@@ -233,17 +237,10 @@
     view: RosterView,
     signal: AbortSignal,
   ): Promise<boolean> {
-    const range = await collectWithAnswers((id) => isHolder(view, id, member));
+    const range = await collect((id) => isHolder(view, id, member), withAnswer);
     return sendAll(member, view.roster.epoch, range, signal);
   }
 
-  async function collectWithAnswers(
-    isWanted: (id: string) => boolean,
-  ): Promise<TransferredRecord[]> {
-    const range = await collect(isWanted);
-    return range.map((record) => ({ ...record, answer: store.find(record.id)?.answer }));
-  }
-
   rosters.onChange((dataCentre) => {
     if (dataCentre === rosters.dataCentre) onRosterChange();
   });
@@ -274,3 +271,7 @@
 function withoutAnswer(record: ClaimRecord): TransferredRecord {
   return { ...record.claim };
 }
+
+function withAnswer(record: ClaimRecord): TransferredRecord {
+  return { ...record.claim, answer: record.answer };
+}
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -155,9 +155,11 @@
   ): Promise<Answer | undefined> {
     if (record.hasEnded === true) return reject(submission.id, problems.answerDiscarded());
     if (!isOwner(submission.id)) return undefined;
-    return handover.hasAllClaims(submission.id)
-      ? startJob(submission)
-      : submitAfterTransfer(submission);
+    if (!handover.hasAllClaims(submission.id)) return submitAfterTransfer(submission);
+    if (record.conflicting === undefined) return startJob(submission);
+    // Another runner may have the job; it is asked next.
+    store.remove(submission.id);
+    return submit(submission);
   }
 
   async function joinRunner(submission: Submission, claim: Claim): Promise<Answer | undefined> {
@@ -268,7 +270,7 @@
   ): Promise<Answer | undefined> {
     const { id } = submission;
     const startedMs = timer.nowMs();
-    const claim = createClaim(submission, supersedes);
+    const claim = createClaim(submission, epoch, supersedes);
     if (!store.add(claim)) {
       activeJobs.delete(id);
       return reject(id, problems.claimContested());
@@ -342,7 +344,11 @@
     }
   }
 
-  function createClaim(submission: Submission, supersedes: string | undefined): Claim {
+  function createClaim(
+    submission: Submission,
+    epoch: number,
+    supersedes: string | undefined,
+  ): Claim {
     return {
       id: submission.id,
       digest: submission.digest,
@@ -350,6 +356,7 @@
       runner: self.instance,
       runnerIncarnation: self.incarnation,
       runnerPeer: self.peer,
+      epoch,
       ...(supersedes === undefined ? {} : { supersedes }),
     };
   }
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -101,6 +101,8 @@
    * Incarnation of an earlier runner that confirmed it has not started and will not start any task.
    */
   supersedes: z.string().optional(),
+  /** Epoch in which the claim was made. */
+  epoch: nonNegativeInt.optional(),
 });
 
 /** A claim whose runner is the sender, which the receiver knows from the connection. */
