--- a/packages/jobs/src/router.ts
+++ b/packages/jobs/src/router.ts
@@ -22,8 +22,8 @@
   type RosterCache,
 } from '@celerybarrow/membership';
 import type { JobService } from './jobService.js';
-import { createLostCopies } from './lostCopies.js';
 import * as problems from './problems.js';
+import { qualifyAnswer } from './qualifyAnswer.js';
 import { MAX_JOB_DURATION_MS } from './submissionChecks.js';
 
 /** How long to search for an instance that accepts a submission. */
@@ -85,28 +85,28 @@
     const endMs = timer.nowMs() + limitMs + ANSWER_GRACE_MS;
     let timeoutAtMs = timer.nowMs() + Math.min(ROUTE_TIMEOUT_MS, limitMs);
     let pledgeAtMs = timer.nowMs() + Math.min(PLEDGE_DELAY_MS, limitMs);
-    const lostCopies = createLostCopies((member) => peers.linkTo(member).isGone());
+    let mayCopyArrive = false;
     for (let attempt = 0; timer.nowMs() < timeoutAtMs; attempt += 1) {
       const target = chooseTarget(submission, attempt);
       const startedMs = timer.nowMs();
       if (target !== undefined) {
         const { answer, mayArrive } = await forward(target, submission, 1, endMs);
-        if (answer !== undefined) return lostCopies.qualify(answer);
-        if (mayArrive === true) lostCopies.add(target);
+        if (answer !== undefined) return qualifyAnswer(answer, mayCopyArrive);
+        mayCopyArrive ||= mayArrive === true;
       }
       // An instance that kept the request open this long had accepted it, so the search restarts.
       const wasAccepted = timer.nowMs() - startedMs > ACCEPTED_AFTER_MS;
       if (wasAccepted) timeoutAtMs = Math.min(endMs, timer.nowMs() + ROUTE_TIMEOUT_MS);
       if (timer.nowMs() >= pledgeAtMs) {
         if (await isRunRuledOut(submission))
-          return lostCopies.qualify(rejectUnowned(submission, Outcomes.NOT_RUN));
+          return qualifyAnswer(rejectUnowned(submission, Outcomes.NOT_RUN), mayCopyArrive);
         pledgeAtMs = timer.nowMs() + PLEDGE_DELAY_MS;
       }
       await timer.sleep(addJitter(RETRY_DELAY_MS, random));
     }
     const hasNotRun = await isRunRuledOut(submission);
     const outcome = hasNotRun ? Outcomes.NOT_RUN : Outcomes.MAY_HAVE_RUN;
-    return lostCopies.qualify(rejectUnowned(submission, outcome));
+    return qualifyAnswer(rejectUnowned(submission, outcome), mayCopyArrive);
   }
 
   function rejectUnowned({ id, home }: Submission, outcome: Outcome): Answer {
