fix(placement): start no task of a late batch after the deadline of its job

Callers saw may-have-run, and endpoints did work that nobody waited for: a batch that was sent again or held up in a cut connection got its whole time anew from its arrival. It now also carries the deadline by its sender's clock.

--- a/packages/placement/__tests__/batches.spec.ts
+++ b/packages/placement/__tests__/batches.spec.ts
@@ -10,7 +10,7 @@
   type Greeting,
   type Member,
 } from '@celerybarrow/protocol';
-import type { Peers } from '@celerybarrow/membership';
+import { MAX_INSTANCE_SKEW_MS, type Peers } from '@celerybarrow/membership';
 import {
   createBatchReceiver,
   createBatchSender,
@@ -174,7 +174,8 @@
     timer,
     findMember: () => (isListed ? owner : undefined),
   });
-  const receive = () => receiver.receive({ ...content, batch: 1 }, toGreeting(owner)).accepted;
+  const receive = (times: Partial<RequestBody<'batch'>> = {}) =>
+    receiver.receive({ ...content, ...times, batch: 1 }, toGreeting(owner)).accepted;
   const setListed = (listed: boolean) => (isListed = listed);
   return { timer, queued, results, receiver, receive, setListed };
 }
@@ -193,6 +194,17 @@
     expect([harness.receive(), harness.queued.length]).toEqual([false, 0]);
   });
 
+  // Guards against a batch that arrives after a cut: its tasks were started after the deadline of the
+  // job, whose caller had its answer.
+  it('starts no task later than the sender allows if the batch arrives late', async () => {
+    const harness = createReceiverHarness();
+    const startBefore = harness.timer.wallMs() + content.remainingMs;
+    await harness.timer.advance(10_000);
+    harness.receive({ startBefore });
+    const latestMs = Math.max(...harness.queued.map((task) => task.startBefore));
+    expect(latestMs).toEqual(startBefore + MAX_INSTANCE_SKEW_MS);
+  });
+
   it('sends all results in one message and resends it until the owner answers', async () => {
     const harness = createReceiverHarness();
     harness.receive();
--- a/packages/placement/src/batchReceiver.ts
+++ b/packages/placement/src/batchReceiver.ts
@@ -12,7 +12,7 @@
   type Reply,
   type TaskResult,
 } from '@celerybarrow/protocol';
-import type { Peers } from '@celerybarrow/membership';
+import { MAX_INSTANCE_SKEW_MS, type Peers } from '@celerybarrow/membership';
 import type { TaskDispatcher } from './taskDispatcher.js';
 
 const RESULTS_TIMEOUT_MS = 2_000;
@@ -85,7 +85,7 @@
       isSending: false,
     };
     acceptedBatches.set(key, batch);
-    const startBefore = timer.wallMs() + ask.remainingMs;
+    const startBefore = findStartBefore(ask);
     for (const task of ask.tasks) {
       dispatcher.enqueue({
         ...task,
@@ -102,6 +102,14 @@
     }
   }
 
+  /**
+   * The time left counts from the arrival, so it is too long for a batch that was sent again or held
+   * up in a cut connection. The sender's clock bounds it.
+   */
+  function findStartBefore({ remainingMs, startBefore = Infinity }: RequestBody<'batch'>): number {
+    return Math.min(timer.wallMs() + remainingMs, startBefore + MAX_INSTANCE_SKEW_MS);
+  }
+
   function onResult(batch: AcceptedBatch, result: TaskResult): void {
     batch.results.push(result);
     batch.unreported -= 1;
--- a/packages/placement/src/placement.ts
+++ b/packages/placement/src/placement.ts
@@ -238,6 +238,7 @@
         team: job.team,
         weight: job.weight,
         remainingMs: Math.round(job.startBefore - nowMs),
+        startBefore: Math.round(job.startBefore),
         ageMs: Math.max(0, Math.round(nowMs - job.submittedAt)),
         tasks: assignment.tasks,
       },
--- a/packages/protocol/src/keyMap.ts
+++ b/packages/protocol/src/keyMap.ts
@@ -57,4 +57,5 @@
   shard: 52,
   held: 53,
   mayArrive: 54,
+  startBefore: 55,
 } as const;
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -157,6 +157,8 @@
   weight: z.number().positive(),
   /** Time left until the tasks may no longer be started. */
   remainingMs: z.number(),
+  /** The same point in time by the clock of the sender, which bounds a batch that arrives late. */
+  startBefore: timestampMs.optional(),
   /** Time since the job was submitted; determines its position in the queue. */
   ageMs: z.number().nonnegative(),
   tasks: z.array(batchTaskSchema),
