--- a/packages/jobs/__tests__/cluster.ts
+++ b/packages/jobs/__tests__/cluster.ts
@@ -416,8 +416,10 @@
       else if (command.type === 'stop') void stop(command.node);
       else if (command.type === 'crash') markCrashed(nodes.get(command.node));
       else if (command.type === 'read-roster') readRosterAt(command.node);
-      else if (command.type === 'freeze') nodes.get(command.node)?.timer.pause();
-      else if (command.type === 'resume') nodes.get(command.node)?.timer.resume();
+      else if (command.type === 'freeze')
+        for (const one of nodesAt(command.node)) one.timer.pause();
+      else if (command.type === 'resume')
+        for (const one of nodesAt(command.node)) one.timer.resume();
       else if (command.type === 'heal') network.heal(`e${command.node}`, `e${command.other}`);
       else network.cut(`e${command.node}`, `e${command.other}`, command.type === 'cut-one-way');
       await timer.advance(5);
@@ -439,10 +441,13 @@
     findJob,
   };
 
+  /** The node at an index, and the one that is stopping there. */
+  function nodesAt(index: number): Node[] {
+    return [nodes.get(index), stopping.get(index)].flatMap((node) => node ?? []);
+  }
+
   function readRosterAt(index: number): void {
-    for (const node of [nodes.get(index), stopping.get(index)]) {
-      if (node?.isUp === true) readRoster(node);
-    }
+    for (const node of nodesAt(index)) if (node.isUp) readRoster(node);
   }
 }
 
