fix(claims): confirm the epoch in which a refusal was decided

confirm and the refusal after a failed registration read the epoch anew, so an owner that adopted a later epoch in between could have had that one confirmed.

--- a/packages/claims/__tests__/claimRegistry.spec.ts
+++ b/packages/claims/__tests__/claimRegistry.spec.ts
@@ -139,6 +139,15 @@
     expect(registered.isErr && registered.error.code).toEqual(ErrorCodes.CLAIM_OUTDATED);
   });
 
+  it('does not confirm an epoch that has ended since the refusal was decided', async () => {
+    const nodes = createNodes();
+    const [owner] = nodes;
+    if (owner === undefined) throw new Error('expected three nodes');
+    expect(await owner.claimRegistry.confirm('job', EPOCH)).toEqual(true);
+    nodes.forEach(rejoinAfterEviction);
+    expect(await owner.claimRegistry.confirm('job', EPOCH)).toEqual(false);
+  });
+
   it('does not confirm an epoch that began after the refusal was decided', async () => {
     let requests = 0;
     const nodes: Node[] = createNodes(() => {
@@ -148,7 +157,7 @@
     });
     const [owner] = nodes;
     if (owner === undefined) throw new Error('expected three nodes');
-    expect(await owner.claimRegistry.confirm('job')).toEqual(false);
+    expect(await owner.claimRegistry.confirm('job', EPOCH)).toEqual(false);
   });
 });
 
--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -42,11 +42,11 @@
    */
   register(claim: Claim, epoch: number, timeoutMs?: number): Promise<Result<Claim, ClaimError>>;
   /**
-   * Whether an id that this instance owns in the current epoch cannot have run in a later one. True
-   * if another member has just confirmed that it is still in the current epoch, or if this instance
-   * is the only member and is certain to hold the single-member lease.
+   * Whether an id that this instance owns in an epoch cannot have run in a later one. True if another
+   * member has just confirmed that it is still in this epoch, or if this instance is the only member
+   * and is certain to hold the single-member lease.
    */
-  confirm(id: string): Promise<boolean>;
+  confirm(id: string, epoch: number): Promise<boolean>;
   /** Handles a request of another member to witness its claims. */
   witness(ask: RequestBody<'claim'>, peer: Greeting): Reply<'claim'>;
   /**
@@ -139,9 +139,8 @@
     return Result.err(new ClaimError(code, claim.id));
   }
 
-  async function confirm(id: string): Promise<boolean> {
+  async function confirm(id: string, epoch: number): Promise<boolean> {
     const tried = new Set<string>();
-    const epoch = rosters.ownView()?.roster.epoch;
     for (let attempt = 0; attempt < MAX_CONFIRM_ATTEMPTS; attempt += 1) {
       const view = rosters.ownView();
       if (view === undefined || isSealed || !hasMember(view.roster, self.incarnation)) return false;
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -248,10 +248,10 @@
    * submission of the id can start it again.
    */
   function startJob(submission: Submission, supersedes?: string): Promise<Answer | undefined> {
+    const epoch = rosters.ownView()?.roster.epoch ?? 0;
     const checked = checks.check(submission);
-    if (checked.isErr) return confirmAndReject(submission.id, checked.error);
+    if (checked.isErr) return confirmAndReject(submission.id, checked.error, epoch);
     const admitted = checked.value;
-    const epoch = rosters.ownView()?.roster.epoch ?? 0;
     const job: ActiveJob = {
       digest: submission.digest,
       isCancelled: false,
@@ -290,7 +290,7 @@
         return submit(submission);
       if (registered.error.code === ErrorCodes.CLAIM_REFUSED)
         return reject(id, problems.claimContested());
-      return isOwner(id) ? confirmAndReject(id, problems.claimNotRegistered()) : undefined;
+      return isOwner(id) ? confirmAndReject(id, problems.claimNotRegistered(), epoch) : undefined;
     }
     options.traces.add(id, `Claimed in epoch ${rosters.ownView()?.roster.epoch ?? 0}.`);
     const answer = await runClaimed(submission, admitted);
@@ -362,11 +362,12 @@
   }
 
   /**
-   * Rejects a submission. Answers not-run only if the epoch is confirmed: an owner that was
-   * replaced without knowing it cannot rule out that the job ran.
+   * Rejects a submission. Answers not-run only if the epoch in which that was decided is confirmed:
+   * an owner that was replaced without knowing it cannot rule out that the job ran.
    */
-  async function confirmAndReject(id: string, cause: Problem): Promise<Answer> {
-    const isCertain = cause.outcome !== Outcomes.NOT_RUN || (await claimRegistry.confirm(id));
+  async function confirmAndReject(id: string, cause: Problem, epoch: number): Promise<Answer> {
+    const isCertain =
+      cause.outcome !== Outcomes.NOT_RUN || (await claimRegistry.confirm(id, epoch));
     return reject(id, isCertain ? cause : { ...cause, outcome: Outcomes.MAY_HAVE_RUN });
   }
 
