--- a/packages/scenarios/src/experiment/claimMemory.ts
+++ b/packages/scenarios/src/experiment/claimMemory.ts
@@ -21,6 +21,7 @@
       runner: 'dub1-e1',
       runnerIncarnation: 'f4b1c0de-0000-4000-8000-000000000000',
       runnerPeer: '127.0.0.1:8082',
+      epoch: 3,
     });
   }
   globalThis.gc?.();
