--- a/packages/claims/src/claimRegistry.ts
+++ b/packages/claims/src/claimRegistry.ts
@@ -42,11 +42,11 @@
    */
   register(claim: Claim, epoch: number, timeoutMs?: number): Promise<Result<Claim, ClaimError>>;
   /**
-   * Whether an id that this instance owns in the current epoch cannot have run in a later one. True
-   * if another member has just confirmed that it is still in the current epoch, or if this instance
-   * is the only member and is certain to hold the single-member lease.
+   * Whether an id that this instance owns in an epoch cannot have run in a later one. True if another
+   * member has just confirmed that it is still in this epoch, or if this instance is the only member
+   * and is certain to hold the single-member lease.
    */
-  confirm(id: string): Promise<boolean>;
+  confirm(id: string, epoch: number): Promise<boolean>;
   /** Handles a request of another member to witness its claims. */
   witness(ask: RequestBody<'claim'>, peer: Greeting): Reply<'claim'>;
   /**
@@ -139,9 +139,8 @@
     return Result.err(new ClaimError(code, claim.id));
   }
 
-  async function confirm(id: string): Promise<boolean> {
+  async function confirm(id: string, epoch: number): Promise<boolean> {
     const tried = new Set<string>();
-    const epoch = rosters.ownView()?.roster.epoch;
     for (let attempt = 0; attempt < MAX_CONFIRM_ATTEMPTS; attempt += 1) {
       const view = rosters.ownView();
       if (view === undefined || isSealed || !hasMember(view.roster, self.incarnation)) return false;
@@ -194,8 +193,7 @@
     if (reply === undefined) return 'retry';
     if (reply.epoch !== view.roster.epoch || !reply.accepted) return 'retry';
     if (!reply.refused.includes(claim.id)) return 'accepted';
-    const existingClaim = reply.held?.find((one) => one.id === claim.id);
-    if (existingClaim !== undefined) store.merge(existingClaim);
+    for (const existing of reply.held ?? []) if (existing.id === claim.id) store.merge(existing);
     return 'refused';
   }
 
@@ -241,12 +239,11 @@
     if (isSealed && !isLastActive(rosters.ownView(), peer)) {
       return { accepted: false, epoch, refused: [] };
     }
-    const refused = message.claims.filter(
-      (claim) =>
-        pledges.has(claim.id, epoch) || !store.add(toClaim(claim, peer, message.runnerPeer)),
-    );
+    const refused = message.claims
+      .map((claim) => toClaim(claim, peer, message))
+      .filter((claim) => pledges.has(claim.id, epoch) || !store.add(claim));
     if (refused.length === 0) return { accepted: true, epoch, refused: [] };
-    const held = refused.flatMap((claim) => store.find(claim.id)?.claim ?? []);
+    const held = refused.flatMap((claim) => store.findOthers(claim));
     return { accepted: true, epoch, refused: refused.map((claim) => claim.id), held };
   }
 
@@ -283,13 +280,18 @@
   };
 }
 
-function toClaim(claim: OwnClaim, peer: Greeting, runnerPeer: string): Claim {
+function toClaim(
+  claim: OwnClaim,
+  peer: Greeting,
+  { epoch, runnerPeer }: RequestBody<'claim'>,
+): Claim {
   return {
     ...claim,
     createdAt: claim.createdAt ?? readCreationTime(claim.id) ?? 0,
     runner: peer.instance,
     runnerIncarnation: peer.incarnation,
     runnerPeer,
+    epoch,
   };
 }
 
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -155,9 +155,11 @@
   ): Promise<Answer | undefined> {
     if (record.hasEnded === true) return reject(submission.id, problems.answerDiscarded());
     if (!isOwner(submission.id)) return undefined;
-    return handover.hasAllClaims(submission.id)
-      ? startJob(submission)
-      : submitAfterTransfer(submission);
+    if (!handover.hasAllClaims(submission.id)) return submitAfterTransfer(submission);
+    if (record.conflicting === undefined) return startJob(submission);
+    // Another runner may have the job; it is asked next.
+    store.remove(submission.id);
+    return submit(submission);
   }
 
   async function joinRunner(submission: Submission, claim: Claim): Promise<Answer | undefined> {
@@ -246,10 +248,10 @@
    * submission of the id can start it again.
    */
   function startJob(submission: Submission, supersedes?: string): Promise<Answer | undefined> {
+    const epoch = rosters.ownView()?.roster.epoch ?? 0;
     const checked = checks.check(submission);
-    if (checked.isErr) return confirmAndReject(submission.id, checked.error);
+    if (checked.isErr) return confirmAndReject(submission.id, checked.error, epoch);
     const admitted = checked.value;
-    const epoch = rosters.ownView()?.roster.epoch ?? 0;
     const job: ActiveJob = {
       digest: submission.digest,
       isCancelled: false,
@@ -268,7 +270,7 @@
   ): Promise<Answer | undefined> {
     const { id } = submission;
     const startedMs = timer.nowMs();
-    const claim = createClaim(submission, supersedes);
+    const claim = createClaim(submission, epoch, supersedes);
     if (!store.add(claim)) {
       activeJobs.delete(id);
       return reject(id, problems.claimContested());
@@ -288,7 +290,7 @@
         return submit(submission);
       if (registered.error.code === ErrorCodes.CLAIM_REFUSED)
         return reject(id, problems.claimContested());
-      return isOwner(id) ? confirmAndReject(id, problems.claimNotRegistered()) : undefined;
+      return isOwner(id) ? confirmAndReject(id, problems.claimNotRegistered(), epoch) : undefined;
     }
     options.traces.add(id, `Claimed in epoch ${rosters.ownView()?.roster.epoch ?? 0}.`);
     const answer = await runClaimed(submission, admitted);
@@ -342,7 +344,11 @@
     }
   }
 
-  function createClaim(submission: Submission, supersedes: string | undefined): Claim {
+  function createClaim(
+    submission: Submission,
+    epoch: number,
+    supersedes: string | undefined,
+  ): Claim {
     return {
       id: submission.id,
       digest: submission.digest,
@@ -350,16 +356,18 @@
       runner: self.instance,
       runnerIncarnation: self.incarnation,
       runnerPeer: self.peer,
+      epoch,
       ...(supersedes === undefined ? {} : { supersedes }),
     };
   }
 
   /**
-   * Rejects a submission. Answers not-run only if the epoch is confirmed: an owner that was
-   * replaced without knowing it cannot rule out that the job ran.
+   * Rejects a submission. Answers not-run only if the epoch in which that was decided is confirmed:
+   * an owner that was replaced without knowing it cannot rule out that the job ran.
    */
-  async function confirmAndReject(id: string, cause: Problem): Promise<Answer> {
-    const isCertain = cause.outcome !== Outcomes.NOT_RUN || (await claimRegistry.confirm(id));
+  async function confirmAndReject(id: string, cause: Problem, epoch: number): Promise<Answer> {
+    const isCertain =
+      cause.outcome !== Outcomes.NOT_RUN || (await claimRegistry.confirm(id, epoch));
     return reject(id, isCertain ? cause : { ...cause, outcome: Outcomes.MAY_HAVE_RUN });
   }
 
--- a/packages/protocol/src/messages.ts
+++ b/packages/protocol/src/messages.ts
@@ -101,6 +101,8 @@
    * Incarnation of an earlier runner that confirmed it has not started and will not start any task.
    */
   supersedes: z.string().optional(),
+  /** Epoch in which the claim was made. */
+  epoch: nonNegativeInt.optional(),
 });
 
 /** A claim whose runner is the sender, which the receiver knows from the connection. */
@@ -155,6 +157,8 @@
   weight: z.number().positive(),
   /** Time left until the tasks may no longer be started. */
   remainingMs: z.number(),
+  /** The same point in time by the clock of the sender, which bounds a batch that arrives late. */
+  startBefore: timestampMs.optional(),
   /** Time since the job was submitted; determines its position in the queue. */
   ageMs: z.number().nonnegative(),
   tasks: z.array(batchTaskSchema),
