fix(dispatch): take over the count of a gateway that becomes the one of a job

Found on reading: a job whose gateway was lost kept the count of that gateway after another one had confirmed it, so that a further change of the token lost it. The extended test of the second gateway fails without the change (the job ends as "its gateway has not confirmed it").

--- a/packages/dispatch/__tests__/tokenChangeConfirmation.spec.ts
+++ b/packages/dispatch/__tests__/tokenChangeConfirmation.spec.ts
@@ -240,12 +240,18 @@
       await createSettledDispatcher();
     await fenceOff();
     tokens.own = RAISED_TOKEN;
-    submitAs({ gateway: 'h', incarnation: 'h1', sender: stateOf({}), resubmissions: 0 });
-    for (let passed = 0; passed < 1_500; passed += HEARTBEAT_MS) {
-      const sender = stateOf({ fence: RAISED_TOKEN });
-      renew('h', { incarnation: 'h1', sender });
-      await timer.advance(HEARTBEAT_MS);
-    }
+    const sender = stateOf({ unanswered: 2 });
+    submitAs({ gateway: 'h', incarnation: 'h1', sender, resubmissions: 0 });
+    // The count of this gateway applies also after a further change.
+    const advanceOther = async (ms: number, fence: number) => {
+      tokens.own = fence;
+      for (let passed = 0; passed < ms; passed += HEARTBEAT_MS) {
+        renew('h', { incarnation: 'h1', sender: stateOf({ fence, unanswered: 2 }) });
+        await timer.advance(HEARTBEAT_MS);
+      }
+    };
+    await advanceOther(400, RAISED_TOKEN);
+    await advanceOther(1_200, RAISED_TOKEN + 1);
     expect(outcomes.map(({ reason }) => reason)).toEqual([]);
     expect(starts).toEqual(['j@fast']);
   });
--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -381,7 +381,7 @@
     for (const record of [...unconfirmed]) {
       const { claimant } = record;
       if (claimant !== undefined && isSender(claimant)) {
-        transfer(record, claimant);
+        transfer(record, claimant, claimant.unanswered);
         confirm(record);
       } else if (isSender(record)) confirm(record);
     }
@@ -394,9 +394,10 @@
   }
 
   /** Lets a job run under the lease of the gateway that submitted it last. */
-  function transfer(record: JobRecord, to: GatewayProcess): void {
+  function transfer(record: JobRecord, to: GatewayProcess, unanswered: number | undefined): void {
     record.gateway = to.gateway;
     record.incarnation = to.incarnation;
+    record.unanswered = unanswered;
     record.leasedSinceMs = clock.nowMs();
     record.claimant = undefined;
   }
@@ -474,8 +475,7 @@
     if (gateway !== record.gateway) record.deadlineMs = Math.max(record.deadlineMs, deadlineMs);
     // A message that was sent before a later submission of the same process tells nothing new.
     const earlier = isOfSameProcess(record, submission) ? record.unanswered : undefined;
-    record.unanswered = latestOf(earlier, sender?.unanswered);
-    transfer(record, submission);
+    transfer(record, submission, latestOf(earlier, sender?.unanswered));
     confirm(record);
   }
 
