--- a/packages/dispatch/__tests__/lostGatewayTokenChange.spec.ts
+++ b/packages/dispatch/__tests__/lostGatewayTokenChange.spec.ts
@@ -1,25 +1,22 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import { Result } from 'true-myth';
-import {
-  OrderAnswers,
-  type EndpointEntry,
-  type EndpointNetwork,
-  type RunningTask,
-} from '@celerybarrow/endpoints';
-import { type GatewayState, type LeasedJob } from '@celerybarrow/protocol';
+import { OrderAnswers, type EndpointNetwork, type RunningTask } from '@celerybarrow/endpoints';
+import type { GatewayState } from '@celerybarrow/protocol';
 import { createRandom } from '@celerybarrow/shared';
 import { createMetrics, type Logger } from '@celerybarrow/telemetry';
 import { createElapsedClock, createManualTimer } from '@celerybarrow/timer';
 import { createDispatcher, type Dispatcher } from '../src/index.js';
+import {
+  entryOf,
+  FIRST_TOKEN,
+  HEARTBEAT_MS,
+  job,
+  OTHER_TOKEN,
+  RAISED_TOKEN,
+  SETTLED_MS,
+} from './settledDispatcher.js';
 
-const HEARTBEAT_MS = 50;
-/** Older than any lease of a gateway. */
-const SETTLED_MS = 3_000;
-const FIRST_TOKEN = 1;
-/** Token of the dispatcher apart. */
-const OTHER_TOKEN = 2;
-const RAISED_TOKEN = 3;
 /** Callers submit a job again after this time. */
 const CALLER_RESUBMITS_MS = 1_300;
 const opened: Dispatcher[] = [];
@@ -28,33 +25,6 @@
   for (const dispatcher of opened.splice(0)) dispatcher.close();
 });
 
-function entryOf(id: string): EndpointEntry {
-  const capacity = { cores: 4_000, memoryMb: 64, accelerators: 0 };
-  const place = { service: 's', dataCentre: 'd', isLeaving: false, labels: [] };
-  return { id, address: `${id}:1`, ...place, capacity };
-}
-
-const job: LeasedJob = {
-  id: 'j',
-  team: 't',
-  service: 's',
-  priority: 0,
-  maxAttempts: 1,
-  objectiveStretch: 1.6,
-  objectiveAllowanceMs: 60,
-  payload: '',
-  steps: [
-    {
-      tasks: 1,
-      demand: { cores: 1_000, memoryMb: 1, accelerators: 0 },
-      estimateMs: 2_000,
-      after: [],
-    },
-  ],
-  ageMs: 0,
-  remainingMs: 5_000,
-};
-
 /**
  * Creates two dispatchers that are cut off from each other. Each reaches one endpoint: `a` obeys the
  * one whose token is raised, `b` the one apart.
--- a/packages/jobs/src/jobService.ts
+++ b/packages/jobs/src/jobService.ts
@@ -244,8 +244,9 @@
   }
 
   /**
-   * Starts a job whose id this instance owns, with all claims, in the present epoch. It is added to `activeJobs` before its claim is registered, so that no other
-   * submission of the id can start it again.
+   * Starts a job whose id this instance owns, with all claims, in the present epoch. It is added to
+   * `activeJobs` before its claim is registered, so that no other submission of the id can start it
+   * again.
    */
   function startJob(submission: Submission, supersedes?: string): Promise<Answer | undefined> {
     const epoch = rosters.ownView()?.roster.epoch ?? 0;
