fix(leadership): a dispatcher that is named again hears no time from before

What callers would have seen: after a takeover by an instance that had dispatched earlier, their jobs waited for up to two heartbeats, because the gateways told the time that they had heard then, and the submissions counted as old. A gateway forgets that time with the view; the token of the new view proves its first messages. The new test failed without the change (it tells 70).

--- a/packages/instance/__tests__/simulatedInstances.ts
+++ b/packages/instance/__tests__/simulatedInstances.ts
@@ -131,6 +131,8 @@
   function receiveView(instance: SimulatedInstance, shard: number, view: View | undefined): void {
     const state = shardStateOf(instance, shard);
     if (view === undefined || !isRunning(instance) || !isNewer(view, state.view)) return;
+    if (state.view?.dispatcher.incarnation !== view.dispatcher.incarnation)
+      state.heard.delete(view.dispatcher.incarnation);
     state.view = view;
     state.lastContactMs = timer.nowMs();
     state.hasContact = false;
--- a/packages/leadership/__tests__/leadership.spec.ts
+++ b/packages/leadership/__tests__/leadership.spec.ts
@@ -204,6 +204,27 @@
     expect(heard).toEqual([undefined, 70]);
   });
 
+  it('do not tell an earlier time to a dispatcher that is named again after another one', async () => {
+    const { timer, heard, leadership } = await startLeadership({
+      dispatcher: member('b'),
+      answeredHeartbeats: 5,
+      reply: { clockMs: 70 },
+    });
+    await timer.advance(10);
+    const [afterC, again] = ['c', 'b'].map((name, index) => ({
+      key: dispatcherKey(0),
+      value: JSON.stringify({ epoch: 4 + index, round: 0, dispatcher: member(name) }),
+      revision: 2 + index,
+    }));
+    if (afterC === undefined || again === undefined) throw new Error('no views');
+    leadership.applyStoredEntry(afterC);
+    leadership.applyStoredEntry(again);
+    expect(leadership.gatewayState()?.heardMs).toEqual(undefined);
+    await timer.advance(HEARTBEAT.intervalMs);
+    leadership.close();
+    expect(heard).toEqual([undefined, undefined]);
+  });
+
   // The lease that a dispatcher grants from them ends also if the link is cut in one direction only.
   it('get the time of the dispatcher, and tell it what their sender knew', async () => {
     const { timer, states, leadership } = await startLeadership({ dispatcher: member('a') });
--- a/packages/leadership/src/leadership.ts
+++ b/packages/leadership/src/leadership.ts
@@ -187,6 +187,7 @@
     const earlier = view;
     const wasDispatching = isDispatching();
     const isSameDispatcher = view?.dispatcher.incarnation === next.dispatcher.incarnation;
+    if (!isSameDispatcher) contacts.forgetHeard(next.dispatcher.incarnation);
     view = next;
     cancellationsPosition = 0;
     detector.reset();
--- a/packages/leadership/src/recentContacts.ts
+++ b/packages/leadership/src/recentContacts.ts
@@ -16,6 +16,11 @@
   lastMs(incarnation: string): number | undefined;
   /** Returns the newest time on a dispatcher's clock that it has told; undefined if there is none. */
   heardMs(incarnation: string): number | undefined;
+  /**
+   * Forgets that time, because a dispatcher begins anew: it is old, and messages with it would count as
+   * old too.
+   */
+  forgetHeard(incarnation: string): void;
   /** Records that this instance no longer waits for the dispatcher's answer to a job. */
   recordUnanswered(incarnation: string): void;
   /** Returns the number of such jobs. */
@@ -53,6 +58,10 @@
     },
     lastMs: (incarnation) => contacts.get(incarnation)?.sentMs,
     heardMs: (incarnation) => contacts.get(incarnation)?.heardMs,
+    forgetHeard(incarnation) {
+      if (contacts.has(incarnation))
+        update(incarnation, (known) => ({ ...known, heardMs: undefined }));
+    },
     recordUnanswered(incarnation) {
       update(incarnation, (known) => ({ ...known, unanswered: known.unanswered + 1 }));
     },
