fix(dispatch): let no lease of a gateway last longer than before

The lease ends 550 ms after the message arrived, or 1,000 ms after the time that the gateway has heard, whichever is first.

--- a/packages/dispatch/src/gatewayLeases.ts
+++ b/packages/dispatch/src/gatewayLeases.ts
@@ -3,22 +3,22 @@
  *
  * Fault pattern: a link is cut in one direction, or delivers seconds later what was sent in a cut. The
  * gateway has lost contact and hands its jobs over to another dispatcher, but its messages still
- * arrive. A lease therefore counts from the newest time of this dispatcher that the gateway has heard
- * of, and not from the arrival of the message.
+ * arrive. A lease is therefore limited by the newest time of this dispatcher that the gateway has heard
+ * of, and does not count from the arrival of the message alone.
  *
  * A lease ends before a caller submits its job again elsewhere.
  */
 import type { GatewayState } from '@celerybarrow/protocol';
 import type { ElapsedClock } from '@celerybarrow/timer';
 
+/** Lease from the arrival of a message: more than two heartbeat intervals. */
+const GATEWAY_LEASE_MS = 550;
 /**
- * Lease from the time that the gateway has heard of. Callers resubmit after 1.3 s, and a stop takes
- * 50 ms. A heartbeat tells a time that is one interval and one reply old, up to 600 ms at a busy
- * dispatcher of several shards, and must reach to the next one.
+ * Longest lease from the time that the gateway has heard of. A heartbeat tells a time that is one
+ * interval and one reply old, up to 600 ms at a busy dispatcher of several shards, and its lease must
+ * reach to the next one. Callers resubmit after 1.3 s.
  */
-const GATEWAY_LEASE_MS = 1_000;
-/** Lease from the arrival of a message that tells no such time, from a gateway of an earlier version. */
-const LEASE_FROM_ARRIVAL_MS = 550;
+const MAX_LEASE_FROM_HEARD_MS = 1_000;
 
 /** A message of a gateway, as evidence that the gateway is in contact. */
 export interface GatewayMessage {
@@ -92,10 +92,11 @@
 
 /** Returns until when a message proves contact, on the clock of the dispatcher. */
 function leaseEndMs({ sender }: GatewayMessage, token: TokenAge, nowMs: number): number {
-  if (sender === undefined) return nowMs + LEASE_FROM_ARRIVAL_MS;
-  if (sender.heardMs !== undefined) return sender.heardMs + GATEWAY_LEASE_MS;
+  const fromArrivalMs = nowMs + GATEWAY_LEASE_MS;
+  if (sender === undefined) return fromArrivalMs;
   // A gateway that knows the present token has sent its first message since there is that token.
-  return sender.fence === token.fence ? token.sinceMs + GATEWAY_LEASE_MS : -Infinity;
+  const tokenMs = sender.fence === token.fence ? token.sinceMs : -Infinity;
+  return Math.min(fromArrivalMs, (sender.heardMs ?? tokenMs) + MAX_LEASE_FROM_HEARD_MS);
 }
 
 function isOtherProcess(lease: GatewayLease, incarnation: string | undefined): boolean {
--- a/packages/instance/__tests__/raisedFence.spec.ts
+++ b/packages/instance/__tests__/raisedFence.spec.ts
@@ -53,7 +53,7 @@
   {
     name: 'never runs twice at the same time when any fault meets a short or one-way cut',
     kinds: [...LongFaultKinds, ...CutFaultKinds],
-    failedSeeds: [483, 908, 1167],
+    failedSeeds: [1868, 483, 908, 1167],
   },
 ];
 
