--- a/packages/dispatch/src/dispatcher.ts
+++ b/packages/dispatch/src/dispatcher.ts
@@ -36,11 +36,8 @@
 import type { LogContext, Logger, Metrics } from '@celerybarrow/telemetry';
 import type { ElapsedClock, TimerService } from '@celerybarrow/timer';
 import { createArrivalRates } from './arrivalRates.js';
-import {
-  CONFIRMATION_TIMEOUT_MS,
-  createReconciliation,
-  RECONCILIATION_TIMEOUT_MS,
-} from './reconciliation.js';
+import { createConfirmations, hasLostAnswers } from './confirmations.js';
+import { createReconciliation, RECONCILIATION_TIMEOUT_MS } from './reconciliation.js';
 import { createEndpointPool } from './endpointPool.js';
 import { describeDepartures, findDepartures } from './departures.js';
 import { createInheritedEndpoints } from './inheritedEndpoints.js';
@@ -54,7 +51,6 @@
   endpointsWithRuns,
   describeRuns,
   runSuffix,
-  type GatewayProcess,
   type JobRecord,
   type TaskRecord,
 } from './jobRecord.js';
@@ -207,8 +203,6 @@
       : undefined;
   const gatewayLeases = createGatewayLeases(clock);
   const tokens = createTokenChanges({ fence: options.fence, clock, monotonicClock: timer });
-  /** Open jobs that wait for their gateways to confirm them. */
-  const unconfirmed = new Set<JobRecord>();
   const jobSizes = createJobSizeClassifier();
   const duplicateRuns = createDuplicateRunDetector({
     clock,
@@ -314,6 +308,7 @@
     },
     onReconciled: schedulePass,
   });
+  const confirmations = createConfirmations({ reconciliation, tokens, clock, logger, metrics });
   const createdMs = clock.nowMs();
   const reportLog = createEndpointReportLog({ pool, clock, logger });
   const stallDetector = createStallDetector(clock);
@@ -366,70 +361,7 @@
     const change = { earlier, fence: tokens.fence(), nowMs: tokens.sinceMs() };
     logFenceChange(change, open, { ...options, instance: options.instance });
     reconciliation.restart(open);
-    for (const record of open) if (record.confirmUntilMs !== undefined) unconfirmed.add(record);
-  }
-
-  /** Confirms the jobs that a gateway has handed over to no other dispatcher since it sent them. */
-  function confirmJobs({ gateway, incarnation, sender }: GatewayMessage): void {
-    // Without a time that it has heard, the message may be older than the token.
-    if (unconfirmed.size === 0 || sender?.heardMs === undefined) return;
-    if (sender.fence !== tokens.fence()) return;
-    const isSender = (known: GatewayProcess & { unanswered?: number | undefined }) =>
-      known.gateway === gateway &&
-      known.incarnation === incarnation &&
-      known.unanswered === sender.unanswered;
-    for (const record of [...unconfirmed]) {
-      const { claimant } = record;
-      if (claimant !== undefined && isSender(claimant)) {
-        transfer(record, claimant, claimant.unanswered);
-        confirm(record);
-      } else if (isSender(record)) confirm(record);
-    }
-  }
-
-  function confirm(record: JobRecord): void {
-    reconciliation.confirm(record);
-    record.leasedSinceMs ??= clock.nowMs();
-    if (record.claimant === undefined) unconfirmed.delete(record);
-  }
-
-  /** Lets a job run under the lease of the gateway that submitted it last. */
-  function transfer(record: JobRecord, to: GatewayProcess, unanswered: number | undefined): void {
-    record.gateway = to.gateway;
-    record.incarnation = to.incarnation;
-    record.unanswered = unanswered;
-    record.leasedSinceMs = clock.nowMs();
-    record.claimant = undefined;
-  }
-
-  /**
-   * Whether a submission proves by itself that its gateway has the job with this dispatcher: it was
-   * sent a short time ago, under the present token.
-   */
-  function isProved({ sender }: Submission, isRecent: boolean): boolean {
-    return sender === undefined || (isRecent && sender.fence === tokens.fence());
-  }
-
-  /**
-   * Lets a new job wait until its gateway confirms it. The job was sent under another token, or so long
-   * ago that the gateway may have handed it over elsewhere.
-   */
-  function awaitConfirmation(record: JobRecord, submission: Submission): void {
-    const { sender, gateway, resubmissions } = submission;
-    if (sender?.fence === tokens.fence()) reconciliation.awaitConfirmation(record);
-    else reconciliation.restart([record]);
-    record.leasedSinceMs = undefined;
-    unconfirmed.add(record);
-    metrics.increment('unconfirmed-submissions');
-    logger.info('Job waits for its gateway to confirm it.', {
-      job: record.job.id,
-      gateway,
-      resubmissions,
-      sentUnder: sender?.fence,
-      fence: tokens.fence(),
-      heardAgoMs:
-        sender?.heardMs === undefined ? undefined : Math.round(clock.nowMs() - sender.heardMs),
-    });
+    confirmations.addAll(open);
   }
 
   function logResubmission(record: JobRecord, { gateway, resubmissions }: Submission): void {
@@ -453,9 +385,9 @@
     const mayRunElsewhere =
       wasElsewhere ||
       (resubmissions > 0 && isOtherGateway) ||
-      (resubmissions === 0 && !isOtherGateway && hasLostAnswers(record, submission));
-    if (isProved(submission, isRecent)) applySubmission(record, submission);
-    else recordClaimant(record, submission);
+      (resubmissions === 0 && !isOtherGateway && hasLostAnswers(record, submission.sender));
+    if (confirmations.isProved(submission, isRecent)) confirmations.apply(record, submission);
+    else confirmations.recordClaimant(record, submission);
     record.mayHaveRun ||= mayRunElsewhere;
     const earlier = record.answer;
     return new Promise((resolve) => {
@@ -468,40 +400,6 @@
     });
   }
 
-  function applySubmission(record: JobRecord, submission: Submission): void {
-    const { gateway, sender, job } = submission;
-    // The deadline may be that of a gateway that ends, and this caller waits for longer.
-    const deadlineMs = clock.nowMs() + job.remainingMs;
-    if (gateway !== record.gateway) record.deadlineMs = Math.max(record.deadlineMs, deadlineMs);
-    // A message that was sent before a later submission of the same process tells nothing new.
-    const earlier = isOfSameProcess(record, submission) ? record.unanswered : undefined;
-    transfer(record, submission, latestOf(earlier, sender?.unanswered));
-    confirm(record);
-  }
-
-  /** Records a submission that proves nothing by itself, until its gateway confirms it. */
-  function recordClaimant(record: JobRecord, submission: Submission): void {
-    const { gateway, incarnation, sender } = submission;
-    if (sender === undefined) return;
-    const { unanswered } = sender;
-    if (isOfSameProcess(record, submission)) {
-      record.unanswered = latestOf(record.unanswered, unanswered);
-      return;
-    }
-    const untilMs = clock.nowMs() + CONFIRMATION_TIMEOUT_MS;
-    record.claimant = { gateway, incarnation, unanswered, untilMs };
-    unconfirmed.add(record);
-  }
-
-  function isOfSameProcess(record: JobRecord, { gateway, incarnation }: Submission): boolean {
-    return record.gateway === gateway && record.incarnation === incarnation;
-  }
-
-  /** Whether the gateway may have handed a job over elsewhere since it sent it here. */
-  function hasLostAnswers({ unanswered }: JobRecord, { sender }: Submission): boolean {
-    return unanswered !== undefined && sender !== undefined && unanswered !== sender.unanswered;
-  }
-
   /** Admits a resubmission of an ended job once the runs of that job have terminated. */
   async function readmit(record: JobRecord, submission: Submission): Promise<JobOutcome> {
     const sinceMs = clock.nowMs();
@@ -552,7 +450,7 @@
       reconciliation.claim(record, submission);
       if (record.outcome !== undefined) return;
       record.unanswered = submission.sender?.unanswered;
-      if (!isProved(submission, isRecent)) awaitConfirmation(record, submission);
+      if (!confirmations.isProved(submission, isRecent)) confirmations.await(record, submission);
       if (!placer.isRunnable(record)) {
         finish(record, { state: stateOfUnserved(record), reason: 'no endpoint can run it' });
         return;
@@ -883,7 +781,7 @@
   function finish(record: JobRecord, outcome: JobOutcome): void {
     if (record.outcome !== undefined) return;
     record.outcome = outcome;
-    unconfirmed.delete(record);
+    confirmations.remove(record);
     record.answer(outcome);
     const nowMs = clock.nowMs();
     const { id, team } = record.job;
@@ -1048,7 +946,7 @@
       reconciliation.mayHaveRuns(id),
     renewGatewayLease(gateway, message = {}) {
       detectTokenChange();
-      if (renewLease({ gateway, ...message })) confirmJobs({ gateway, ...message });
+      if (renewLease({ gateway, ...message })) confirmations.confirm({ gateway, ...message });
     },
     setEndpoints(entries) {
       reportLog.logListChange(entries);
@@ -1070,10 +968,3 @@
     close,
   };
 }
-
-/** Returns the larger of two counts of one process, of which one may not be known. */
-function latestOf(earlier: number | undefined, later: number | undefined): number | undefined {
-  return earlier === undefined || later === undefined
-    ? (later ?? earlier)
-    : Math.max(earlier, later);
-}
